--- /dev/null
+++ b/bench/bwbench/doc.go
@@ -0,0 +1,2 @@
+// Package bwbench runs the named experiments and reports their measurements.
+package bwbench
--- /dev/null
+++ b/cmd/bilberrywick/doc.go
@@ -0,0 +1,2 @@
+// Command bilberrywick runs routers, agents, operators' commands and stand-ins.
+package main
--- /dev/null
+++ b/cmd/bilberrywick/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/core/bwaction/doc.go
@@ -0,0 +1,2 @@
+// Package bwaction decides how a non-idempotent action is reserved, dispatched and settled.
+package bwaction
--- /dev/null
+++ b/core/bwadmit/doc.go
@@ -0,0 +1,2 @@
+// Package bwadmit decides which request starts next and which is refused.
+package bwadmit
--- /dev/null
+++ b/core/bwcontrol/owner.go
@@ -0,0 +1,128 @@
+package bwcontrol
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+)
+
+// ErrStopped is returned when the owner's goroutine has ended.
+var ErrStopped = errors.New("control goroutine has stopped")
+
+// Owner runs the only goroutine that changes a control state S, and publishes
+// an immutable view V of it after each change.
+type Owner[S, V any] struct {
+	state   *S
+	view    func(*S) *V
+	posted  chan posting[S]
+	current atomic.Pointer[V]
+	done    chan struct{}
+}
+
+// Config holds what an Owner starts from.
+type Config[S, V any] struct {
+	// State is changed by the owner's goroutine only, once it runs.
+	State *S
+	// View derives an immutable view; it must not share memory that changes later.
+	View func(*S) *V
+	// Backlog is the number of posted changes that may wait; 0 means 256.
+	Backlog int
+}
+
+const defaultBacklog = 256
+
+// New returns an owner whose first view is published already.
+func New[S, V any](cfg Config[S, V]) *Owner[S, V] {
+	if cfg.Backlog == 0 {
+		cfg.Backlog = defaultBacklog
+	}
+	own := &Owner[S, V]{
+		state:  cfg.State,
+		view:   cfg.View,
+		posted: make(chan posting[S], cfg.Backlog),
+		done:   make(chan struct{}),
+	}
+	own.current.Store(cfg.View(cfg.State))
+	return own
+}
+
+// Start runs the owner's goroutine until the context ends.
+func (own *Owner[S, V]) Start(ctx context.Context) { go own.run(ctx) }
+
+// Snapshot returns the current view; it never blocks.
+func (own *Owner[S, V]) Snapshot() *V { return own.current.Load() }
+
+// Post queues a change and returns without waiting for it, or returns
+// ErrStopped or the context's error when it can't be queued.
+func (own *Owner[S, V]) Post(ctx context.Context, change func(*S)) error {
+	return own.enqueue(ctx, posting[S]{change: change})
+}
+
+// Do queues a change and waits until it is applied and its view published, or
+// returns ErrStopped or the context's error.
+func (own *Owner[S, V]) Do(ctx context.Context, change func(*S)) error {
+	post := posting[S]{change: change, applied: make(chan struct{})}
+	if err := own.enqueue(ctx, post); err != nil {
+		return err
+	}
+	select {
+	case <-post.applied:
+		return nil
+	case <-own.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Done is closed when the owner's goroutine has ended.
+func (own *Owner[S, V]) Done() <-chan struct{} { return own.done }
+
+func (own *Owner[S, V]) enqueue(ctx context.Context, post posting[S]) error {
+	select {
+	case own.posted <- post:
+		return nil
+	case <-own.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (own *Owner[S, V]) run(ctx context.Context) {
+	defer close(own.done)
+	var applied []chan struct{}
+	for {
+		select {
+		case post := <-own.posted:
+			applied = own.apply(post, applied[:0])
+			own.current.Store(own.view(own.state))
+			for _, ch := range applied {
+				close(ch)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// apply runs one change and those that wait already, so that a burst costs one
+// view, and returns the channels to close once the view is published.
+func (own *Owner[S, V]) apply(post posting[S], applied []chan struct{}) []chan struct{} {
+	for {
+		post.change(own.state)
+		if post.applied != nil {
+			applied = append(applied, post.applied)
+		}
+		select {
+		case post = <-own.posted:
+		default:
+			return applied
+		}
+	}
+}
+
+type posting[S any] struct {
+	change  func(*S)
+	applied chan struct{}
+}
--- /dev/null
+++ b/core/bwlease/doc.go
@@ -0,0 +1,2 @@
+// Package bwlease takes, renews and checks leases, and guards upstreams with fencing numbers.
+package bwlease
--- /dev/null
+++ b/core/bwmodel/doc.go
@@ -0,0 +1,2 @@
+// Package bwmodel defines the identifiers, values and objects that all modules share.
+package bwmodel
--- /dev/null
+++ b/core/bwplace/doc.go
@@ -0,0 +1,2 @@
+// Package bwplace plans which engine loads which model.
+package bwplace
--- /dev/null
+++ b/core/bwretry/doc.go
@@ -0,0 +1,2 @@
+// Package bwretry bounds retries and hedged requests.
+package bwretry
--- /dev/null
+++ b/core/bwroute/doc.go
@@ -0,0 +1,2 @@
+// Package bwroute chooses the upstream for a request.
+package bwroute
--- /dev/null
+++ b/io/bwadmin/doc.go
@@ -0,0 +1,2 @@
+// Package bwadmin serves the administration API.
+package bwadmin
--- /dev/null
+++ b/io/bwagent/doc.go
@@ -0,0 +1,2 @@
+// Package bwagent runs the agent process beside an upstream.
+package bwagent
--- /dev/null
+++ b/io/bwengine/doc.go
@@ -0,0 +1,2 @@
+// Package bwengine talks to model engines and plain services.
+package bwengine
--- /dev/null
+++ b/io/bwobserve/doc.go
@@ -0,0 +1,2 @@
+// Package bwobserve sets up logs and metrics.
+package bwobserve
--- /dev/null
+++ b/io/bwrouter/doc.go
@@ -0,0 +1,2 @@
+// Package bwrouter runs the router process.
+package bwrouter
--- /dev/null
+++ b/io/bwrpc/doc.go
@@ -0,0 +1,2 @@
+// Package bwrpc carries typed calls between the system's processes over drpc.
+package bwrpc
--- /dev/null
+++ b/io/bwrpc/server.go
@@ -0,0 +1,93 @@
+package bwrpc
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"net"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcserver"
+)
+
+// Server dispatches calls to typed handlers.
+type Server struct {
+	codec    *Codec
+	tls      *tls.Config
+	log      *slog.Logger
+	handlers map[string]func(drpc.Stream) error
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	// TLS secures connections when set.
+	TLS *tls.Config
+	Log *slog.Logger
+}
+
+// NewServer returns a server without handlers, or an error from the codec.
+func NewServer(cfg ServerConfig) (*Server, error) {
+	cod, err := NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	srv := &Server{
+		codec:    cod,
+		tls:      cfg.TLS,
+		log:      cfg.Log,
+		handlers: make(map[string]func(drpc.Stream) error),
+	}
+	return srv, nil
+}
+
+// HandleUnary registers a method with one request and one response; it must be
+// called before Serve.
+func HandleUnary[Req, Rsp any](srv *Server, method string, fn func(context.Context, *Req) (*Rsp, error)) {
+	srv.handlers[method] = func(stm drpc.Stream) error {
+		req := new(Req)
+		if err := stm.MsgRecv(req, srv.codec); err != nil {
+			return err
+		}
+		rsp, err := fn(stm.Context(), req)
+		if err != nil {
+			return err
+		}
+		return stm.MsgSend(rsp, srv.codec)
+	}
+}
+
+// HandleStream registers a method whose handler reads In and writes Out until
+// it returns; it must be called before Serve.
+func HandleStream[In, Out any](srv *Server, method string, fn func(context.Context, *Stream[In, Out]) error) {
+	srv.handlers[method] = func(stm drpc.Stream) error {
+		return fn(stm.Context(), &Stream[In, Out]{stm: stm, codec: srv.codec, method: method})
+	}
+}
+
+// HandleRPC runs one call; drpc calls it.
+func (srv *Server) HandleRPC(stm drpc.Stream, method string) error {
+	handler, ok := srv.handlers[method]
+	if !ok {
+		return Refuse(Unknown, "method %q is not served here", method)
+	}
+	return handler(stm)
+}
+
+// Serve accepts connections until the context ends or the listener fails.
+func (srv *Server) Serve(ctx context.Context, lis net.Listener) error {
+	if srv.tls != nil {
+		lis = tls.NewListener(lis, srv.tls)
+	}
+	opts := drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(err error) { srv.log.Debug("rpc connection ended", "Error", err) },
+	}
+	if err := drpcserver.NewWithOptions(srv, opts).Serve(ctx, lis); err != nil {
+		return fmt.Errorf("serve rpc on %v: %w", lis.Addr(), err)
+	}
+	return nil
+}
--- /dev/null
+++ b/io/bwsettings/doc.go
@@ -0,0 +1,2 @@
+// Package bwsettings loads and checks the settings of a process.
+package bwsettings
--- /dev/null
+++ b/io/bwwire/control.go
@@ -0,0 +1,63 @@
+package bwwire
+
+import (
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// StatusRequest subscribes to an agent's status.
+type StatusRequest struct {
+	From        bwmodel.MemberID
+	StateNumber bwmodel.TicketNumber
+}
+
+// AgentStatusEvent is an agent's report, sent each second and on change.
+type AgentStatusEvent struct {
+	Member      bwmodel.Member
+	Upstream    bwmodel.UpstreamID
+	Service     bwmodel.ServiceID
+	StateNumber bwmodel.TicketNumber
+	// Clock is the agent's monotonic clock, counted from its start.
+	Clock time.Duration
+	Load  bwmodel.LoadReport
+	Cache []bwmodel.CacheEvent
+}
+
+// OrderRequest tells an engine to load or unload a model or to change role.
+type OrderRequest struct {
+	// Duty names the leased control duty under which the order is given.
+	Duty   string
+	Fence  bwmodel.Fence
+	Load   string
+	Unload string
+	Role   string
+}
+
+// OrderResponse answers an OrderRequest that was carried out.
+type OrderResponse struct{ Fence bwmodel.Fence }
+
+// ExchangeMessage is both the request and the response of an exchange between peers.
+type ExchangeMessage struct {
+	From    bwmodel.Member
+	Head    bwmodel.TicketNumber
+	Members []MemberSummary
+}
+
+// MemberSummary is what one process knows of another.
+type MemberSummary struct {
+	Member bwmodel.Member
+	// Age is the time since the member itself was heard.
+	Age time.Duration
+}
+
+// TicketsRequest asks for what follows a number.
+type TicketsRequest struct{ After bwmodel.TicketNumber }
+
+// TicketsResponse carries either the tickets after the number, in order, or,
+// when the peer no longer has them all, one whole state.
+type TicketsResponse struct {
+	Head    bwmodel.TicketNumber
+	Tickets []TicketDocument
+	State   *StateDocument
+}
--- /dev/null
+++ b/io/bwwire/generation.go
@@ -0,0 +1,109 @@
+package bwwire
+
+import (
+	"net/netip"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// GenerateRequest starts an attempt of a generation.
+type GenerateRequest struct {
+	Request     bwmodel.RequestID
+	Epoch       bwmodel.Epoch
+	Attempt     bwmodel.Attempt
+	StateNumber bwmodel.TicketNumber
+	Spec        bwmodel.GenerationSpec
+	// Issued are the tokens that earlier attempts produced; the attempt goes on after them.
+	Issued []bwmodel.Token
+	// PromptTokens is the prompt as the first attempt's engine tokenized it; empty before that.
+	PromptTokens []bwmodel.TokenID
+	// Holder is the router that holds a copy of the record.
+	Holder netip.AddrPort
+	// Priority orders work in the engine; a lower value runs first.
+	Priority int
+}
+
+// AttachRequest takes over the running attempt of a generation.
+type AttachRequest struct {
+	Request bwmodel.RequestID
+	Team    bwmodel.TeamID
+	// Epoch must be higher than the epoch that the agent serves.
+	Epoch bwmodel.Epoch
+	// From is the first position wanted.
+	From   bwmodel.Position
+	Holder netip.AddrPort
+}
+
+// GenerateEvent is one message of an attempt's output.
+type GenerateEvent struct {
+	Attempt bwmodel.Attempt
+	// Position is the position of the first token.
+	Position bwmodel.Position
+	Tokens   []bwmodel.Token
+	// PromptTokens is set in the first event of an attempt that tokenized the prompt.
+	PromptTokens []bwmodel.TokenID
+	// CachedTokens is set in the first event: the prompt tokens that the engine
+	// had in its prefix cache.
+	CachedTokens int
+	// Record is set in the first event after an attach.
+	Record *bwmodel.GenerationRecord
+	// Finish is set in the last event.
+	Finish bwmodel.FinishReason
+	// StateNumber is the agent's ticket number, so that a router that missed one learns of it.
+	StateNumber bwmodel.TicketNumber
+}
+
+// CancelRequest ends the attempts of a request below an epoch, and the attempts
+// of that epoch up to an attempt.
+type CancelRequest struct {
+	Request bwmodel.RequestID
+	Epoch   bwmodel.Epoch
+	Attempt bwmodel.Attempt
+}
+
+// CancelResponse answers a CancelRequest.
+type CancelResponse struct{ Canceled bool }
+
+// AppendBatch carries the appends of many generations to one holder.
+type AppendBatch struct{ Appends []RecordAppend }
+
+// RecordAppend extends, starts or drops one generation's record at its holder.
+type RecordAppend struct {
+	Request bwmodel.RequestID
+	Epoch   bwmodel.Epoch
+	// Record is set when the holder has no record yet; it replaces one of a lower epoch.
+	Record *bwmodel.GenerationRecord
+	// Position is the position of the first token.
+	Position     bwmodel.Position
+	Tokens       []bwmodel.Token
+	PromptTokens []bwmodel.TokenID
+	Attempt      bwmodel.Attempt
+	Agent        netip.AddrPort
+	Finish       bwmodel.FinishReason
+	// Drop says that the caller has everything and the record is no longer needed.
+	Drop bool
+}
+
+// AckBatch answers an AppendBatch, in any grouping.
+type AckBatch struct{ Acks []RecordAck }
+
+// RecordAck tells how far a holder's record reaches.
+type RecordAck struct {
+	Request bwmodel.RequestID
+	Epoch   bwmodel.Epoch
+	// Position is the number of tokens that the holder keeps.
+	Position bwmodel.Position
+	// Refused says that the holder has sealed the record under a higher epoch,
+	// or has no record to extend.
+	Refused bool
+}
+
+// TakeOverRequest seals a record against lower epochs and asks for it.
+type TakeOverRequest struct {
+	Request bwmodel.RequestID
+	Team    bwmodel.TeamID
+	Epoch   bwmodel.Epoch
+}
+
+// TakeOverResponse carries the record as it was sealed.
+type TakeOverResponse struct{ Record bwmodel.GenerationRecord }
--- /dev/null
+++ b/standin/bwfakeapp/doc.go
@@ -0,0 +1,2 @@
+// Package bwfakeapp is a stand-in for a plain application service, with faults to order.
+package bwfakeapp
