--- /dev/null
+++ b/core/bwadmit/request.go
@@ -0,0 +1,51 @@
+package bwadmit
+
+import (
+	"fmt"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Request asks for permission to start work.
+type Request struct {
+	ID      bwmodel.RequestID
+	Service bwmodel.ServiceID
+	Team    bwmodel.TeamID
+	Class   bwmodel.WorkClass
+	// Tokens is the expected work; 1 for a call to a plain service.
+	Tokens int
+	// Deadline ends the wait; the zero time means the service's own deadline.
+	Deadline time.Time
+}
+
+// Grant is the permission to start.
+type Grant struct {
+	// Finish ends the permission with the work done in tokens; it is called once.
+	Finish func(tokens int)
+	// Pause is closed when the work is asked to give way; it may be nil.
+	Pause <-chan struct{}
+}
+
+// RefusedError says that the work was not started and never will be.
+type RefusedError struct {
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Error returns the reason and the time to come back.
+func (err *RefusedError) Error() string {
+	return fmt.Sprintf("not admitted: %s, retry after %v", err.Reason, err.RetryAfter)
+}
+
+// Reason says why work was refused.
+type Reason string
+
+// Reasons for a refusal.
+const (
+	QueueFull      Reason = "queue full"
+	DeadlinePassed Reason = "deadline passed"
+	TeamLimit      Reason = "team limit reached"
+	GaveWay        Reason = "gave way to prompt work"
+	ShuttingDown   Reason = "shutting down"
+)
