Add the decisions about a generation's tokens

Cause: callers must get each token once and in order across the death of engines and routers (invariants I1 to I3). An event may end within a token, so a handle carries a byte offset beside the position.

--- /dev/null
+++ b/core/bwstream/handle.go
@@ -0,0 +1,138 @@
+package bwstream
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// ErrHandle is returned for a text that is not a handle.
+var ErrHandle = errors.New("not a generation handle")
+
+// Mark is a point in a generation's text: after Position whole tokens and
+// Offset bytes of the token that follows them.
+type Mark struct {
+	Position bwmodel.Position
+	Offset   int
+}
+
+// Handle tells any router where to continue a generation, and from which point.
+type Handle struct {
+	Request bwmodel.RequestID
+	Epoch   bwmodel.Epoch
+	// Holder is the router that holds a copy of the record; it may be unset.
+	Holder netip.AddrPort
+	// Agent is where the attempt runs; it may be unset.
+	Agent netip.AddrPort
+	Mark  Mark
+}
+
+const (
+	handleVersion = 1
+	// MaxHandleLength bounds the text of a handle; two IPv6 addresses need 93 characters.
+	MaxHandleLength = 128
+	// maxTokenBytes bounds the offset within a token.
+	maxTokenBytes = 1 << 10
+)
+
+// String returns the handle as text that fits into a URL path and an SSE id.
+func (hd Handle) String() string {
+	buf := make([]byte, 0, MaxHandleLength)
+	buf = append(buf, handleVersion)
+	buf = append(buf, hd.Request[:]...)
+	buf = binary.AppendUvarint(buf, uint64(hd.Epoch))
+	buf = binary.AppendUvarint(buf, uint64(hd.Mark.Position))
+	buf = binary.AppendUvarint(buf, uint64(hd.Mark.Offset))
+	buf = appendAddress(buf, hd.Holder)
+	buf = appendAddress(buf, hd.Agent)
+	return base64.RawURLEncoding.EncodeToString(buf)
+}
+
+// ParseHandle reads what String wrote, or returns an error that wraps ErrHandle.
+func ParseHandle(txt string) (Handle, error) {
+	if len(txt) > MaxHandleLength {
+		return Handle{}, fmt.Errorf("%w: %d characters, at most %d", ErrHandle, len(txt), MaxHandleLength)
+	}
+	buf, err := base64.RawURLEncoding.Strict().DecodeString(txt)
+	if err != nil {
+		return Handle{}, fmt.Errorf("%w: %w", ErrHandle, err)
+	}
+	hd, err := decodeHandle(buf)
+	if err != nil {
+		return Handle{}, err
+	}
+	if hd.String() != txt {
+		return Handle{}, fmt.Errorf("%w: not in its shortest form", ErrHandle)
+	}
+	return hd, nil
+}
+
+func decodeHandle(buf []byte) (Handle, error) {
+	var hd Handle
+	if len(buf) < 1+len(hd.Request) || buf[0] != handleVersion {
+		return Handle{}, fmt.Errorf("%w: unknown version or too short", ErrHandle)
+	}
+	buf = buf[1:]
+	buf = buf[copy(hd.Request[:], buf):]
+	var nums [3]uint64
+	for ix := range nums {
+		val, size := binary.Uvarint(buf)
+		if size <= 0 {
+			return Handle{}, fmt.Errorf("%w: malformed number", ErrHandle)
+		}
+		nums[ix] = val
+		buf = buf[size:]
+	}
+	if nums[2] > maxTokenBytes {
+		return Handle{}, fmt.Errorf("%w: offset %d, at most %d", ErrHandle, nums[2], maxTokenBytes)
+	}
+	hd.Epoch = bwmodel.Epoch(nums[0])
+	hd.Mark = Mark{Position: bwmodel.Position(nums[1]), Offset: int(nums[2])}
+	var err error
+	if hd.Holder, buf, err = cutAddress(buf); err != nil {
+		return Handle{}, err
+	}
+	if hd.Agent, buf, err = cutAddress(buf); err != nil {
+		return Handle{}, err
+	}
+	if len(buf) != 0 {
+		return Handle{}, fmt.Errorf("%w: %d bytes too many", ErrHandle, len(buf))
+	}
+	return hd, nil
+}
+
+// appendAddress writes a length and the address without its IPv6 zone.
+func appendAddress(buf []byte, addr netip.AddrPort) []byte {
+	if !addr.IsValid() {
+		return append(buf, 0)
+	}
+	ip := addr.Addr().WithZone("").AsSlice()
+	buf = append(buf, byte(len(ip)))
+	buf = append(buf, ip...)
+	return binary.BigEndian.AppendUint16(buf, addr.Port())
+}
+
+func cutAddress(buf []byte) (netip.AddrPort, []byte, error) {
+	const portBytes = 2
+	if len(buf) == 0 {
+		return netip.AddrPort{}, nil, fmt.Errorf("%w: address is missing", ErrHandle)
+	}
+	size := int(buf[0])
+	buf = buf[1:]
+	if size == 0 {
+		return netip.AddrPort{}, buf, nil
+	}
+	if len(buf) < size+portBytes {
+		return netip.AddrPort{}, nil, fmt.Errorf("%w: address is cut off", ErrHandle)
+	}
+	ip, ok := netip.AddrFromSlice(buf[:size])
+	if !ok {
+		return netip.AddrPort{}, nil, fmt.Errorf("%w: address of %d bytes", ErrHandle, size)
+	}
+	port := binary.BigEndian.Uint16(buf[size:])
+	return netip.AddrPortFrom(ip, port), buf[size+portBytes:], nil
+}
--- /dev/null
+++ b/core/bwstream/store.go
@@ -0,0 +1,267 @@
+package bwstream
+
+import (
+	"errors"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Reasons why a store refuses a takeover.
+var (
+	// ErrUnknownRecord says that the store has no record of the request.
+	ErrUnknownRecord = errors.New("no record of the request")
+	// ErrOtherTeam says that the record belongs to another team.
+	ErrOtherTeam = errors.New("record belongs to another team")
+	// ErrStaleEpoch says that the record has been sealed under this epoch or a higher one.
+	ErrStaleEpoch = errors.New("epoch has been replaced")
+)
+
+// Store keeps the records that a router holds for others. It is a plain value
+// owned by one goroutine.
+type Store struct {
+	cfg     StoreConfig
+	records map[bwmodel.RequestID]*heldRecord
+	bytes   int
+}
+
+// StoreConfig configures a Store; zero values mean the defaults.
+type StoreConfig struct {
+	Now func() time.Time
+	// MaxBytes bounds the memory of all records; 0 means 64 MiB.
+	MaxBytes int
+	// Idle is how long a record without appends is kept; 0 means 10 min.
+	Idle time.Duration
+	// Finished is how long a finished record is kept for a caller that lost
+	// its connection at the end; 0 means 1 min.
+	Finished time.Duration
+}
+
+const (
+	defaultMaxBytes = 64 << 20
+	defaultIdle     = 10 * time.Minute
+	defaultFinished = time.Minute
+	// tokenOverhead is the size of a Token without its bytes.
+	tokenOverhead = 32
+	// recordOverhead is the size of a record without its variable parts.
+	recordOverhead = 512
+)
+
+// Append extends, starts or drops one record.
+type Append struct {
+	Request bwmodel.RequestID
+	Epoch   bwmodel.Epoch
+	// Record is set when the store has no record yet; it replaces one of a lower epoch.
+	Record *bwmodel.GenerationRecord
+	// Position is the position of the first token.
+	Position     bwmodel.Position
+	Tokens       []bwmodel.Token
+	PromptTokens []bwmodel.TokenID
+	Attempt      bwmodel.Attempt
+	Agent        netip.AddrPort
+	Finish       bwmodel.FinishReason
+	// Drop says that the record is no longer needed.
+	Drop bool
+}
+
+// Ack tells how far a record reaches after an append.
+type Ack struct {
+	Request  bwmodel.RequestID
+	Epoch    bwmodel.Epoch
+	Position bwmodel.Position
+	// Refused says that the record is sealed under a higher epoch, or that
+	// there is none to extend and no room for a new one.
+	Refused bool
+}
+
+type heldRecord struct {
+	rec     bwmodel.GenerationRecord
+	epoch   bwmodel.Epoch
+	touched time.Time
+	bytes   int
+}
+
+// NewStore returns an empty store.
+func NewStore(cfg StoreConfig) *Store {
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = defaultMaxBytes
+	}
+	if cfg.Idle == 0 {
+		cfg.Idle = defaultIdle
+	}
+	if cfg.Finished == 0 {
+		cfg.Finished = defaultFinished
+	}
+	return &Store{cfg: cfg, records: make(map[bwmodel.RequestID]*heldRecord)}
+}
+
+// Append applies one append and returns its acknowledgement.
+func (str *Store) Append(app Append) Ack {
+	ack := Ack{Request: app.Request, Epoch: app.Epoch}
+	hld := str.records[app.Request]
+	if hld != nil && app.Epoch < hld.epoch {
+		ack.Refused = true
+		return ack
+	}
+	if app.Drop {
+		str.remove(hld)
+		return ack
+	}
+	if app.Record != nil && (hld == nil || app.Epoch > hld.epoch) {
+		hld = str.replace(hld, app)
+	}
+	if hld == nil || app.Epoch != hld.epoch {
+		ack.Refused = true
+		return ack
+	}
+	if app.Record != nil {
+		app.Position = 0
+		app.Tokens = app.Record.Issued
+	}
+	fresh, err := extend(hld.rec.Issued, app.Position, app.Tokens)
+	if err != nil {
+		// A gap is filled by the sender, which sees from the position what is missing.
+		ack.Refused = errors.Is(err, ErrMismatch)
+		ack.Position = bwmodel.Position(len(hld.rec.Issued))
+		return ack
+	}
+	str.extend(hld, app, fresh)
+	ack.Position = bwmodel.Position(len(hld.rec.Issued))
+	return ack
+}
+
+// TakeOver seals a record against epochs below the given one and returns it,
+// or returns ErrUnknownRecord, ErrOtherTeam or ErrStaleEpoch.
+func (str *Store) TakeOver(req bwmodel.RequestID, team bwmodel.TeamID, ep bwmodel.Epoch) (bwmodel.GenerationRecord, error) {
+	hld := str.records[req]
+	if hld == nil {
+		return bwmodel.GenerationRecord{}, ErrUnknownRecord
+	}
+	if hld.rec.Spec.Team != team {
+		return bwmodel.GenerationRecord{}, ErrOtherTeam
+	}
+	if ep <= hld.epoch {
+		return bwmodel.GenerationRecord{}, ErrStaleEpoch
+	}
+	hld.epoch = ep
+	hld.rec.Epoch = ep
+	hld.touched = str.cfg.Now()
+	rec := hld.rec
+	rec.Issued = rec.Issued[:len(rec.Issued):len(rec.Issued)]
+	return rec, nil
+}
+
+// Expire removes the records whose time has passed and returns their number.
+func (str *Store) Expire() int {
+	now := str.cfg.Now()
+	removed := 0
+	for _, hld := range str.records {
+		keep := str.cfg.Idle
+		if hld.rec.Finish != "" {
+			keep = str.cfg.Finished
+		}
+		if now.Sub(hld.touched) >= keep {
+			str.remove(hld)
+			removed++
+		}
+	}
+	return removed
+}
+
+// Len returns the number of records.
+func (str *Store) Len() int { return len(str.records) }
+
+// Bytes returns the approximate memory of the records.
+func (str *Store) Bytes() int { return str.bytes }
+
+// replace puts a whole record in place of one with a lower epoch; it returns
+// nil when there is no room.
+func (str *Store) replace(hld *heldRecord, app Append) *heldRecord {
+	size := recordSize(app.Record)
+	freed := 0
+	if hld != nil {
+		freed = hld.bytes
+	}
+	if !str.makeRoom(size-freed, app.Request) {
+		return nil
+	}
+	str.remove(hld)
+	fresh := &heldRecord{rec: *app.Record, epoch: app.Epoch, touched: str.cfg.Now(), bytes: size}
+	fresh.rec.Request = app.Request
+	fresh.rec.Epoch = app.Epoch
+	fresh.rec.Issued = fresh.rec.Issued[:len(fresh.rec.Issued):len(fresh.rec.Issued)]
+	str.records[app.Request] = fresh
+	str.bytes += size
+	return fresh
+}
+
+func (str *Store) extend(hld *heldRecord, app Append, fresh []bwmodel.Token) {
+	size := tokensSize(fresh)
+	hld.rec.Issued = append(hld.rec.Issued, fresh...)
+	if len(app.PromptTokens) > 0 && len(hld.rec.PromptTokens) == 0 {
+		hld.rec.PromptTokens = app.PromptTokens
+		size += promptTokensSize(app.PromptTokens)
+	}
+	if app.Attempt > hld.rec.Attempt {
+		hld.rec.Attempt = app.Attempt
+	}
+	if app.Agent.IsValid() {
+		hld.rec.Agent = app.Agent
+	}
+	if app.Finish != "" {
+		hld.rec.Finish = app.Finish
+	}
+	hld.bytes += size
+	str.bytes += size
+	hld.touched = str.cfg.Now()
+}
+
+// makeRoom removes finished records, the oldest first, until size bytes fit.
+func (str *Store) makeRoom(size int, keep bwmodel.RequestID) bool {
+	for str.bytes+size > str.cfg.MaxBytes {
+		var oldest *heldRecord
+		for _, hld := range str.records {
+			if hld.rec.Finish == "" || hld.rec.Request == keep {
+				continue
+			}
+			if oldest == nil || hld.touched.Before(oldest.touched) {
+				oldest = hld
+			}
+		}
+		if oldest == nil {
+			return false
+		}
+		str.remove(oldest)
+	}
+	return true
+}
+
+func (str *Store) remove(hld *heldRecord) {
+	if hld == nil {
+		return
+	}
+	delete(str.records, hld.rec.Request)
+	str.bytes -= hld.bytes
+}
+
+func recordSize(rec *bwmodel.GenerationRecord) int {
+	size := recordOverhead + len(rec.Spec.Prompt) + promptTokensSize(rec.PromptTokens)
+	for _, msg := range rec.Spec.Messages {
+		size += len(msg.Role) + len(msg.Content)
+	}
+	return size + tokensSize(rec.Issued)
+}
+
+func tokensSize(toks []bwmodel.Token) int {
+	size := len(toks) * tokenOverhead
+	for _, tok := range toks {
+		size += len(tok.Bytes)
+	}
+	return size
+}
+
+func promptTokensSize(ids []bwmodel.TokenID) int {
+	const idBytes = 4
+	return idBytes * len(ids)
+}
