Add the client of model engines

Cause: agents need an engine's tokens with their bytes, its load report, its cache events, and a way to give it orders. Change: Engine with Generate, Load, CacheEvents and Order; its errors tell an unreachable engine, a broken call and a refusal apart.

--- /dev/null
+++ b/io/bwengine/engine_stream.go
@@ -0,0 +1,201 @@
+package bwengine
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Generation is a running stream of an engine's output. It belongs to one goroutine.
+type Generation struct {
+	body   io.ReadCloser
+	scn    *bufio.Scanner
+	cancel context.CancelFunc
+	begun  bool
+	ended  bool
+}
+
+var errCutOff = errors.New("stream ended before the generation did")
+
+// Next returns the next message; io.EOF follows the last one, and an *Error
+// tells that the stream broke.
+func (gen *Generation) Next() (Output, error) {
+	if gen.ended {
+		return Output{}, io.EOF
+	}
+	for gen.scn.Scan() {
+		data, ok := bytes.CutPrefix(gen.scn.Bytes(), []byte("data:"))
+		if !ok {
+			continue
+		}
+		data = bytes.TrimSpace(data)
+		if bytes.Equal(data, []byte("[DONE]")) {
+			break
+		}
+		out, err := gen.decode(data)
+		if err != nil {
+			return Output{}, &Error{Kind: Broken, Err: err}
+		}
+		return out, nil
+	}
+	err := gen.scn.Err()
+	if err == nil {
+		err = errCutOff
+	}
+	return Output{}, &Error{Kind: Broken, Err: err}
+}
+
+// Close ends the generation on the engine.
+func (gen *Generation) Close() {
+	gen.cancel()
+	_ = gen.body.Close()
+}
+
+func (gen *Generation) decode(data []byte) (Output, error) {
+	var msg chunkMessage
+	if err := json.Unmarshal(data, &msg); err != nil {
+		return Output{}, fmt.Errorf("chunk: %w", err)
+	}
+	if len(msg.Choices) != 1 {
+		return Output{}, fmt.Errorf("chunk has %d choices, want 1", len(msg.Choices))
+	}
+	chc := msg.Choices[0]
+	logs := chc.Logprobs.Content
+	if len(logs) != len(chc.TokenIDs) {
+		return Output{}, fmt.Errorf("chunk has bytes for %d of %d tokens", len(logs), len(chc.TokenIDs))
+	}
+	var out Output
+	for ix, id := range chc.TokenIDs {
+		out.Tokens = append(out.Tokens, bwmodel.Token{ID: id, Bytes: logs[ix].bytes()})
+	}
+	if !gen.begun {
+		out.PromptTokens = chc.PromptTokenIDs
+		out.CachedTokens = msg.Usage.Details.CachedTokens
+		gen.begun = true
+	}
+	out.Finish = bwmodel.FinishReason(chc.FinishReason)
+	gen.ended = out.Finish != ""
+	return out, nil
+}
+
+// completionBody returns the path and the body of a call; a prompt in tokens
+// is always a plain completion, since a chat's template is part of the tokens.
+func completionBody(cmp Completion) (string, completionRequest) {
+	body := completionRequest{
+		Model:          cmp.Model,
+		MaxTokens:      cmp.MaxTokens,
+		Temperature:    cmp.Temperature,
+		Seed:           cmp.Seed,
+		Stop:           cmp.Stop,
+		Priority:       cmp.Priority,
+		Stream:         true,
+		ReturnTokenIDs: true,
+		StreamOptions:  streamOptions{IncludeUsage: true},
+	}
+	if len(cmp.PromptTokens) > 0 {
+		body.Prompt = cmp.PromptTokens
+		body.Logprobs = 1
+		return "/v1/completions", body
+	}
+	if len(cmp.Messages) > 0 {
+		for _, msg := range cmp.Messages {
+			body.Messages = append(body.Messages, chatMessage(msg))
+		}
+		body.Logprobs = true
+		return "/v1/chat/completions", body
+	}
+	body.Prompt = cmp.Prompt
+	body.Logprobs = 1
+	return "/v1/completions", body
+}
+
+type completionRequest struct {
+	Model          string        `json:"model"`
+	Prompt         any           `json:"prompt,omitempty"`
+	Messages       []chatMessage `json:"messages,omitempty"`
+	MaxTokens      int           `json:"max_tokens"`
+	Temperature    float64       `json:"temperature"`
+	Seed           int64         `json:"seed"`
+	Stop           []string      `json:"stop,omitempty"`
+	Priority       int           `json:"priority"`
+	Stream         bool          `json:"stream"`
+	StreamOptions  streamOptions `json:"stream_options"`
+	ReturnTokenIDs bool          `json:"return_token_ids"`
+	// Logprobs is a number in plain completions and a flag in chats.
+	Logprobs any `json:"logprobs"`
+}
+
+type streamOptions struct {
+	IncludeUsage bool `json:"include_usage"`
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type chunkMessage struct {
+	Choices []struct {
+		TokenIDs       []bwmodel.TokenID `json:"token_ids"`
+		PromptTokenIDs []bwmodel.TokenID `json:"prompt_token_ids"`
+		FinishReason   string            `json:"finish_reason"`
+		Logprobs       struct {
+			Content []tokenLogprob `json:"content"`
+		} `json:"logprobs"`
+	} `json:"choices"`
+	Usage struct {
+		Details struct {
+			CachedTokens int `json:"cached_tokens"`
+		} `json:"prompt_tokens_details"`
+	} `json:"usage"`
+}
+
+type tokenLogprob struct {
+	Token string `json:"token"`
+	Bytes []int  `json:"bytes"`
+}
+
+// bytes returns the token's bytes; an engine that gives none has a token of whole characters.
+func (lgp tokenLogprob) bytes() []byte {
+	if lgp.Bytes == nil {
+		return []byte(lgp.Token)
+	}
+	buf := make([]byte, len(lgp.Bytes))
+	for ix, val := range lgp.Bytes {
+		buf[ix] = byte(val)
+	}
+	return buf
+}
+
+type loadMessage struct {
+	AgeMillis    int64    `json:"age_ms"`
+	Running      int      `json:"running"`
+	Waiting      int      `json:"waiting"`
+	Slots        int      `json:"slots"`
+	TokenRate    float64  `json:"token_rate"`
+	Models       []string `json:"models"`
+	QueuedTokens int      `json:"queued_tokens"`
+}
+
+type cacheMessage struct {
+	Events []cacheEventMessage `json:"events"`
+}
+
+type cacheEventMessage struct {
+	Sequence uint64 `json:"sequence"`
+	Block    uint64 `json:"block"`
+	Evicted  bool   `json:"evicted"`
+}
+
+type orderMessage struct {
+	Fence  bwmodel.Fence `json:"fence"`
+	Load   string        `json:"load,omitempty"`
+	Unload string        `json:"unload,omitempty"`
+	Role   string        `json:"role,omitempty"`
+}
