Run generations beside an engine

Cause: a generation must go on while its router is replaced. Change: Generations serves Agent.Generate, Agent.Attach and Agent.Cancel. It publishes each token before it sends it, keeps a run for 10 s without a router, and lets a higher epoch fence a lower one.

--- /dev/null
+++ b/io/bwagent/generations.go
@@ -0,0 +1,207 @@
+package bwagent
+
+import (
+	"context"
+	"log/slog"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwcontrol"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwengine"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// Generations runs the generations of one model engine for routers. It notes
+// each token before it sends it, and goes on for a grace time without a router.
+type Generations struct {
+	cfg     GenerationsConfig
+	ctx     context.Context
+	control *bwcontrol.Owner[generationTable, GenerationsView]
+}
+
+// GenerationsConfig configures a Generations.
+type GenerationsConfig struct {
+	// Generate starts a generation on the engine.
+	Generate func(context.Context, bwengine.Completion) (*bwengine.Generation, error)
+	// Address is where this agent listens, as routers know it.
+	Address netip.AddrPort
+	// Leaving reports whether new generations are refused; nil means never.
+	Leaving func() bool
+	// StateNumber returns the agent's ticket number; nil means 0.
+	StateNumber func() bwmodel.TicketNumber
+	// SawState is told the ticket numbers of routers; it may be nil.
+	SawState func(bwmodel.TicketNumber)
+	// Grace is how long a generation is kept without a router; 0 means 10 s.
+	Grace time.Duration
+	Now   func() time.Time
+	Log   *slog.Logger
+}
+
+// GenerationsView is the published state of a Generations.
+type GenerationsView struct {
+	// Running is the number of generations that the engine works on.
+	Running int
+	// Attached is the number of generations that a router reads.
+	Attached int
+	// Held is the number of generations kept for routers, with those that have ended.
+	Held int
+}
+
+const (
+	// defaultGrace leaves a caller time to notice a router's death, reconnect
+	// and be attached through another router.
+	defaultGrace = 10 * time.Second
+	// fenceTime is how long an ended request's epoch is remembered, so that a
+	// delayed message of an old router can't start it again.
+	fenceTime = time.Minute
+	// expiryChecks is the number of expiry checks in a grace time.
+	expiryChecks = 10
+)
+
+// NewGenerations returns a Generations that Start makes ready.
+func NewGenerations(cfg GenerationsConfig) *Generations {
+	if cfg.Leaving == nil {
+		cfg.Leaving = func() bool { return false }
+	}
+	if cfg.StateNumber == nil {
+		cfg.StateNumber = func() bwmodel.TicketNumber { return 0 }
+	}
+	if cfg.SawState == nil {
+		cfg.SawState = func(bwmodel.TicketNumber) {}
+	}
+	if cfg.Grace == 0 {
+		cfg.Grace = defaultGrace
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Generations{
+		cfg: cfg,
+		control: bwcontrol.New(bwcontrol.Config[generationTable, GenerationsView]{
+			State: &generationTable{entries: make(map[bwmodel.RequestID]*generationEntry)},
+			View:  (*generationTable).view,
+		}),
+	}
+}
+
+// Start runs the control goroutine and the expiry until the context ends,
+// which ends all generations too.
+func (gns *Generations) Start(ctx context.Context) {
+	gns.ctx = ctx
+	gns.control.Start(ctx)
+	go gns.loop(ctx)
+}
+
+// Register adds the methods that routers call; it must be called before the
+// server serves.
+func (gns *Generations) Register(srv *bwrpc.Server) {
+	bwrpc.HandleStream(srv, bwwire.AgentGenerate, gns.generate)
+	bwrpc.HandleStream(srv, bwwire.AgentAttach, gns.attach)
+	bwrpc.HandleUnary(srv, bwwire.AgentCancel, gns.cancel)
+}
+
+// View returns the published state; it never blocks.
+func (gns *Generations) View() GenerationsView { return *gns.control.Snapshot() }
+
+func (gns *Generations) loop(ctx context.Context) {
+	tick := time.NewTicker(gns.cfg.Grace / expiryChecks)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if err := gns.control.Do(ctx, gns.expire); err != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (gns *Generations) expire(tbl *generationTable) {
+	for _, req := range tbl.expire(gns.cfg.Now(), gns.cfg.Grace) {
+		gns.cfg.Log.Info("generation without a router expired", "Request", req)
+	}
+}
+
+type (
+	generateStream = bwrpc.Stream[bwwire.GenerateRequest, bwwire.GenerateEvent]
+	attachStream   = bwrpc.Stream[bwwire.AttachRequest, bwwire.GenerateEvent]
+)
+
+func (gns *Generations) generate(ctx context.Context, stm *generateStream) error {
+	req, err := stm.Recv()
+	if err != nil {
+		return err
+	}
+	gns.cfg.SawState(req.StateNumber)
+	if gns.cfg.Leaving() {
+		return bwrpc.Refuse(bwwire.Leaving, "agent is leaving")
+	}
+	if len(req.Issued) > 0 && len(req.PromptTokens) == 0 {
+		return bwrpc.Refuse(bwwire.Invalid, "issued tokens without the prompt's tokens")
+	}
+	run := newGenerationRun(gns.ctx, gns.cfg, req)
+	sub := newSubscription(ctx)
+	defer sub.end()
+	var refusal error
+	err = gns.control.Do(ctx, func(tbl *generationTable) { refusal = tbl.start(run, sub) })
+	if err = firstError(err, refusal); err != nil {
+		// The change may still be applied after the wait for it has ended.
+		_ = gns.control.Post(gns.ctx, func(tbl *generationTable) { tbl.drop(run) })
+		run.cancel()
+		return err
+	}
+	defer gns.detach(sub, req.Request)
+	go run.run()
+	fdr := &feeder{cfg: gns.cfg, run: run, sub: sub, pos: run.start, send: stm.Send}
+	return fdr.serve()
+}
+
+func (gns *Generations) attach(ctx context.Context, stm *attachStream) error {
+	req, err := stm.Recv()
+	if err != nil {
+		return err
+	}
+	sub := newSubscription(ctx)
+	defer sub.end()
+	var run *generationRun
+	var refusal error
+	err = gns.control.Do(ctx, func(tbl *generationTable) { run, refusal = tbl.attach(req, sub) })
+	if err = firstError(err, refusal); err != nil {
+		return err
+	}
+	defer gns.detach(sub, req.Request)
+	gns.cfg.Log.Info("generation attached", "Request", req.Request, "Epoch", uint64(req.Epoch))
+	fdr := &feeder{cfg: gns.cfg, run: run, sub: sub, pos: req.From, epoch: req.Epoch, attached: true, send: stm.Send}
+	return fdr.serve()
+}
+
+func (gns *Generations) cancel(ctx context.Context, req *bwwire.CancelRequest) (*bwwire.CancelResponse, error) {
+	canceled := false
+	err := gns.control.Do(ctx, func(tbl *generationTable) { canceled = tbl.cancel(req, gns.cfg.Now()) })
+	if err != nil {
+		return nil, err
+	}
+	return &bwwire.CancelResponse{Canceled: canceled}, nil
+}
+
+// detach notes that a router no longer reads, which starts the grace time.
+func (gns *Generations) detach(sub *subscription, req bwmodel.RequestID) {
+	now := gns.cfg.Now()
+	_ = gns.control.Post(gns.ctx, func(tbl *generationTable) { tbl.detach(sub, req, now) })
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/io/bwagent/generations_table.go
@@ -0,0 +1,160 @@
+package bwagent
+
+import (
+	"context"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// generationTable is the control state of Generations: which epoch and attempt
+// of each request is the current one, and who reads it.
+type generationTable struct {
+	entries map[bwmodel.RequestID]*generationEntry
+}
+
+type generationEntry struct {
+	epoch   bwmodel.Epoch
+	attempt bwmodel.Attempt
+	team    bwmodel.TeamID
+	// run is nil once the generation is canceled; the entry then only fences.
+	run *generationRun
+	// sub is nil while no router reads.
+	sub      *subscription
+	detached time.Time
+}
+
+// subscription is a router's stream that reads a generation.
+type subscription struct {
+	ctx context.Context
+	end context.CancelFunc
+}
+
+func newSubscription(ctx context.Context) *subscription {
+	ctx, end := context.WithCancel(ctx)
+	return &subscription{ctx: ctx, end: end}
+}
+
+func (tbl *generationTable) view() *GenerationsView {
+	var vw GenerationsView
+	for _, ent := range tbl.entries {
+		if ent.run == nil {
+			continue
+		}
+		vw.Held++
+		if !ent.run.ended() {
+			vw.Running++
+		}
+		if ent.sub != nil {
+			vw.Attached++
+		}
+	}
+	return &vw
+}
+
+// start makes a run the current one of its request, or returns a refusal.
+func (tbl *generationTable) start(run *generationRun, sub *subscription) error {
+	ent := tbl.entries[run.req.Request]
+	if ent == nil {
+		ent = &generationEntry{team: run.req.Spec.Team}
+		tbl.entries[run.req.Request] = ent
+	}
+	if ent.team != run.req.Spec.Team {
+		return bwrpc.Refuse(bwwire.Forbidden, "request belongs to another team")
+	}
+	older := run.req.Epoch < ent.epoch || run.req.Epoch == ent.epoch && run.req.Attempt <= ent.attempt
+	if older {
+		return bwrpc.Refuse(bwwire.Stale, "epoch %d attempt %d is replaced by epoch %d attempt %d",
+			run.req.Epoch, run.req.Attempt, ent.epoch, ent.attempt)
+	}
+	ent.stop()
+	ent.epoch, ent.attempt = run.req.Epoch, run.req.Attempt
+	ent.run, ent.sub = run, sub
+	return nil
+}
+
+// drop forgets a run that was never begun.
+func (tbl *generationTable) drop(run *generationRun) {
+	if ent := tbl.entries[run.req.Request]; ent != nil && ent.run == run {
+		ent.stop()
+	}
+}
+
+// attach hands a running generation to a router under a higher epoch.
+func (tbl *generationTable) attach(req *bwwire.AttachRequest, sub *subscription) (*generationRun, error) {
+	ent := tbl.entries[req.Request]
+	if ent == nil || ent.run == nil {
+		return nil, bwrpc.Refuse(bwwire.NotFound, "request is not running here")
+	}
+	if ent.team != req.Team {
+		return nil, bwrpc.Refuse(bwwire.Forbidden, "request belongs to another team")
+	}
+	if req.Epoch <= ent.epoch {
+		return nil, bwrpc.Refuse(bwwire.Stale, "epoch %d is replaced by epoch %d", req.Epoch, ent.epoch)
+	}
+	if ent.sub != nil {
+		ent.sub.end()
+	}
+	ent.epoch = req.Epoch
+	ent.sub = sub
+	return ent.run, nil
+}
+
+// cancel ends what the request names, and fences it.
+func (tbl *generationTable) cancel(req *bwwire.CancelRequest, now time.Time) bool {
+	ent := tbl.entries[req.Request]
+	if ent == nil {
+		return false
+	}
+	newer := ent.epoch > req.Epoch || ent.epoch == req.Epoch && ent.attempt > req.Attempt
+	if newer || ent.run == nil {
+		return false
+	}
+	ent.stop()
+	ent.detached = now
+	return true
+}
+
+func (tbl *generationTable) detach(sub *subscription, req bwmodel.RequestID, now time.Time) {
+	ent := tbl.entries[req]
+	if ent == nil || ent.sub != sub {
+		return
+	}
+	ent.sub = nil
+	ent.detached = now
+}
+
+// expire ends generations without a router for the grace time, drops old
+// fences, and returns the requests that were still running.
+func (tbl *generationTable) expire(now time.Time, grace time.Duration) []bwmodel.RequestID {
+	var lost []bwmodel.RequestID
+	for req, ent := range tbl.entries {
+		if ent.sub != nil {
+			continue
+		}
+		idle := now.Sub(ent.detached)
+		if ent.run != nil && idle >= grace {
+			if !ent.run.ended() {
+				lost = append(lost, req)
+			}
+			ent.stop()
+		}
+		if idle >= grace+fenceTime {
+			delete(tbl.entries, req)
+		}
+	}
+	return lost
+}
+
+// stop ends the entry's run and its reader.
+func (ent *generationEntry) stop() {
+	if ent.run != nil {
+		ent.run.cancel()
+	}
+	if ent.sub != nil {
+		ent.sub.end()
+	}
+	ent.run, ent.sub = nil, nil
+}
