Serve generations to callers and hold records for other routers

Cause: the answer must survive the death of an engine, a router or a holder. Change: Generations serves the completions calls and the rest of a broken answer, resumes on another engine, and delivers a token only once the holder has acknowledged it. Records keeps records for other routers and carries appends on one stream per pair of routers. Conclusion: a router that loses all other routers delivers nothing new until one acknowledges; only when no other router is known it goes on alone.

--- /dev/null
+++ b/io/bwrouter/generations.go
@@ -0,0 +1,247 @@
+package bwrouter
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bilberrywick/core/bwadmit"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwroute"
+	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwrpc"
+)
+
+// Generations serves callers' generations. It resumes them on another engine
+// when one fails, and takes over those of a router that died.
+type Generations struct {
+	cfg GenerationsConfig
+	// firsts learns the time to the first token of each service.
+	firsts *firstTokens
+}
+
+// GenerationsConfig configures a Generations.
+type GenerationsConfig struct {
+	// Choose picks the engine for an attempt.
+	Choose func(context.Context, bwroute.Request) (bwroute.Choice, error)
+	// Admit waits until a request may start; it returns a *bwadmit.RefusedError otherwise.
+	Admit func(context.Context, bwadmit.Request) (bwadmit.Grant, error)
+	// Service returns the service that serves a model.
+	Service func(model string) (bwmodel.Service, bool)
+	// Holder returns the router that holds a request's copy; false when there is none.
+	Holder func(request bwmodel.RequestID, exclude []netip.AddrPort) (netip.AddrPort, bool)
+	// Known reports whether an address belongs to a member of the fleet.
+	Known func(netip.AddrPort) bool
+	// StateNumber returns the router's ticket number; nil means 0.
+	StateNumber func() bwmodel.TicketNumber
+	// SawState is told the ticket numbers of agents; it may be nil.
+	SawState func(bwmodel.TicketNumber)
+	// Resumed is told of each attempt after the first once it produced a token:
+	// why it was needed, the time since the loss was noticed, and the tokens
+	// that the engine computed again. It may be nil.
+	Resumed func(cause string, took time.Duration, recomputed int)
+	// Address is where other routers reach this one.
+	Address netip.AddrPort
+	Records *Records
+	Client  *bwrpc.Client
+	// Pace configures the detection of stalled streams.
+	Pace bwstream.PaceConfig
+	// MaxAttempts bounds the attempts in a row that produce no token; 0 means 8.
+	MaxAttempts int
+	// ResumeTime bounds the time without a token after a loss; 0 means 30 s.
+	ResumeTime time.Duration
+	// HolderTime is how long a holder may take to acknowledge; 0 means 1 s.
+	HolderTime   time.Duration
+	NewRequestID func() bwmodel.RequestID
+	Now          func() time.Time
+	Log          *slog.Logger
+}
+
+const (
+	defaultMaxAttempts = 8
+	defaultResumeTime  = 30 * time.Second
+	defaultHolderTime  = time.Second
+)
+
+// NewGenerations returns a Generations, or an error when a needed field is unset.
+func NewGenerations(cfg GenerationsConfig) (*Generations, error) {
+	if cfg.Choose == nil || cfg.Admit == nil || cfg.Service == nil || cfg.Holder == nil || cfg.Known == nil {
+		return nil, errors.New("generations: a function field is unset")
+	}
+	if cfg.Records == nil || cfg.Client == nil {
+		return nil, errors.New("generations: records or client are unset")
+	}
+	cfg.setDefaults()
+	return &Generations{cfg: cfg, firsts: newFirstTokens()}, nil
+}
+
+// Start runs the control goroutine until the context ends.
+func (gns *Generations) Start(ctx context.Context) { gns.firsts.control.Start(ctx) }
+
+// Routes adds the callers' paths to a router; the team must be in the
+// request's context, as WithTeam puts it there.
+func (gns *Generations) Routes(rtr *mux.Router) {
+	rtr.HandleFunc("/v1/completions", gns.serveCompletion).Methods(http.MethodPost)
+	rtr.HandleFunc("/v1/chat/completions", gns.serveChat).Methods(http.MethodPost)
+	rtr.HandleFunc("/v1/generations/{handle}", gns.serveRest).Methods(http.MethodGet)
+}
+
+func (cfg *GenerationsConfig) setDefaults() {
+	if cfg.StateNumber == nil {
+		cfg.StateNumber = func() bwmodel.TicketNumber { return 0 }
+	}
+	if cfg.SawState == nil {
+		cfg.SawState = func(bwmodel.TicketNumber) {}
+	}
+	if cfg.Resumed == nil {
+		cfg.Resumed = func(string, time.Duration, int) {}
+	}
+	if cfg.MaxAttempts == 0 {
+		cfg.MaxAttempts = defaultMaxAttempts
+	}
+	if cfg.ResumeTime == 0 {
+		cfg.ResumeTime = defaultResumeTime
+	}
+	if cfg.HolderTime == 0 {
+		cfg.HolderTime = defaultHolderTime
+	}
+	if cfg.NewRequestID == nil {
+		cfg.NewRequestID = randomRequestID
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+}
+
+func (gns *Generations) serveCompletion(wrt http.ResponseWriter, req *http.Request) {
+	gns.serveNew(wrt, req, false)
+}
+
+func (gns *Generations) serveChat(wrt http.ResponseWriter, req *http.Request) {
+	gns.serveNew(wrt, req, true)
+}
+
+// serveNew runs a new generation.
+func (gns *Generations) serveNew(wrt http.ResponseWriter, req *http.Request, chat bool) {
+	team, ok := TeamOf(req.Context())
+	if !ok {
+		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
+		return
+	}
+	body, prb := readCompletion(wrt, req, chat)
+	if prb != nil {
+		writeProblem(wrt, *prb)
+		return
+	}
+	svc, ok := gns.cfg.Service(body.Model)
+	if !ok || svc.Kind != bwmodel.ModelService {
+		writeProblem(wrt, problem{Status: http.StatusNotFound, Title: "Unknown model", Outcome: outcomeNotRun})
+		return
+	}
+	if !team.MayCall(svc.Name) {
+		writeProblem(wrt, problem{Status: http.StatusForbidden, Title: "Service is not open to the team", Outcome: outcomeNotRun})
+		return
+	}
+	spec, prb := body.spec(team, svc, req.Header.Get(classHeader), gns.cfg.Now())
+	if prb != nil {
+		writeProblem(wrt, *prb)
+		return
+	}
+	id := gns.cfg.NewRequestID()
+	grant, err := gns.cfg.Admit(req.Context(), bwadmit.Request{
+		ID:      id,
+		Service: spec.Service,
+		Team:    spec.Team,
+		Class:   spec.Class,
+		Tokens:  spec.MaxTokens,
+	})
+	if err != nil {
+		writeProblem(wrt, admitProblem(err))
+		return
+	}
+	rec := bwstream.NewRecord(bwmodel.GenerationRecord{Request: id, Epoch: 1, Spec: spec})
+	out := newOutput(wrt, gns.cfg.Now(), body.Stream, body.ReturnTokenIDs, rec, bwstream.Mark{})
+	ses := newSession(gns, rec, out)
+	defer func() { grant.Finish(ses.produced) }()
+	ses.serve(req.Context())
+}
+
+// admitProblem tells a caller why its work was not started.
+func admitProblem(err error) problem {
+	prb := problem{Status: http.StatusServiceUnavailable, Title: "Not admitted", Detail: err.Error(), Outcome: outcomeNotRun}
+	if ref, ok := errors.AsType[*bwadmit.RefusedError](err); ok {
+		prb.Status = http.StatusTooManyRequests
+		prb.RetryAfter = ref.RetryAfter
+	}
+	return prb
+}
+
+func randomRequestID() bwmodel.RequestID {
+	var id bwmodel.RequestID
+	// crypto/rand.Read never returns an error.
+	_, _ = rand.Read(id[:])
+	return id
+}
+
+type teamKey struct{}
+
+// WithTeam returns a context that carries the authenticated team.
+func WithTeam(ctx context.Context, team bwmodel.Team) context.Context {
+	return context.WithValue(ctx, teamKey{}, team)
+}
+
+// TeamOf returns the team that WithTeam put into the context.
+func TeamOf(ctx context.Context) (bwmodel.Team, bool) {
+	team, ok := ctx.Value(teamKey{}).(bwmodel.Team)
+	return team, ok
+}
+
+// serveRest returns the rest of a generation whose connection broke.
+func (gns *Generations) serveRest(wrt http.ResponseWriter, req *http.Request) {
+	team, ok := TeamOf(req.Context())
+	if !ok {
+		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
+		return
+	}
+	hd, err := restHandle(mux.Vars(req)["handle"], req.Header.Get("Last-Event-ID"))
+	if err != nil {
+		writeProblem(wrt, problem{Status: http.StatusBadRequest, Title: "Malformed handle", Detail: err.Error(), Outcome: outcomeUnknown})
+		return
+	}
+	tko := &takeover{gns: gns, team: team.Name, hd: hd}
+	if prb := tko.run(req.Context()); prb != nil {
+		writeProblem(wrt, *prb)
+		return
+	}
+	ids := req.FormValue("return_token_ids") == "true"
+	out := newOutput(wrt, gns.cfg.Now(), true, ids, tko.rec, hd.Mark)
+	ses := newSession(gns, tko.rec, out)
+	ses.adopt(tko)
+	ses.serve(req.Context())
+}
+
+// restHandle reads the handle of the path, which the last event's replaces.
+func restHandle(path, last string) (bwstream.Handle, error) {
+	hd, err := bwstream.ParseHandle(path)
+	if err != nil || last == "" {
+		return hd, err
+	}
+	newer, err := bwstream.ParseHandle(last)
+	if err != nil {
+		return hd, fmt.Errorf("Last-Event-ID: %w", err)
+	}
+	if newer.Request != hd.Request {
+		return hd, errors.New("Last-Event-ID belongs to another request")
+	}
+	return newer, nil
+}
--- /dev/null
+++ b/io/bwrouter/generations_holder.go
@@ -0,0 +1,158 @@
+package bwrouter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// hold picks a holder for the record under an epoch. Only when no other router
+// is known the generation goes on without a copy; when all that are known have
+// failed it, they are tried again after a pause.
+func (ses *session) hold(ctx context.Context, ep bwmodel.Epoch) error {
+	if addr := ses.holder; addr.IsValid() {
+		ses.holder = netip.AddrPort{}
+		return ses.holdAt(ctx, addr, ep)
+	}
+	self := []netip.AddrPort{ses.gns.cfg.Address}
+	addr, ok := ses.gns.cfg.Holder(ses.rec.Request(), append(self, ses.bad...))
+	if ok {
+		return ses.holdAt(ctx, addr, ep)
+	}
+	ses.unhold(ctx)
+	if _, ok := ses.gns.cfg.Holder(ses.rec.Request(), self); ok {
+		ses.rec.Unhold(ep)
+		ses.bad = nil
+		ses.holdRetry = ses.gns.cfg.Now().Add(holdPause)
+		return nil
+	}
+	ses.rec.Hold(netip.AddrPort{}, ep)
+	ses.holdLost = time.Time{}
+	ses.gns.cfg.Log.Warn("generation without a holder", "Request", ses.rec.Request(), "Epoch", uint64(ep))
+	return nil
+}
+
+// holdPause keeps a router that reaches no other from trying them in a loop.
+const holdPause = 200 * time.Millisecond
+
+// unhold drops the copy that was in use.
+func (ses *session) unhold(ctx context.Context) {
+	if ses.cpy != nil {
+		_ = ses.cpy.Close(ctx)
+		ses.cpy = nil
+	}
+	ses.held = true
+	ses.askedAt = time.Time{}
+	ses.holdRetry = time.Time{}
+}
+
+// holdAt returns an error when this router is stopping: without its records it
+// must not deliver anything that no other router has.
+func (ses *session) holdAt(ctx context.Context, addr netip.AddrPort, ep bwmodel.Epoch) error {
+	ses.unhold(ctx)
+	cpy, err := ses.gns.cfg.Records.Open(ctx, addr, ses.rec.Request())
+	if err != nil {
+		return fmt.Errorf("open copy at holder: %w", err)
+	}
+	ses.cpy = cpy
+	ses.rec.Hold(addr, ep)
+	return nil
+}
+
+// note sends the holder what it does not have.
+func (ses *session) note(ctx context.Context) error {
+	app, ok := ses.rec.Append()
+	if !ok {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, ses.gns.cfg.HolderTime)
+	defer cancel()
+	err := ses.cpy.Append(ctx, app)
+	if err == nil && ses.askedAt.IsZero() {
+		ses.askedAt = ses.gns.cfg.Now()
+	}
+	// A holder that takes no append owes an acknowledgement, so its loss or the
+	// deadline for it follows.
+	if errors.Is(err, context.DeadlineExceeded) {
+		ses.askedAt = ses.gns.cfg.Now().Add(-ses.gns.cfg.HolderTime)
+		return nil
+	}
+	if err != nil && !errors.Is(err, ErrHolderLost) {
+		return err
+	}
+	return nil
+}
+
+// acknowledge takes the holder's answer.
+func (ses *session) acknowledge(ctx context.Context, ack bwstream.Ack) error {
+	before := ses.rec.Covered()
+	err := ses.rec.Ack(ack)
+	if errors.Is(err, bwstream.ErrFenced) {
+		return ses.refused(ctx)
+	}
+	if err != nil {
+		return err
+	}
+	if !ses.rec.Waiting() {
+		ses.askedAt = time.Time{}
+		ses.holdLost = time.Time{}
+	} else if ses.rec.Covered() > before {
+		ses.askedAt = ses.gns.cfg.Now()
+	}
+	return nil
+}
+
+// refused tells a record that was taken over from one that the holder lost
+// or has no room for.
+func (ses *session) refused(ctx context.Context) error {
+	return ses.replaceHolder(ctx, "refused")
+}
+
+// replaceHolder moves the copy to another router under the next epoch, unless
+// the old holder says that the record was taken over.
+func (ses *session) replaceHolder(ctx context.Context, cause string) error {
+	if err := ses.gns.cfg.Records.stopped(); err != nil {
+		return err
+	}
+	if ses.holdLost.IsZero() {
+		ses.holdLost = ses.gns.cfg.Now()
+	}
+	old := ses.rec.Holder()
+	next := ses.rec.Epoch() + 1
+	if err := ses.confirm(ctx, old, next); err != nil {
+		return err
+	}
+	ses.bad = append(ses.bad, old)
+	if err := ses.hold(ctx, next+1); err != nil {
+		return err
+	}
+	ses.refresh = true
+	ses.gns.cfg.Log.Warn("holder replaced", "Request", ses.rec.Request(), "Cause", cause, "Old", old,
+		"New", ses.rec.Holder(), "Epoch", uint64(ses.rec.Epoch()))
+	return nil
+}
+
+// confirmTime bounds the question to a holder that may be dead.
+const confirmTime = 250 * time.Millisecond
+
+// confirm seals the record at the old holder, so that no other router can take
+// it over there. It returns ErrFenced when one has; a holder that does not
+// answer can't be asked. A router that was paused learns this way that it was
+// replaced meanwhile, before it delivers anything under a new holder.
+func (ses *session) confirm(ctx context.Context, holder netip.AddrPort, ep bwmodel.Epoch) error {
+	ctx, cancel := context.WithTimeout(ctx, confirmTime)
+	defer cancel()
+	req := &bwwire.TakeOverRequest{Request: ses.rec.Request(), Team: ses.rec.Spec().Team, Epoch: ep}
+	_, err := bwrpc.Call[bwwire.TakeOverRequest, bwwire.TakeOverResponse](ctx, ses.gns.cfg.Client, holder, bwwire.PeerTakeOver, req)
+	if code := bwrpc.CodeOf(err); code == bwwire.Stale || code == bwwire.Forbidden {
+		return bwstream.ErrFenced
+	}
+	return nil
+}
--- /dev/null
+++ b/io/bwrouter/generations_loss.go
@@ -0,0 +1,109 @@
+package bwrouter
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"bilberrywick/core/bwroute"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// The first retry is made at once, since one loss is no sign of overload.
+const (
+	retryBase = 25 * time.Millisecond
+	retryMax  = time.Second
+)
+
+// lose ends the current attempt and plans the next one; it returns an error
+// when the generation can't go on.
+func (ses *session) lose(ctx context.Context, cause string, err error) error {
+	now := ses.gns.cfg.Now()
+	code := bwrpc.CodeOf(err)
+	noEngine := false
+	if err != nil {
+		_, noEngine = errors.AsType[*chooseError](err)
+	}
+	if !noEngine && code == bwwire.Invalid {
+		return err
+	}
+	if ses.loss == nil {
+		ses.loss = &loss{cause: cause, since: now}
+	}
+	ses.gns.cfg.Log.Warn("attempt lost", "Request", ses.rec.Request(), "Cause", cause, "Agent", ses.rec.Agent(),
+		"Attempt", uint32(ses.rec.Attempt()), "Position", uint64(ses.rec.Position()), "Error", err)
+	if ses.choice != nil {
+		ses.exclude = append(ses.exclude, ses.choice.Upstream.Name)
+		ses.cancelAttempt(ctx)
+	}
+	if noEngine {
+		// Every engine may have been excluded; the next choice starts afresh.
+		ses.exclude = nil
+	}
+	refused := code == bwwire.Leaving || code == bwwire.Overloaded
+	ses.release(bwroute.Outcome{Refused: refused, Failed: !refused && !noEngine})
+	ses.failures++
+	if ses.failures >= ses.gns.cfg.MaxAttempts {
+		return errGaveUp
+	}
+	ses.retryAt = now.Add(retryDelay(ses.failures))
+	return nil
+}
+
+// release ends the current attempt's stream and reports how the engine did.
+func (ses *session) release(oc bwroute.Outcome) {
+	if ses.att == nil {
+		return
+	}
+	if ses.choice != nil {
+		oc.FirstToken = ses.first
+		oc.Elapsed = ses.gns.cfg.Now().Sub(ses.started)
+		oc.Tokens = ses.tokens
+	}
+	ses.att.outcome <- oc
+	ses.att.cancel()
+	ses.att, ses.choice, ses.pace = nil, nil, nil
+}
+
+// cancelAttempt ends the lost attempt at its agent, so that the engine stops
+// working on it.
+func (ses *session) cancelAttempt(ctx context.Context) {
+	cnc := &canceler{gns: ses.gns, agent: ses.rec.Agent(), req: bwwire.CancelRequest{
+		Request: ses.rec.Request(),
+		Epoch:   ses.rec.Epoch(),
+		Attempt: ses.rec.Attempt(),
+	}}
+	go cnc.run(ctx)
+}
+
+// causeOf names a loss for logs and metrics.
+func causeOf(err error) string {
+	if _, ok := errors.AsType[*chooseError](err); ok {
+		return "no engine"
+	}
+	switch bwrpc.CodeOf(err) {
+	case bwwire.Leaving:
+		return "leaving"
+	case bwwire.Overloaded:
+		return "overloaded"
+	case bwwire.UpstreamFailed:
+		return "engine failed"
+	case bwwire.Stale:
+		return "replaced"
+	case bwrpc.Unreachable:
+		return "agent unreachable"
+	}
+	return "connection closed"
+}
+
+// retryDelay returns no delay after one failure, and then a growing one with
+// jitter, so that many losses at once don't retry together.
+func retryDelay(failures int) time.Duration {
+	if failures <= 1 {
+		return 0
+	}
+	limit := min(retryBase<<min(failures-2, 8), retryMax)
+	return limit/2 + rand.N(limit/2)
+}
--- /dev/null
+++ b/io/bwrouter/generations_session.go
@@ -0,0 +1,318 @@
+package bwrouter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwroute"
+	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwwire"
+)
+
+// session serves one generation to one caller. All its state belongs to the
+// goroutine of the caller's request.
+type session struct {
+	gns *Generations
+	rec *bwstream.Record
+	out *output
+	// att is the running attempt; nil between attempts.
+	att     *attempt
+	choice  *bwroute.Choice
+	started time.Time
+	first   time.Duration
+	tokens  int
+	pace    *bwstream.Pace
+
+	// failures counts the attempts in a row without a token; the retry waits until retryAt.
+	failures int
+	retryAt  time.Time
+	exclude  []bwmodel.UpstreamID
+	loss     *loss
+
+	cpy *Copy
+	// held says that a holder has been looked for.
+	held bool
+	// holder is one that has the record already; unset means that one is chosen.
+	holder netip.AddrPort
+	// holdRetry is when a lost holder is looked for again, holdLost when it was lost.
+	holdRetry time.Time
+	holdLost  time.Time
+	// askedAt is when the holder was first owed an acknowledgement; zero when it owes none.
+	askedAt time.Time
+	// refresh says that the caller needs a new handle.
+	refresh  bool
+	bad      []netip.AddrPort
+	produced int
+}
+
+// loss is the end of an attempt that has to be made up for.
+type loss struct {
+	cause string
+	since time.Time
+}
+
+// errGaveUp says that the attempts or the time for a resume are used up.
+var errGaveUp = errors.New("no engine could continue the generation")
+
+// errNoHolder says that no other router acknowledges the generation's record.
+var errNoHolder = errors.New("no other router keeps a copy of the generation")
+
+func newSession(gns *Generations, rec *bwstream.Record, out *output) *session {
+	return &session{gns: gns, rec: rec, out: out}
+}
+
+// serve runs the generation to its end and tells the caller of a failure.
+func (ses *session) serve(ctx context.Context) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	err := ses.run(ctx)
+	ses.release(bwroute.Outcome{Canceled: true})
+	if ses.cpy != nil {
+		_ = ses.cpy.Close(ctx)
+	}
+	if err == nil || ctx.Err() != nil {
+		return
+	}
+	ses.gns.cfg.Log.Warn("generation ended early", "Request", ses.rec.Request(), "Error", err)
+	prb := problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: outcomeUnknown}
+	if ses.rec.Position() == 0 {
+		prb.Outcome = outcomeNotRun
+	}
+	ses.out.fail(prb)
+}
+
+func (ses *session) run(ctx context.Context) error {
+	if !ses.held {
+		if err := ses.hold(ctx, ses.rec.Epoch()); err != nil {
+			return err
+		}
+	}
+	for {
+		if ses.att == nil && ses.rec.Finished() == "" && !ses.gns.cfg.Now().Before(ses.retryAt) {
+			ses.begin(ctx)
+		}
+		if err := ses.forward(ctx); err != nil {
+			return err
+		}
+		if !ses.refresh && ses.rec.Finished() != "" && ses.rec.Covered() == ses.rec.Position() {
+			return ses.out.end(ses.rec.Finished())
+		}
+		if err := ses.wait(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// forward sends the holder and the caller what they may have.
+func (ses *session) forward(ctx context.Context) error {
+	if err := ses.note(ctx); err != nil {
+		return err
+	}
+	if ses.refresh && !ses.rec.Waiting() {
+		ses.refresh = false
+		if err := ses.out.refresh(); err != nil {
+			return err
+		}
+	}
+	if ses.refresh {
+		return nil
+	}
+	return ses.out.advance()
+}
+
+// wait takes the next event of the attempt, the holder or the clock.
+func (ses *session) wait(ctx context.Context) error {
+	var events <-chan attemptEvent
+	if ses.att != nil {
+		events = ses.att.events
+	}
+	var acks <-chan bwstream.Ack
+	var lost <-chan struct{}
+	if ses.cpy != nil {
+		acks, lost = ses.cpy.Acks(), ses.cpy.Lost()
+	}
+	timer := time.NewTimer(ses.nextCheck().Sub(ses.gns.cfg.Now()))
+	defer timer.Stop()
+	select {
+	case evt := <-events:
+		return ses.take(ctx, evt)
+	case ack := <-acks:
+		return ses.acknowledge(ctx, ack)
+	case <-lost:
+		return ses.replaceHolder(ctx, "connection closed")
+	case <-timer.C:
+		return ses.check(ctx)
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// idleCheck is the longest time without a check; no deadline depends on it.
+const idleCheck = time.Minute
+
+// nextCheck returns the earliest deadline.
+func (ses *session) nextCheck() time.Time {
+	next := ses.gns.cfg.Now().Add(idleCheck)
+	if ses.pace != nil {
+		next = earlier(next, ses.pace.Deadline())
+	}
+	if !ses.askedAt.IsZero() {
+		next = earlier(next, ses.askedAt.Add(ses.gns.cfg.HolderTime))
+	}
+	if ses.att == nil && ses.rec.Finished() == "" {
+		next = earlier(next, ses.retryAt)
+	}
+	if !ses.holdRetry.IsZero() {
+		next = earlier(next, ses.holdRetry)
+	}
+	if !ses.holdLost.IsZero() {
+		next = earlier(next, ses.holdLost.Add(ses.gns.cfg.ResumeTime))
+	}
+	if ses.loss != nil {
+		next = earlier(next, ses.loss.since.Add(ses.gns.cfg.ResumeTime))
+	}
+	return next
+}
+
+// check acts on the deadlines that have passed. Events that wait already go
+// first, since a slow caller may have kept this goroutine from taking them.
+func (ses *session) check(ctx context.Context) error {
+	now := ses.gns.cfg.Now()
+	if ses.att != nil && len(ses.att.events) > 0 {
+		return ses.take(ctx, <-ses.att.events)
+	}
+	if ses.cpy != nil && len(ses.cpy.acks) > 0 {
+		return ses.acknowledge(ctx, <-ses.cpy.acks)
+	}
+	if ses.loss != nil && now.Sub(ses.loss.since) >= ses.gns.cfg.ResumeTime {
+		return errGaveUp
+	}
+	if !ses.holdLost.IsZero() && now.Sub(ses.holdLost) >= ses.gns.cfg.ResumeTime {
+		return errNoHolder
+	}
+	if !ses.holdRetry.IsZero() && !now.Before(ses.holdRetry) {
+		return ses.hold(ctx, ses.rec.Epoch())
+	}
+	if !ses.askedAt.IsZero() && now.Sub(ses.askedAt) >= ses.gns.cfg.HolderTime {
+		return ses.replaceHolder(ctx, "no acknowledgement")
+	}
+	if ses.pace != nil && !now.Before(ses.pace.Deadline()) {
+		return ses.lose(ctx, "stall", nil)
+	}
+	return nil
+}
+
+// take handles an event of the current attempt.
+func (ses *session) take(ctx context.Context, evt attemptEvent) error {
+	switch {
+	case evt.Choice != nil:
+		ses.choice = evt.Choice
+		ses.started = evt.At
+		ses.rec.Begin(evt.Choice.Upstream.Agent)
+		cfg := ses.gns.cfg.Pace
+		if wait := ses.gns.firsts.patience(ses.rec.Spec().Service); wait > 0 {
+			cfg.FirstToken = wait
+		}
+		ses.pace = bwstream.NewPace(cfg, evt.At)
+		return nil
+	case evt.Err != nil:
+		return ses.lose(ctx, causeOf(evt.Err), evt.Err)
+	}
+	ses.rec.SetPromptTokens(evt.Output.PromptTokens)
+	fresh, err := ses.rec.Take(evt.Output.Attempt, evt.Output.Position, evt.Output.Tokens)
+	if err != nil {
+		return ses.lose(ctx, "bad tokens", err)
+	}
+	if fresh > 0 {
+		ses.progress(ctx, evt, fresh)
+	}
+	if evt.Output.Finish != "" {
+		ses.rec.Finish(evt.Output.Finish)
+		ses.release(bwroute.Outcome{})
+	}
+	return nil
+}
+
+// progress notes new tokens, and the end of a loss.
+func (ses *session) progress(ctx context.Context, evt attemptEvent, fresh int) {
+	if ses.pace != nil {
+		ses.pace.Observe(evt.At, fresh)
+	}
+	ses.produced += fresh
+	ses.tokens += fresh
+	ses.failures = 0
+	ses.exclude = nil
+	if ses.first == 0 {
+		ses.first = max(evt.At.Sub(ses.started), 1)
+		ses.gns.firsts.observe(ctx, ses.rec.Spec().Service, ses.first)
+	}
+	if ses.loss == nil {
+		return
+	}
+	took := evt.At.Sub(ses.loss.since)
+	again := len(ses.rec.PromptTokens()) + int(evt.Output.Position) - evt.Output.CachedTokens
+	ses.gns.cfg.Log.Info("generation resumed", "Request", ses.rec.Request(), "Cause", ses.loss.cause, "Took", took,
+		"Position", uint64(evt.Output.Position), "Recomputed", again, "Attempt", uint32(ses.rec.Attempt()))
+	ses.gns.cfg.Resumed(ses.loss.cause, took, again)
+	ses.loss = nil
+}
+
+// begin starts the next attempt.
+func (ses *session) begin(ctx context.Context) {
+	spec := ses.rec.Spec()
+	left := spec.MaxTokens - int(ses.rec.Position())
+	if left <= 0 {
+		// The last attempt was lost between its last token and its end.
+		ses.loss = nil
+		ses.rec.Finish(bwmodel.FinishLength)
+		return
+	}
+	att := newAttempt(ctx, ses.gns)
+	att.number = ses.rec.Attempt() + 1
+	att.choose = bwroute.Request{
+		ID:      ses.rec.Request(),
+		Service: spec.Service,
+		Team:    spec.Team,
+		Model:   spec.Model,
+		Tokens:  left,
+		Exclude: ses.exclude,
+	}
+	att.start = bwwire.GenerateRequest{
+		Request:      ses.rec.Request(),
+		Epoch:        ses.rec.Epoch(),
+		Attempt:      att.number,
+		StateNumber:  ses.gns.cfg.StateNumber(),
+		Spec:         spec,
+		Issued:       ses.rec.Tokens(),
+		PromptTokens: ses.rec.PromptTokens(),
+		Holder:       ses.rec.Holder(),
+		Priority:     priorityOf(spec.Class),
+	}
+	ses.att = att
+	ses.first, ses.tokens = 0, 0
+	go att.run()
+}
+
+// Priorities in the engine; a lower value runs first.
+const (
+	promptPriority     = 0
+	deferrablePriority = 100
+)
+
+func priorityOf(class bwmodel.WorkClass) int {
+	if class == bwmodel.Deferrable {
+		return deferrablePriority
+	}
+	return promptPriority
+}
+
+func earlier(ta, tb time.Time) time.Time {
+	if tb.Before(ta) {
+		return tb
+	}
+	return ta
+}
--- /dev/null
+++ b/io/bwrouter/records_link.go
@@ -0,0 +1,196 @@
+package bwrouter
+
+import (
+	"context"
+	"errors"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// ErrHolderLost says that the stream to a holder has ended.
+var ErrHolderLost = errors.New("holder's stream has ended")
+
+// Copy is one request's record at a holder. Its methods are called by the
+// goroutine that owns the request.
+type Copy struct {
+	lnk  *link
+	req  bwmodel.RequestID
+	acks chan bwstream.Ack
+}
+
+// Append queues an append, or returns ErrHolderLost or the context's error.
+func (cp *Copy) Append(ctx context.Context, app bwstream.Append) error {
+	return cp.lnk.enqueue(ctx, linkMessage{cp: cp, app: app})
+}
+
+// Acks returns the latest acknowledgement; earlier ones are merged into it.
+func (cp *Copy) Acks() <-chan bwstream.Ack { return cp.acks }
+
+// Lost is closed when the stream to the holder has ended.
+func (cp *Copy) Lost() <-chan struct{} { return cp.lnk.ctx.Done() }
+
+// Close ends the delivery of acknowledgements.
+func (cp *Copy) Close(ctx context.Context) error {
+	return cp.lnk.enqueue(ctx, linkMessage{cp: cp, closed: true})
+}
+
+// offer puts an acknowledgement in place of the one that waits. Only the
+// link's goroutine calls it, so there is room after the receive.
+func (cp *Copy) offer(ack bwstream.Ack) {
+	select {
+	case old := <-cp.acks:
+		if old.Epoch == ack.Epoch {
+			ack.Position = max(ack.Position, old.Position)
+			ack.Refused = ack.Refused || old.Refused
+		}
+	default:
+	}
+	cp.acks <- ack
+}
+
+// link is the stream to one holder. Its goroutine owns the list of copies.
+type link struct {
+	rcs    *Records
+	holder netip.AddrPort
+	ctx    context.Context
+	cancel context.CancelFunc
+	queue  chan linkMessage
+	acks   chan *bwwire.AckBatch
+	copies map[bwmodel.RequestID]*Copy
+}
+
+type linkMessage struct {
+	cp     *Copy
+	app    bwstream.Append
+	closed bool
+}
+
+const (
+	// linkQueue holds about one append of each open generation of a router at peak.
+	linkQueue = 512
+	// maxBatch bounds the appends in one message.
+	maxBatch = 256
+	// linkIdle closes a stream that no request uses.
+	linkIdle = time.Minute
+)
+
+func newLink(ctx context.Context, rcs *Records, holder netip.AddrPort) *link {
+	lnk := &link{
+		rcs:    rcs,
+		holder: holder,
+		queue:  make(chan linkMessage, linkQueue),
+		acks:   make(chan *bwwire.AckBatch, 1),
+		copies: make(map[bwmodel.RequestID]*Copy),
+	}
+	lnk.ctx, lnk.cancel = context.WithCancel(ctx)
+	return lnk
+}
+
+func (lnk *link) enqueue(ctx context.Context, msg linkMessage) error {
+	select {
+	case lnk.queue <- msg:
+		return nil
+	case <-lnk.ctx.Done():
+		return ErrHolderLost
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// run sends batches and hands out acknowledgements until the stream fails or
+// is idle.
+func (lnk *link) run() {
+	defer lnk.forget()
+	defer lnk.cancel()
+	stm, err := bwrpc.Open[bwwire.AckBatch, bwwire.AppendBatch](lnk.ctx, lnk.rcs.cfg.Client, lnk.holder, bwwire.PeerAppend)
+	if err != nil {
+		lnk.rcs.cfg.Log.Warn("holder can't be reached", "Holder", lnk.holder, "Error", err)
+		return
+	}
+	defer func() { _ = stm.Close() }()
+	go lnk.loop(stm)
+	idle := time.NewTimer(linkIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case msg := <-lnk.queue:
+			bat := lnk.batch(msg)
+			if len(bat.Appends) == 0 {
+				continue
+			}
+			if err := stm.Send(bat); err != nil {
+				return
+			}
+			idle.Reset(linkIdle)
+		case bat := <-lnk.acks:
+			lnk.handOut(bat)
+		case <-idle.C:
+			if len(lnk.copies) == 0 {
+				return
+			}
+			idle.Reset(linkIdle)
+		case <-lnk.ctx.Done():
+			return
+		}
+	}
+}
+
+// loop reads acknowledgements until the stream ends.
+func (lnk *link) loop(stm *bwrpc.Stream[bwwire.AckBatch, bwwire.AppendBatch]) {
+	defer lnk.cancel()
+	for {
+		bat, err := stm.Recv()
+		if err != nil {
+			return
+		}
+		select {
+		case lnk.acks <- bat:
+		case <-lnk.ctx.Done():
+			return
+		}
+	}
+}
+
+// batch collects the messages that wait already.
+func (lnk *link) batch(msg linkMessage) *bwwire.AppendBatch {
+	bat := new(bwwire.AppendBatch)
+	for {
+		if msg.closed {
+			if lnk.copies[msg.cp.req] == msg.cp {
+				delete(lnk.copies, msg.cp.req)
+			}
+		} else {
+			lnk.copies[msg.cp.req] = msg.cp
+			bat.Appends = append(bat.Appends, bwwire.RecordAppend(msg.app))
+		}
+		if len(bat.Appends) == maxBatch {
+			return bat
+		}
+		select {
+		case msg = <-lnk.queue:
+		default:
+			return bat
+		}
+	}
+}
+
+func (lnk *link) handOut(bat *bwwire.AckBatch) {
+	for _, ack := range bat.Acks {
+		if cp := lnk.copies[ack.Request]; cp != nil {
+			cp.offer(bwstream.Ack(ack))
+		}
+	}
+}
+
+func (lnk *link) forget() {
+	_ = lnk.rcs.control.Post(lnk.rcs.ctx, func(rst *recordsState) {
+		if rst.links[lnk.holder] == lnk {
+			delete(rst.links, lnk.holder)
+		}
+	})
+}
