--- /dev/null
+++ b/standin/bwfakeengine/cluster_test.go
@@ -0,0 +1,392 @@
+package bwfakeengine_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bilberrywick/core/bwadmit"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwroute"
+	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwagent"
+	"bilberrywick/io/bwengine"
+	"bilberrywick/io/bwrouter"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/standin/bwfakeengine"
+)
+
+const testModel = "pisar"
+
+// cluster runs routers, agents and engines on loopback.
+type cluster struct {
+	t       *testing.T
+	nodes   []*engineNode
+	routers []*routerNode
+	resumed atomic.Int64
+}
+
+type engineNode struct {
+	name   bwmodel.UpstreamID
+	engine *bwfakeengine.Engine
+	gens   *bwagent.Generations
+	addr   netip.AddrPort
+	stop   context.CancelFunc
+	left   atomic.Bool
+}
+
+type routerNode struct {
+	addr    netip.AddrPort
+	web     *httptest.Server
+	stop    context.CancelFunc
+	down    atomic.Bool
+	records *bwrouter.Records
+	// paused holds back the router's connections to other processes.
+	paused atomic.Pointer[chan struct{}]
+	next   atomic.Int64
+}
+
+func newCluster(t *testing.T, engines, routers int, cfg bwfakeengine.Config) *cluster {
+	t.Helper()
+	cl := &cluster{t: t}
+	for range engines {
+		cl.addEngine(cfg)
+	}
+	for range routers {
+		cl.addRouter()
+	}
+	return cl
+}
+
+func (cl *cluster) addEngine(cfg bwfakeengine.Config) {
+	cl.t.Helper()
+	ctx, stop := context.WithCancel(cl.t.Context())
+	eng, err := bwfakeengine.New(cfg)
+	must(cl.t, err)
+	must(cl.t, eng.Start(ctx))
+	nd := &engineNode{name: bwmodel.UpstreamID(fmt.Sprintf("engine-%d", len(cl.nodes))), engine: eng, stop: stop}
+	lis, addr := listen(cl.t)
+	nd.addr = addr
+	nd.gens = bwagent.NewGenerations(bwagent.GenerationsConfig{
+		Generate: bwengine.NewEngine(bwengine.EngineConfig{Address: eng.Address()}).Generate,
+		Address:  addr,
+		Leaving:  nd.left.Load,
+	})
+	srv, err := bwrpc.NewServer(bwrpc.ServerConfig{})
+	must(cl.t, err)
+	nd.gens.Register(srv)
+	nd.gens.Start(ctx)
+	rnr := &rpcRunner{srv: srv, lis: lis}
+	go rnr.run(ctx)
+	cl.nodes = append(cl.nodes, nd)
+}
+
+func (cl *cluster) addRouter() {
+	cl.t.Helper()
+	ctx, stop := context.WithCancel(cl.t.Context())
+	rt := &routerNode{stop: stop}
+	lis, addr := listen(cl.t)
+	rt.addr = addr
+	clt, err := bwrpc.NewClient(bwrpc.ClientConfig{Dial: rt.dial})
+	must(cl.t, err)
+	log := slog.New(slog.NewTextHandler(testWriter{cl.t}, nil))
+	rt.records = bwrouter.NewRecords(bwrouter.RecordsConfig{Client: clt, Log: log})
+	gns, err := bwrouter.NewGenerations(bwrouter.GenerationsConfig{
+		Choose:  rt.chooser(cl),
+		Admit:   admitAll,
+		Service: oneService,
+		Holder:  rt.holder(cl),
+		Known:   cl.known,
+		Resumed: func(string, time.Duration, int) { cl.resumed.Add(1) },
+		Address: addr,
+		Records: rt.records,
+		Client:  clt,
+		Log:     log,
+	})
+	must(cl.t, err)
+	srv, err := bwrpc.NewServer(bwrpc.ServerConfig{})
+	must(cl.t, err)
+	rt.records.Register(srv)
+	rt.records.Start(ctx)
+	gns.Start(ctx)
+	rnr := &rpcRunner{srv: srv, lis: lis}
+	go rnr.run(ctx)
+	rtr := mux.NewRouter()
+	gns.Routes(rtr)
+	rt.web = httptest.NewServer(withTeam(rtr))
+	cl.t.Cleanup(rt.web.Close)
+	cl.routers = append(cl.routers, rt)
+}
+
+// chooser picks engines in turn, except excluded and dead ones.
+func (rt *routerNode) chooser(cl *cluster) func(context.Context, bwroute.Request) (bwroute.Choice, error) {
+	return func(_ context.Context, req bwroute.Request) (bwroute.Choice, error) {
+		for range cl.nodes {
+			nd := cl.nodes[int(rt.next.Add(1)-1)%len(cl.nodes)]
+			if slices.Contains(req.Exclude, nd.name) {
+				continue
+			}
+			ups := bwmodel.Upstream{Name: nd.name, Agent: nd.addr}
+			return bwroute.Choice{Upstream: ups, Finish: func(bwroute.Outcome) {}}, nil
+		}
+		return bwroute.Choice{}, errors.New("every engine is excluded")
+	}
+}
+
+func (rt *routerNode) holder(cl *cluster) func(bwmodel.RequestID, []netip.AddrPort) (netip.AddrPort, bool) {
+	return func(_ bwmodel.RequestID, exclude []netip.AddrPort) (netip.AddrPort, bool) {
+		for _, other := range cl.routers {
+			if other != rt && !other.down.Load() && !slices.Contains(exclude, other.addr) {
+				return other.addr, true
+			}
+		}
+		return netip.AddrPort{}, false
+	}
+}
+
+func (cl *cluster) known(addr netip.AddrPort) bool {
+	for _, nd := range cl.nodes {
+		if nd.addr == addr {
+			return true
+		}
+	}
+	for _, rt := range cl.routers {
+		if rt.addr == addr {
+			return true
+		}
+	}
+	return false
+}
+
+func (nd *engineNode) kill(t *testing.T) {
+	t.Helper()
+	must(t, nd.engine.Die(t.Context()))
+	nd.stop()
+}
+
+func (rt *routerNode) kill() {
+	rt.down.Store(true)
+	rt.stop()
+	rt.web.CloseClientConnections()
+	rt.web.Close()
+}
+
+// pause holds back all the router's connections to other processes until the
+// returned function is called.
+func (rt *routerNode) pause() (resume func()) {
+	gate := make(chan struct{})
+	rt.paused.Store(&gate)
+	return func() {
+		rt.paused.Store(nil)
+		close(gate)
+	}
+}
+
+func (rt *routerNode) dial(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	var dlr net.Dialer
+	conn, err := dlr.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return nil, err
+	}
+	return &pausedConn{Conn: conn, rt: rt}, nil
+}
+
+// pausedConn stops reading and writing while its router is paused.
+type pausedConn struct {
+	net.Conn
+	rt *routerNode
+}
+
+func (pc *pausedConn) Read(buf []byte) (int, error) {
+	size, err := pc.Conn.Read(buf)
+	pc.wait()
+	return size, err
+}
+
+func (pc *pausedConn) Write(buf []byte) (int, error) {
+	pc.wait()
+	return pc.Conn.Write(buf)
+}
+
+func (pc *pausedConn) wait() {
+	if gate := pc.rt.paused.Load(); gate != nil {
+		<-*gate
+	}
+}
+
+type rpcRunner struct {
+	srv *bwrpc.Server
+	lis net.Listener
+}
+
+func (rnr *rpcRunner) run(ctx context.Context) { _ = rnr.srv.Serve(ctx, rnr.lis) }
+
+type testWriter struct{ t *testing.T }
+
+func (tw testWriter) Write(buf []byte) (int, error) {
+	if tw.t.Context().Err() == nil {
+		tw.t.Log(strings.TrimSpace(string(buf)))
+	}
+	return len(buf), nil
+}
+
+func withTeam(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
+		team := bwmodel.Team{Name: bwmodel.TeamID(req.Header.Get("Team"))}
+		next.ServeHTTP(wrt, req.WithContext(bwrouter.WithTeam(req.Context(), team)))
+	})
+}
+
+func admitAll(context.Context, bwadmit.Request) (bwadmit.Grant, error) {
+	return bwadmit.Grant{Finish: func(int) {}}, nil
+}
+
+func oneService(model string) (bwmodel.Service, bool) {
+	return bwmodel.Service{Name: "pisar-model", Kind: bwmodel.ModelService, Class: bwmodel.Prompt}, model == testModel
+}
+
+func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	must(t, err)
+	return lis, lis.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func must(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// caller reads a generation's events.
+type caller struct {
+	t      *testing.T
+	text   strings.Builder
+	ids    []bwmodel.TokenID
+	last   string
+	finish string
+	events int
+	body   *bufio.Scanner
+	rsp    *http.Response
+}
+
+func (cl *cluster) post(rt *routerNode, prompt string, tokens int) *caller {
+	cl.t.Helper()
+	buf, err := json.Marshal(map[string]any{
+		"model": testModel, "prompt": prompt, "max_tokens": tokens, "stream": true, "return_token_ids": true,
+	})
+	must(cl.t, err)
+	req, err := http.NewRequestWithContext(cl.t.Context(), http.MethodPost, rt.web.URL+"/v1/completions", strings.NewReader(string(buf)))
+	must(cl.t, err)
+	cal := &caller{t: cl.t}
+	cal.open(req, "alpha")
+	return cal
+}
+
+// reconnect goes on through another router.
+func (cal *caller) reconnect(rt *routerNode) {
+	cal.t.Helper()
+	req, err := http.NewRequestWithContext(cal.t.Context(), http.MethodGet,
+		rt.web.URL+"/v1/generations/"+cal.last+"?return_token_ids=true", nil)
+	must(cal.t, err)
+	req.Header.Set("Last-Event-ID", cal.last)
+	cal.open(req, "alpha")
+}
+
+func (cal *caller) open(req *http.Request, team string) {
+	cal.t.Helper()
+	req.Header.Set("Team", team)
+	rsp, err := http.DefaultClient.Do(req)
+	must(cal.t, err)
+	cal.t.Cleanup(func() { _ = rsp.Body.Close() })
+	if rsp.StatusCode != http.StatusOK {
+		cal.t.Fatalf("status %d", rsp.StatusCode)
+	}
+	cal.rsp = rsp
+	cal.body = bufio.NewScanner(rsp.Body)
+	cal.body.Buffer(nil, 1<<20)
+}
+
+// read takes events until the answer holds a number of tokens or ends.
+func (cal *caller) read(tokens int) {
+	cal.t.Helper()
+	for len(cal.ids) < tokens && cal.body.Scan() {
+		line := cal.body.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			cal.last = id
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return
+		}
+		var msg struct {
+			Choices []struct {
+				Text   string            `json:"text"`
+				IDs    []bwmodel.TokenID `json:"token_ids"`
+				Finish string            `json:"finish_reason"`
+			} `json:"choices"`
+		}
+		must(cal.t, json.Unmarshal([]byte(data), &msg))
+		if len(msg.Choices) == 0 {
+			cal.t.Logf("event %s", data)
+			return
+		}
+		cal.events++
+		cal.text.WriteString(msg.Choices[0].Text)
+		cal.ids = append(cal.ids, msg.Choices[0].IDs...)
+		cal.finish = msg.Choices[0].Finish
+	}
+}
+
+const all = 1 << 30
+
+// check compares the answer with an uninterrupted generation.
+func (cal *caller) check(prompt string, tokens int) {
+	cal.t.Helper()
+	want := ""
+	ids := []bwmodel.TokenID{}
+	for _, tok := range bwfakeengine.Continue(bwfakeengine.Tokenize(prompt), tokens) {
+		want += string(tok.Bytes)
+		ids = append(ids, tok.ID)
+	}
+	want = strings.ToValidUTF8(want, "\ufffd")
+	got := strings.ToValidUTF8(cal.text.String(), "\ufffd")
+	if trim(got) != trim(want) {
+		cal.t.Errorf("text\n%q\nwant\n%q", got, want)
+	}
+	if !slices.Equal(cal.ids, ids) {
+		cal.t.Errorf("token ids differ: got %d, want %d", len(cal.ids), len(ids))
+	}
+	if cal.finish != "length" {
+		cal.t.Errorf("finish %q, want length", cal.finish)
+	}
+}
+
+// trim removes the replacement of an unfinished character at the end, whose
+// number depends on how many bytes were replaced at a time.
+func trim(txt string) string { return strings.TrimRight(txt, "\ufffd") }
+
+func (cal *caller) handle() bwstream.Handle {
+	cal.t.Helper()
+	hd, err := bwstream.ParseHandle(cal.last)
+	must(cal.t, err)
+	return hd
+}
--- /dev/null
+++ b/standin/bwfakeengine/fault_test.go
@@ -0,0 +1,116 @@
+package bwfakeengine_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwstream"
+)
+
+// Guards against a frozen engine that stops its callers, and against its late
+// tokens after it goes on.
+func TestFrozenEngine(t *testing.T) {
+	cl := newCluster(t, 2, 2, fastEngine)
+	cal := cl.post(cl.routers[0], "dlhý návrh", 100)
+	cal.read(30)
+	must(t, cl.nodes[0].engine.Freeze(t.Context()))
+	cal.read(60)
+	must(t, cl.nodes[0].engine.Thaw(t.Context()))
+	cal.read(all)
+	cal.check("dlhý návrh", 100)
+	if got := cl.resumed.Load(); got != 1 {
+		t.Errorf("%d resumes, want 1", got)
+	}
+}
+
+// Guards against two deaths of three that lose the answer: holder with agent,
+// and router with holder.
+func TestDoubleDeath(t *testing.T) {
+	const tokens = 200
+	t.Run("holder and agent", func(t *testing.T) {
+		cl := newCluster(t, 2, 3, fastEngine)
+		cal := cl.post(cl.routers[0], "posudok skladu", tokens)
+		cal.read(20)
+		before := cal.handle()
+		cl.routers[1].kill()
+		cl.nodes[0].kill(t)
+		cal.read(all)
+		cal.check("posudok skladu", tokens)
+		after := cal.handle()
+		if after.Epoch <= before.Epoch || after.Holder != cl.routers[2].addr {
+			t.Errorf("handle has epoch %d and holder %v, want a higher epoch than %d and holder %v",
+				after.Epoch, after.Holder, before.Epoch, cl.routers[2].addr)
+		}
+	})
+	t.Run("router and holder", func(t *testing.T) {
+		cl := newCluster(t, 2, 3, fastEngine)
+		cal := cl.post(cl.routers[0], "posudok skladu", tokens)
+		cal.read(20)
+		cl.routers[1].kill()
+		cl.routers[0].kill()
+		cal.read(all)
+		cal.reconnect(cl.routers[2])
+		cal.read(all)
+		cal.check("posudok skladu", tokens)
+	})
+}
+
+// Guards against a paused router that goes on delivering after another one has
+// taken over its generation.
+func TestPausedRouterDeliversNothing(t *testing.T) {
+	const tokens = 400
+	cl := newCluster(t, 2, 3, fastEngine)
+	old := cl.post(cl.routers[0], "pozastavený smerovač", tokens)
+	old.read(20)
+	resume := cl.routers[0].pause()
+	cal := &caller{t: t, ids: old.ids, last: old.last}
+	cal.text.WriteString(old.text.String())
+	cal.reconnect(cl.routers[2])
+	cal.read(all)
+	cal.check("pozastavený smerovač", tokens)
+	time.Sleep(2 * time.Second)
+	resume()
+	old.read(all)
+	// The old router may still deliver what the holder acknowledged before the takeover.
+	if len(old.ids) >= tokens || old.finish != "" {
+		t.Errorf("paused router delivered %d tokens and finish %q after the takeover", len(old.ids), old.finish)
+	}
+}
+
+// Guards against a handle of another team, a stale one and a malformed one
+// that opens a generation.
+func TestRefusedHandles(t *testing.T) {
+	cl := newCluster(t, 1, 2, fastEngine)
+	cal := cl.post(cl.routers[0], "cudzí tím", 50)
+	cal.read(10)
+	hd := cal.handle()
+	ahead := hd
+	ahead.Mark = bwstream.Mark{Position: 1000}
+	lost := hd
+	lost.Request[0]++
+	tests := []struct {
+		name, handle, team string
+		status             int
+	}{
+		{"other team", hd.String(), "beta", http.StatusNotFound},
+		{"position beyond the record", ahead.String(), "alpha", http.StatusConflict},
+		{"unknown request", lost.String(), "alpha", http.StatusNotFound},
+		{"malformed", "abc", "alpha", http.StatusBadRequest},
+		{"too long", strings.Repeat("A", bwstream.MaxHandleLength+1), "alpha", http.StatusBadRequest},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, cl.routers[1].web.URL+"/v1/generations/"+tt.handle, nil)
+			must(t, err)
+			req.Header.Set("Team", tt.team)
+			rsp, err := http.DefaultClient.Do(req)
+			must(t, err)
+			must(t, rsp.Body.Close())
+			if rsp.StatusCode != tt.status {
+				t.Errorf("status %d, want %d", rsp.StatusCode, tt.status)
+			}
+		})
+	}
+}
