Test text, handles, records and pace of a generation

Cause: the decisions in bwstream were covered only through the whole path. Change: property tests (gopter, fixed seed) of the assembler at every mark and of the handle's text; table tests of the receiver, the record's cover by its holder, takeover, the store's bounds and the pace.

--- /dev/null
+++ b/core/bwstream/record_test.go
@@ -0,0 +1,159 @@
+package bwstream_test
+
+import (
+	"errors"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwstream"
+)
+
+var (
+	holder  = netip.MustParseAddrPort("10.0.0.1:1")
+	agent   = netip.MustParseAddrPort("10.0.0.2:1")
+	request = bwmodel.RequestID{7}
+)
+
+// Guards against tokens taken from an old attempt, after a gap, twice, or with
+// other content than before.
+func TestReceiverRefuses(t *testing.T) {
+	toks := split("abcdef", nil)
+	other := []bwmodel.Token{{ID: 99, Bytes: []byte("x")}}
+	tests := []struct {
+		name  string
+		att   bwmodel.Attempt
+		pos   bwmodel.Position
+		toks  []bwmodel.Token
+		fresh int
+		err   error
+	}{
+		{"next", 2, 3, toks[3:], 3, nil},
+		{"overlap", 2, 1, toks[1:5], 2, nil},
+		{"only old", 2, 0, toks[:3], 0, nil},
+		{"old attempt", 1, 3, toks[3:], 0, bwstream.ErrOldAttempt},
+		{"later attempt that was not begun", 3, 3, toks[3:], 0, bwstream.ErrOldAttempt},
+		{"gap", 2, 4, toks[4:], 0, bwstream.ErrGap},
+		{"different overlap", 2, 2, other, 0, bwstream.ErrMismatch},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			rcv := bwstream.NewReceiver(toks[:3])
+			if err := rcv.Begin(2); err != nil {
+				t.Fatal(err)
+			}
+			fresh, err := rcv.Take(tt.att, tt.pos, tt.toks)
+			if len(fresh) != tt.fresh || !errors.Is(err, tt.err) {
+				t.Errorf("got %d tokens and %v, want %d and %v", len(fresh), err, tt.fresh, tt.err)
+			}
+		})
+	}
+}
+
+// Guards against a token that the caller sees before the holder has it, and
+// against an old owner that goes on after a takeover.
+func TestRecordWaitsForHolder(t *testing.T) {
+	str := bwstream.NewStore(bwstream.StoreConfig{Now: time.Now})
+	toks := split("abcdef", nil)
+	rec := bwstream.NewRecord(bwmodel.GenerationRecord{Request: request, Epoch: 1, Spec: bwmodel.GenerationSpec{Team: "alpha"}})
+	rec.Hold(holder, 1)
+	att := rec.Begin(agent)
+	send := func() error {
+		app, ok := rec.Append()
+		if !ok {
+			t.Fatal("nothing to append")
+		}
+		return rec.Ack(str.Append(app))
+	}
+	if err := send(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := rec.Take(att, 0, toks[:2]); err != nil {
+		t.Fatal(err)
+	}
+	if got := rec.Covered(); got != 0 {
+		t.Errorf("covered %d before the acknowledgement, want 0", got)
+	}
+	if err := send(); err != nil || rec.Covered() != 2 {
+		t.Errorf("covered %d and %v after it, want 2", rec.Covered(), err)
+	}
+	if _, err := str.TakeOver(request, "beta", 2); !errors.Is(err, bwstream.ErrOtherTeam) {
+		t.Errorf("other team got %v, want ErrOtherTeam", err)
+	}
+	if _, err := str.TakeOver(request, "alpha", 1); !errors.Is(err, bwstream.ErrStaleEpoch) {
+		t.Errorf("same epoch got %v, want ErrStaleEpoch", err)
+	}
+	taken, err := str.TakeOver(request, "alpha", 2)
+	if err != nil || len(taken.Issued) != 2 {
+		t.Fatalf("takeover got %d tokens and %v, want 2", len(taken.Issued), err)
+	}
+	if _, err := rec.Take(att, 2, toks[2:4]); err != nil {
+		t.Fatal(err)
+	}
+	if err := send(); !errors.Is(err, bwstream.ErrFenced) || rec.Covered() != 2 {
+		t.Errorf("old owner got %v and covers %d, want ErrFenced and 2", err, rec.Covered())
+	}
+}
+
+// Guards against a lost holder whose record's owner delivers without any copy.
+func TestRecordWithoutHolderCoversNothingNew(t *testing.T) {
+	rec := bwstream.NewRecord(bwmodel.GenerationRecord{Request: request, Epoch: 1})
+	att := rec.Begin(agent)
+	if _, err := rec.Take(att, 0, split("ab", nil)); err != nil {
+		t.Fatal(err)
+	}
+	rec.Unhold(2)
+	if rec.Covered() != 0 || !rec.Waiting() {
+		t.Errorf("between holders covers %d, want 0", rec.Covered())
+	}
+	rec.Hold(netip.AddrPort{}, 3)
+	if rec.Covered() != 2 || rec.Waiting() {
+		t.Errorf("alone covers %d, want 2", rec.Covered())
+	}
+}
+
+// Guards against a store that outgrows its memory or keeps what has expired.
+func TestStoreBounds(t *testing.T) {
+	now := time.Unix(0, 0)
+	str := bwstream.NewStore(bwstream.StoreConfig{
+		Now: func() time.Time { return now }, MaxBytes: 2000, Idle: time.Hour, Finished: time.Minute,
+	})
+	add := func(id byte, why bwmodel.FinishReason) bwstream.Ack {
+		rec := &bwmodel.GenerationRecord{Finish: why}
+		return str.Append(bwstream.Append{Request: bwmodel.RequestID{id}, Epoch: 1, Record: rec})
+	}
+	for id := range byte(3) {
+		add(id, bwmodel.FinishStop)
+	}
+	if ack := add(3, ""); ack.Refused || str.Len() != 3 || str.Bytes() > 2000 {
+		t.Errorf("refused %v with %d records of %d bytes, want the oldest finished one replaced", ack.Refused, str.Len(), str.Bytes())
+	}
+	add(4, "")
+	add(5, "")
+	if ack := add(6, ""); !ack.Refused {
+		t.Error("a record was taken though only running ones are held")
+	}
+	now = now.Add(time.Hour)
+	if got := str.Expire(); got != 3 || str.Bytes() != 0 {
+		t.Errorf("%d records expired and %d bytes are left, want 3 and 0", got, str.Bytes())
+	}
+}
+
+// Guards against a stall that is noticed too late, or seen in a steady stream.
+func TestPace(t *testing.T) {
+	start := time.Unix(0, 0)
+	cfg := bwstream.PaceConfig{Floor: 100 * time.Millisecond, FirstToken: 5 * time.Second}
+	pc := bwstream.NewPace(cfg, start)
+	if got := pc.Deadline().Sub(start); got != cfg.FirstToken {
+		t.Errorf("before the first token waits %v, want %v", got, cfg.FirstToken)
+	}
+	now := start.Add(time.Second)
+	for range 50 {
+		pc.Observe(now, 1)
+		now = now.Add(50 * time.Millisecond)
+	}
+	if got := pc.Patience(); got < 200*time.Millisecond || got > 250*time.Millisecond {
+		t.Errorf("at 50 ms a token waits %v, want four gaps", got)
+	}
+}
--- /dev/null
+++ b/core/bwstream/text_test.go
@@ -0,0 +1,115 @@
+package bwstream_test
+
+import (
+	"errors"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwstream"
+)
+
+const seed = 20261204
+
+func properties(t *testing.T) *gopter.Properties {
+	t.Logf("seed %d", seed)
+	return gopter.NewProperties(gopter.DefaultTestParametersWithSeed(seed))
+}
+
+// split cuts bytes into tokens at positions that the sizes give.
+func split(txt string, sizes []int) []bwmodel.Token {
+	var toks []bwmodel.Token
+	for ix := 0; len(txt) > 0; ix++ {
+		size := 1
+		if len(sizes) > 0 {
+			size = min(sizes[ix%len(sizes)], len(txt))
+		}
+		toks = append(toks, bwmodel.Token{ID: bwmodel.TokenID(ix), Bytes: []byte(txt[:size])})
+		txt = txt[size:]
+	}
+	return toks
+}
+
+// Guards against bytes that are lost or repeated when a caller reconnects in
+// the middle of a character, and against text that ends within one.
+func TestAssemblerContinuesAtEveryMark(t *testing.T) {
+	texts := []string{"Lyžičkáreň ľúbi 🥄 drevo", "የባትሪ ማከማቻ ፈቃድ", "a\xc5\xbe\xff\xe1\x88", "\x80\x80é"}
+	pps := properties(t)
+	pps.Property("text is whole from every mark", prop.ForAll(func(which int, sizes []int) bool {
+		txt := texts[which]
+		toks := split(txt, sizes)
+		asm := bwstream.NewAssembler(bwstream.Mark{})
+		got := ""
+		for _, tok := range toks {
+			got += asm.Add(tok)
+			mk := asm.Mark()
+			rest := bwstream.NewAssembler(mk)
+			tail := ""
+			for _, later := range toks[mk.Position:] {
+				tail += rest.Add(later)
+			}
+			if got+tail+rest.Flush() != txt {
+				return false
+			}
+		}
+		got += asm.Flush()
+		return got == txt && asm.Mark() == bwstream.Mark{Position: bwmodel.Position(len(toks))}
+	}, gen.IntRange(0, len(texts)-1), gen.SliceOf(gen.IntRange(1, 7))))
+	pps.TestingRun(t)
+}
+
+// Guards against a part of a character in the text of an event.
+func TestAssemblerHoldsBackUnfinishedCharacters(t *testing.T) {
+	asm := bwstream.NewAssembler(bwstream.Mark{})
+	steps := []struct {
+		bytes, text string
+		mark        bwstream.Mark
+	}{
+		{"a\xc5", "a", bwstream.Mark{Offset: 1}},
+		{"\xbeb\xe1", "žb", bwstream.Mark{Position: 1, Offset: 2}},
+		{"\x88", "", bwstream.Mark{Position: 1, Offset: 2}},
+		{"\xb0", "ሰ", bwstream.Mark{Position: 4}},
+	}
+	for _, st := range steps {
+		if got := asm.Add(bwmodel.Token{Bytes: []byte(st.bytes)}); got != st.text || asm.Mark() != st.mark {
+			t.Errorf("after %q got %q at %+v, want %q at %+v", st.bytes, got, asm.Mark(), st.text, st.mark)
+		}
+	}
+}
+
+// Guards against handles that change on the way through a caller.
+func TestHandleRoundTrip(t *testing.T) {
+	addrs := []netip.AddrPort{
+		{},
+		netip.MustParseAddrPort("10.1.2.3:7000"),
+		netip.MustParseAddrPort("[2001:db8::1]:65535"),
+	}
+	pps := properties(t)
+	pps.Property("parse reads what String wrote", prop.ForAll(func(ep, pos uint64, off, holder, agent int) bool {
+		hd := bwstream.Handle{
+			Request: bwmodel.RequestID{1, 2, 15: 255},
+			Epoch:   bwmodel.Epoch(ep),
+			Holder:  addrs[holder],
+			Agent:   addrs[agent],
+			Mark:    bwstream.Mark{Position: bwmodel.Position(pos), Offset: off},
+		}
+		got, err := bwstream.ParseHandle(hd.String())
+		return err == nil && got == hd && len(hd.String()) <= bwstream.MaxHandleLength
+	}, gen.UInt64(), gen.UInt64(), gen.IntRange(0, 1024), gen.IntRange(0, 2), gen.IntRange(0, 2)))
+	pps.TestingRun(t)
+}
+
+// Guards against a text that is accepted as a handle though String never writes it.
+func TestParseHandleRefuses(t *testing.T) {
+	good := bwstream.Handle{Request: bwmodel.RequestID{1}, Epoch: 1}.String()
+	for _, txt := range []string{"", "!", good[:len(good)-1], good + "AA", "AA" + good[2:], strings.Repeat("A", 4096)} {
+		if hd, err := bwstream.ParseHandle(txt); !errors.Is(err, bwstream.ErrHandle) {
+			t.Errorf("%.20q gave %+v and %v, want ErrHandle", txt, hd, err)
+		}
+	}
+}
