Add the agent's status reports and test the control owner

Cause: routers need an agent's load, clock and leaving state without polling. Change: bwagent.Reporter serves Agent.Status each second and at once when the agent starts to leave; bwcontrol.Owner calls Published after each new view so that waiters wake only once the new view can be read. Conclusion: the router can subscribe to it.

--- a/core/bwcontrol/owner.go
+++ b/core/bwcontrol/owner.go
@@ -14,6 +14,7 @@
 type Owner[S, V any] struct {
 	state   *S
 	view    func(*S) *V
+	publish func(previous, current *V)
 	posted  chan posting[S]
 	current atomic.Pointer[V]
 	done    chan struct{}
@@ -25,6 +26,8 @@
 	State *S
 	// View derives an immutable view; it must not share memory that changes later.
 	View func(*S) *V
+	// Published is called after a view has replaced the previous one; it may be nil.
+	Published func(previous, current *V)
 	// Backlog is the number of posted changes that may wait; 0 means 256.
 	Backlog int
 }
@@ -37,10 +40,11 @@
 		cfg.Backlog = defaultBacklog
 	}
 	own := &Owner[S, V]{
-		state:  cfg.State,
-		view:   cfg.View,
-		posted: make(chan posting[S], cfg.Backlog),
-		done:   make(chan struct{}),
+		state:   cfg.State,
+		view:    cfg.View,
+		publish: cfg.Published,
+		posted:  make(chan posting[S], cfg.Backlog),
+		done:    make(chan struct{}),
 	}
 	own.current.Store(cfg.View(cfg.State))
 	return own
@@ -96,7 +100,7 @@
 		select {
 		case post := <-own.posted:
 			applied = own.apply(post, applied[:0])
-			own.current.Store(own.view(own.state))
+			own.swap()
 			for _, ch := range applied {
 				close(ch)
 			}
@@ -106,6 +110,14 @@
 	}
 }
 
+func (own *Owner[S, V]) swap() {
+	next := own.view(own.state)
+	prev := own.current.Swap(next)
+	if own.publish != nil {
+		own.publish(prev, next)
+	}
+}
+
 // apply runs one change and those that wait already, so that a burst costs one
 // view, and returns the channels to close once the view is published.
 func (own *Owner[S, V]) apply(post posting[S], applied []chan struct{}) []chan struct{} {
--- /dev/null
+++ b/core/bwcontrol/owner_test.go
@@ -0,0 +1,79 @@
+package bwcontrol_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+
+	"bilberrywick/core/bwcontrol"
+)
+
+type counter struct{ total int }
+
+type total struct{ value int }
+
+func newOwner(backlog int) *bwcontrol.Owner[counter, total] {
+	return bwcontrol.New(bwcontrol.Config[counter, total]{
+		State:   &counter{},
+		View:    func(ctr *counter) *total { return &total{value: ctr.total} },
+		Backlog: backlog,
+	})
+}
+
+// Guards against a reader that sees a state older than a change it waited for,
+// and against changes that are lost when many goroutines post at once.
+func TestDoPublishesBeforeItReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		own := newOwner(4)
+		own.Start(ctx)
+		const posters, changes = 8, 50
+		for range posters {
+			post := &poster{own: own, changes: changes}
+			go post.run(ctx)
+		}
+		synctest.Wait()
+		err := own.Do(ctx, func(ctr *counter) { ctr.total++ })
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := own.Snapshot().value, posters*changes+1; got != want {
+			t.Errorf("total is %d, want %d", got, want)
+		}
+		cancel()
+		<-own.Done()
+	})
+}
+
+// Guards against callers that wait forever on a control goroutine that has ended.
+func TestStoppedOwnerRefusesChanges(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	own := newOwner(1)
+	own.Start(ctx)
+	cancel()
+	<-own.Done()
+	var err error
+	for range 3 {
+		err = own.Do(context.Background(), func(*counter) {})
+	}
+	if !errors.Is(err, bwcontrol.ErrStopped) {
+		t.Errorf("got %v, want ErrStopped", err)
+	}
+	if got := own.Snapshot().value; got != 0 {
+		t.Errorf("total is %d, want 0", got)
+	}
+}
+
+type poster struct {
+	own     *bwcontrol.Owner[counter, total]
+	changes int
+}
+
+func (pst *poster) run(ctx context.Context) {
+	for range pst.changes {
+		if err := pst.own.Post(ctx, func(ctr *counter) { ctr.total++ }); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/io/bwagent/reporter.go
@@ -0,0 +1,242 @@
+package bwagent
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"bilberrywick/core/bwcontrol"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// Reporter serves Agent.Status: it polls the upstream for its load and cache
+// events and sends them, with the agent's own state, to every subscribed router.
+type Reporter struct {
+	cfg   ReporterConfig
+	start time.Time
+	own   *bwcontrol.Owner[reporterState, ReporterView]
+}
+
+// ReporterConfig configures a Reporter.
+type ReporterConfig struct {
+	Member   bwmodel.Member
+	Upstream bwmodel.UpstreamID
+	Service  bwmodel.ServiceID
+	// Interval is the time between two reports without a change; 0 means 1 s.
+	Interval time.Duration
+	// Load asks the upstream for its load; nil when the upstream reports none.
+	Load func(context.Context) (bwmodel.LoadReport, error)
+	// CacheEvents returns the upstream's cache events after a sequence number; may be nil.
+	CacheEvents func(ctx context.Context, after uint64) ([]bwmodel.CacheEvent, error)
+	// StateNumber is the number of the ticket in force here.
+	StateNumber func() bwmodel.TicketNumber
+	// Learn is told of a higher ticket number that a router stated; may be nil.
+	Learn func(bwmodel.TicketNumber, bwmodel.MemberID)
+	Now   func() time.Time
+	Log   *slog.Logger
+}
+
+const (
+	defaultReportInterval = time.Second
+	// maxCacheEvents bounds the events kept for subscribers that are behind; one
+	// that is further behind sees a gap, which lowers its trust in its view.
+	maxCacheEvents = 4096
+)
+
+// ReporterView is the agent's state as it is reported.
+type ReporterView struct {
+	Leaving bool
+	Load    bwmodel.LoadReport
+	// Measured is when the load was measured.
+	Measured time.Time
+	cache    []bwmodel.CacheEvent
+	changed  chan struct{}
+	replaced chan struct{}
+}
+
+type reporterState struct {
+	view    ReporterView
+	changed chan struct{}
+	notify  bool
+}
+
+// NewReporter returns a reporter that has not been started.
+func NewReporter(cfg ReporterConfig) *Reporter {
+	if cfg.Interval == 0 {
+		cfg.Interval = defaultReportInterval
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	rep := &Reporter{cfg: cfg, start: cfg.Now()}
+	rep.own = bwcontrol.New(bwcontrol.Config[reporterState, ReporterView]{
+		State:     &reporterState{changed: make(chan struct{})},
+		View:      (*reporterState).current,
+		Published: wakeSubscribers,
+	})
+	return rep
+}
+
+// Register serves Agent.Status on a server.
+func (rep *Reporter) Register(srv *bwrpc.Server) {
+	bwrpc.HandleStream(srv, bwwire.AgentStatus, rep.serve)
+}
+
+// Start polls the upstream until the context ends.
+func (rep *Reporter) Start(ctx context.Context) {
+	rep.own.Start(ctx)
+	go rep.loop(ctx)
+}
+
+// Snapshot returns the state as it is reported.
+func (rep *Reporter) Snapshot() *ReporterView { return rep.own.Snapshot() }
+
+// Clock returns the agent's monotonic clock, counted from its start.
+func (rep *Reporter) Clock() time.Duration { return rep.cfg.Now().Sub(rep.start) }
+
+// SetLeaving tells every subscriber at once that the upstream takes no new work.
+func (rep *Reporter) SetLeaving(ctx context.Context, leaving bool) error {
+	return rep.own.Do(ctx, func(st *reporterState) {
+		st.notify = st.notify || st.view.Leaving != leaving
+		st.view.Leaving = leaving
+	})
+}
+
+func (rep *Reporter) loop(ctx context.Context) {
+	tick := time.NewTicker(rep.cfg.Interval)
+	defer tick.Stop()
+	for {
+		rep.poll(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// poll asks the upstream once; an upstream that does not answer is reported as down.
+func (rep *Reporter) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, rep.cfg.Interval)
+	defer cancel()
+	var load bwmodel.LoadReport
+	if rep.cfg.Load != nil {
+		var err error
+		if load, err = rep.cfg.Load(ctx); err != nil {
+			rep.cfg.Log.Warn("load report failed", "Upstream", rep.cfg.Upstream, "Error", err)
+			load = bwmodel.LoadReport{UpstreamIsDown: true}
+		}
+	}
+	events := rep.readCacheEvents(ctx)
+	now := rep.cfg.Now()
+	// A failed post means that the process is stopping, and nobody reads the report.
+	_ = rep.own.Post(ctx, func(st *reporterState) { st.observe(load, events, now) })
+}
+
+func (rep *Reporter) readCacheEvents(ctx context.Context) []bwmodel.CacheEvent {
+	if rep.cfg.CacheEvents == nil {
+		return nil
+	}
+	var after uint64
+	if known := rep.own.Snapshot().cache; len(known) > 0 {
+		after = known[len(known)-1].Sequence
+	}
+	events, err := rep.cfg.CacheEvents(ctx, after)
+	if err != nil {
+		rep.cfg.Log.Warn("reading cache events failed", "Upstream", rep.cfg.Upstream, "Error", err)
+		return nil
+	}
+	return events
+}
+
+func (rep *Reporter) serve(ctx context.Context, stm *bwrpc.Stream[bwwire.StatusRequest, bwwire.AgentStatusEvent]) error {
+	req, err := stm.Recv()
+	if err != nil {
+		return err
+	}
+	if rep.cfg.Learn != nil {
+		rep.cfg.Learn(req.StateNumber, req.From)
+	}
+	tick := time.NewTicker(rep.cfg.Interval)
+	defer tick.Stop()
+	var sent uint64
+	for {
+		view := rep.own.Snapshot()
+		event := rep.event(view, sent)
+		if err := stm.Send(event); err != nil {
+			return err
+		}
+		if count := len(event.Cache); count > 0 {
+			sent = event.Cache[count-1].Sequence
+		}
+		select {
+		case <-tick.C:
+		case <-view.changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// event returns the report for a subscriber that has the cache events up to sent.
+func (rep *Reporter) event(view *ReporterView, sent uint64) *bwwire.AgentStatusEvent {
+	event := &bwwire.AgentStatusEvent{
+		Member:      rep.cfg.Member,
+		Upstream:    rep.cfg.Upstream,
+		Service:     rep.cfg.Service,
+		StateNumber: rep.cfg.StateNumber(),
+		Clock:       rep.Clock(),
+		Load:        view.Load,
+	}
+	event.Member.Leaving = view.Leaving
+	if !view.Measured.IsZero() {
+		event.Load.Age += rep.cfg.Now().Sub(view.Measured)
+	}
+	for ix, cev := range view.cache {
+		if cev.Sequence > sent {
+			event.Cache = view.cache[ix:]
+			break
+		}
+	}
+	return event
+}
+
+func (st *reporterState) observe(load bwmodel.LoadReport, events []bwmodel.CacheEvent, now time.Time) {
+	st.notify = st.notify || st.view.Load.UpstreamIsDown != load.UpstreamIsDown
+	st.view.Load = load
+	st.view.Measured = now
+	if len(events) == 0 {
+		return
+	}
+	joined := make([]bwmodel.CacheEvent, 0, len(st.view.cache)+len(events))
+	joined = append(joined, st.view.cache...)
+	joined = append(joined, events...)
+	if extra := len(joined) - maxCacheEvents; extra > 0 {
+		joined = joined[extra:]
+	}
+	st.view.cache = joined
+}
+
+// current returns a copy of the view; a change that subscribers must hear of at
+// once gets a new channel, and the old one is closed after the view is published.
+func (st *reporterState) current() *ReporterView {
+	view := st.view
+	if st.notify {
+		view.replaced = st.changed
+		st.changed = make(chan struct{})
+		st.notify = false
+	}
+	view.changed = st.changed
+	return &view
+}
+
+func wakeSubscribers(_, current *ReporterView) {
+	if current.replaced != nil {
+		close(current.replaced)
+	}
+}
--- /dev/null
+++ b/io/bwagent/reporter_test.go
@@ -0,0 +1,99 @@
+package bwagent_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwagent"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// served runs an rpc server on loopback until its context ends.
+type served struct {
+	srv *bwrpc.Server
+	lis net.Listener
+}
+
+func (sv *served) run(ctx context.Context) { _ = sv.srv.Serve(ctx, sv.lis) }
+
+func listen(t *testing.T, srv *bwrpc.Server) netip.AddrPort {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	sv := &served{srv: srv, lis: lis}
+	go sv.run(t.Context())
+	return lis.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func newServer(t *testing.T) *bwrpc.Server {
+	t.Helper()
+	srv, err := bwrpc.NewServer(bwrpc.ServerConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return srv
+}
+
+func newClient(t *testing.T) *bwrpc.Client {
+	t.Helper()
+	cl, err := bwrpc.NewClient(bwrpc.ClientConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return cl
+}
+
+// Guards against a router that hears of a leaving upstream only with the next
+// periodic report: the interval here is an hour.
+func TestLeavingIsReportedAtOnce(t *testing.T) {
+	rep := bwagent.NewReporter(bwagent.ReporterConfig{
+		Upstream: "pisar-1",
+		Service:  "pisar-model",
+		Interval: time.Hour,
+		Load: func(context.Context) (bwmodel.LoadReport, error) {
+			return bwmodel.LoadReport{Slots: 4}, nil
+		},
+		CacheEvents: func(_ context.Context, after uint64) ([]bwmodel.CacheEvent, error) {
+			return []bwmodel.CacheEvent{{Sequence: after + 1, Block: 7}}, nil
+		},
+		StateNumber: func() bwmodel.TicketNumber { return 3 },
+	})
+	srv := newServer(t)
+	rep.Register(srv)
+	rep.Start(t.Context())
+	addr := listen(t, srv)
+	stm, err := bwrpc.Open[bwwire.AgentStatusEvent, bwwire.StatusRequest](t.Context(), newClient(t), addr, bwwire.AgentStatus)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := stm.Send(&bwwire.StatusRequest{From: "router-1"}); err != nil {
+		t.Fatal(err)
+	}
+	first, err := stm.Recv()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if first.Member.Leaving || first.StateNumber != 3 {
+		t.Errorf("first report is %+v, want not leaving and state number 3", first)
+	}
+	if err := rep.SetLeaving(t.Context(), true); err != nil {
+		t.Fatal(err)
+	}
+	second, err := stm.Recv()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !second.Member.Leaving {
+		t.Errorf("second report is %+v, want leaving", second)
+	}
+	if second.Clock < first.Clock {
+		t.Errorf("clock went back from %v to %v", first.Clock, second.Clock)
+	}
+}
