--- /dev/null
+++ b/bench/bwbench/arrival.go
@@ -0,0 +1,100 @@
+package bwbench
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Kind says what a request asks for.
+type Kind string
+
+// Kinds of request.
+const (
+	ShortGeneration Kind = "ShortGeneration"
+	LongGeneration  Kind = "LongGeneration"
+	Lookup          Kind = "Lookup"
+	Action          Kind = "Action"
+)
+
+// Stream is one source of requests in an experiment.
+type Stream struct {
+	Kind    Kind
+	Service bwmodel.ServiceID
+	Team    bwmodel.TeamID
+	Class   bwmodel.WorkClass
+	// Rate is the number of requests per second at a time since the start.
+	Rate func(since time.Duration) float64
+	// PeakRate is the highest value that Rate returns.
+	PeakRate float64
+	// MinTokens and MaxTokens bound the output length, drawn uniformly.
+	MinTokens int
+	MaxTokens int
+}
+
+// Arrival is one request of a plan.
+type Arrival struct {
+	// At is the time since the start at which the request is due, whether or
+	// not earlier ones have ended, so that a slow system can't slow its load.
+	At      time.Duration
+	Stream  int
+	Tokens  int
+	Ordinal int
+}
+
+// Plan draws the arrivals of all streams from a seed: a Poisson process whose
+// rate varies, by thinning. The same seed gives the same plan for every policy.
+func Plan(seed uint64, length time.Duration, streams []Stream) []Arrival {
+	var plan []Arrival
+	for ix, stm := range streams {
+		rng := rand.New(rand.NewPCG(seed, uint64(ix)))
+		plan = append(plan, draw(rng, length, ix, stm)...)
+	}
+	slices.SortStableFunc(plan, func(one, two Arrival) int { return cmp.Compare(one.At, two.At) })
+	for ix := range plan {
+		plan[ix].Ordinal = ix
+	}
+	return plan
+}
+
+func draw(rng *rand.Rand, length time.Duration, index int, stm Stream) []Arrival {
+	var arrivals []Arrival
+	if stm.PeakRate <= 0 {
+		return nil
+	}
+	for at := time.Duration(0); ; {
+		at += time.Duration(rng.ExpFloat64() / stm.PeakRate * float64(time.Second))
+		if at >= length {
+			return arrivals
+		}
+		tokens := stm.MinTokens
+		if stm.MaxTokens > stm.MinTokens {
+			tokens += rng.IntN(stm.MaxTokens - stm.MinTokens + 1)
+		}
+		if rng.Float64()*stm.PeakRate < stm.Rate(at) {
+			arrivals = append(arrivals, Arrival{At: at, Stream: index, Tokens: tokens})
+		}
+	}
+}
+
+// Constant returns a rate that does not change.
+func Constant(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// Step returns a rate that rises linearly from low to high within a ramp that
+// begins at start, and falls back to low at end.
+func Step(low, high float64, start, ramp, end time.Duration) func(time.Duration) float64 {
+	return func(since time.Duration) float64 {
+		switch {
+		case since < start || since >= end:
+			return low
+		case since < start+ramp:
+			return low + (high-low)*float64(since-start)/float64(ramp)
+		}
+		return high
+	}
+}
--- /dev/null
+++ b/bench/bwbench/recorder.go
@@ -0,0 +1,128 @@
+package bwbench
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Recorder collects latencies and counts by name from many goroutines.
+type Recorder struct {
+	mu     sync.Mutex
+	hists  map[string]*hdrhistogram.Histogram
+	counts map[string]int64
+}
+
+// Latencies from 1 µs to 10 min are kept with three significant digits.
+const (
+	lowestLatency     = time.Microsecond
+	highestLatency    = 10 * time.Minute
+	significantDigits = 3
+)
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder {
+	return &Recorder{
+		hists:  make(map[string]*hdrhistogram.Histogram),
+		counts: make(map[string]int64),
+	}
+}
+
+// Observe adds a latency; one beyond 10 min is recorded as 10 min.
+func (rec *Recorder) Observe(name string, latency time.Duration) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	hist := rec.hists[name]
+	if hist == nil {
+		hist = hdrhistogram.New(int64(lowestLatency), int64(highestLatency), significantDigits)
+		rec.hists[name] = hist
+	}
+	latency = min(max(latency, lowestLatency), highestLatency)
+	// The value lies within the histogram's bounds, so it can't be refused.
+	_ = hist.RecordValue(int64(latency))
+}
+
+// Add adds to a count.
+func (rec *Recorder) Add(name string, count int64) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.counts[name] += count
+}
+
+// Count returns a count.
+func (rec *Recorder) Count(name string) int64 {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return rec.counts[name]
+}
+
+// Summary describes a distribution of latencies.
+type Summary struct {
+	Count  int64
+	Median time.Duration
+	P95    time.Duration
+	P99    time.Duration
+	Max    time.Duration
+}
+
+// Summary returns the distribution under a name, zero when nothing was observed.
+func (rec *Recorder) Summary(name string) Summary {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	hist := rec.hists[name]
+	if hist == nil {
+		return Summary{}
+	}
+	return Summary{
+		Count:  hist.TotalCount(),
+		Median: time.Duration(hist.ValueAtQuantile(50)),
+		P95:    time.Duration(hist.ValueAtQuantile(95)),
+		P99:    time.Duration(hist.ValueAtQuantile(99)),
+		Max:    time.Duration(hist.Max()),
+	}
+}
+
+// Names returns the names of the observed latencies, sorted.
+func (rec *Recorder) Names() []string {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	names := make([]string, 0, len(rec.hists))
+	for name := range rec.hists {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Counts returns a copy of all counts.
+func (rec *Recorder) Counts() map[string]int64 {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	counts := make(map[string]int64, len(rec.counts))
+	for name, count := range rec.counts {
+		counts[name] = count
+	}
+	return counts
+}
+
+// quantilePoint is one point of a distribution's plot.
+type quantilePoint struct {
+	quantile float64
+	latency  time.Duration
+}
+
+func (rec *Recorder) quantiles(name string, quantiles []float64) []quantilePoint {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	hist := rec.hists[name]
+	if hist == nil {
+		return nil
+	}
+	points := make([]quantilePoint, 0, len(quantiles))
+	for _, qtl := range quantiles {
+		points = append(points, quantilePoint{quantile: qtl, latency: time.Duration(hist.ValueAtQuantile(qtl))})
+	}
+	return points
+}
--- /dev/null
+++ b/bench/bwcapacity/slope.go
@@ -0,0 +1,135 @@
+package bwcapacity
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// Slope is a cost measured at several sizes.
+type Slope struct {
+	Name string
+	// Size says what is counted, such as "teams".
+	Size string
+	// Unit is the unit of the values, such as "bytes".
+	Unit   string
+	Points []Point
+	// Base and Each are the least-squares line: Base + Each × size.
+	Base float64
+	Each float64
+}
+
+// Point is the cost at one size.
+type Point struct {
+	Size  int
+	Value float64
+}
+
+// At returns the cost at a size, by the line.
+func (slp Slope) At(size float64) float64 { return slp.Base + slp.Each*size }
+
+// Units of a measured cost.
+const (
+	Nanoseconds = "ns"
+	Bytes       = "bytes"
+)
+
+// ErrTooFewSizes says that a line needs at least three sizes.
+var ErrTooFewSizes = errors.New("a slope needs at least three sizes")
+
+// Measure runs a cost function at each size and fits a line through the results.
+func Measure(name, size, unit string, sizes []int, cost func(size int) float64) (Slope, error) {
+	slp := Slope{Name: name, Size: size, Unit: unit}
+	for _, count := range sizes {
+		slp.Points = append(slp.Points, Point{Size: count, Value: cost(count)})
+	}
+	if len(slp.Points) < 3 {
+		return Slope{}, fmt.Errorf("measure %s: %w", name, ErrTooFewSizes)
+	}
+	slp.Base, slp.Each = fit(slp.Points)
+	return slp, nil
+}
+
+// fit returns the least-squares line through the points.
+func fit(points []Point) (base, each float64) {
+	var sumX, sumY, sumXX, sumXY float64
+	for _, pnt := range points {
+		size := float64(pnt.Size)
+		sumX += size
+		sumY += pnt.Value
+		sumXX += size * size
+		sumXY += size * pnt.Value
+	}
+	count := float64(len(points))
+	each = (count*sumXY - sumX*sumY) / (count*sumXX - sumX*sumX)
+	return (sumY - each*sumX) / count, each
+}
+
+// timePer returns the processor time of one call in nanoseconds.
+func timePer(call func()) float64 {
+	res := testing.Benchmark(func(bmk *testing.B) {
+		for bmk.Loop() {
+			call()
+		}
+	})
+	return float64(res.NsPerOp())
+}
+
+// heapOf returns the bytes that stay on the heap while the built value lives.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	built := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(built)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// Measurement is a set of slopes and where they were measured.
+type Measurement struct {
+	Measured  time.Time
+	GoVersion string
+	Cores     int
+	Slopes    []Slope
+}
+
+// Slope returns a slope by its name, or an error when it was not measured.
+func (mst Measurement) Slope(name string) (Slope, error) {
+	for _, slp := range mst.Slopes {
+		if slp.Name == name {
+			return slp, nil
+		}
+	}
+	return Slope{}, fmt.Errorf("slope %q was not measured", name)
+}
+
+// Load reads a measurement from a JSON file.
+func Load(path string) (Measurement, error) {
+	doc, err := os.ReadFile(path)
+	if err != nil {
+		return Measurement{}, fmt.Errorf("read slopes: %w", err)
+	}
+	var mst Measurement
+	if err := json.Unmarshal(doc, &mst); err != nil {
+		return Measurement{}, fmt.Errorf("decode slopes in %s: %w", path, err)
+	}
+	return mst, nil
+}
+
+// Save writes the measurement to a JSON file.
+func (mst Measurement) Save(path string) error {
+	doc, err := json.MarshalIndent(mst, "", "  ")
+	if err != nil {
+		return fmt.Errorf("encode slopes: %w", err)
+	}
+	if err := os.WriteFile(path, append(doc, '\n'), 0o644); err != nil {
+		return fmt.Errorf("write slopes: %w", err)
+	}
+	return nil
+}
