Add the first chooser, admission queue and planner

Routing, admission and placement had only their request types.

The queue admits by class, fair shares, team limits and deadlines. The planner moves engines by smoothed demand with payback, a weight store allowance and one change per engine and period.

--- /dev/null
+++ b/core/bwadmit/predictor.go
@@ -0,0 +1,65 @@
+package bwadmit
+
+import (
+	"sync"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Predictor estimates the length of outputs by team and service from those
+// observed. It may be used by several goroutines.
+type Predictor struct {
+	// Fallback is the estimate for a service without observations; 0 means 256 tokens.
+	Fallback int
+
+	lengths sync.Map
+}
+
+const (
+	defaultFallback    = 256
+	predictorSmoothing = 0.1
+)
+
+type predictorKey struct {
+	team    bwmodel.TeamID
+	service bwmodel.ServiceID
+}
+
+// Observe takes in the length of a finished output.
+func (pr *Predictor) Observe(tm bwmodel.TeamID, svc bwmodel.ServiceID, tokens int) {
+	pr.blend(predictorKey{team: tm, service: svc}, tokens)
+	pr.blend(predictorKey{service: svc}, tokens)
+}
+
+// Expect returns the expected length of an output, at most maxTokens unless
+// that is 0.
+func (pr *Predictor) Expect(tm bwmodel.TeamID, svc bwmodel.ServiceID, maxTokens int) int {
+	est := pr.Fallback
+	if est == 0 {
+		est = defaultFallback
+	}
+	if val, ok := pr.lengths.Load(predictorKey{team: tm, service: svc}); ok {
+		est = int(*val.(*float64))
+	} else if val, ok := pr.lengths.Load(predictorKey{service: svc}); ok {
+		est = int(*val.(*float64))
+	}
+	if maxTokens > 0 {
+		est = min(est, maxTokens)
+	}
+	return max(1, est)
+}
+
+func (pr *Predictor) blend(key predictorKey, tokens int) {
+	first := float64(tokens)
+	for {
+		val, loaded := pr.lengths.LoadOrStore(key, &first)
+		if !loaded {
+			return
+		}
+		old := val.(*float64)
+		next := *old + predictorSmoothing*(float64(tokens)-*old)
+		if pr.lengths.CompareAndSwap(key, old, &next) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/core/bwadmit/queue_test.go
@@ -0,0 +1,93 @@
+package bwadmit_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bilberrywick/core/bwadmit"
+	"bilberrywick/core/bwmodel"
+)
+
+func newQueue(ctx context.Context, tb testing.TB, slots int, pol bwadmit.Policy) *bwadmit.Queue {
+	tb.Helper()
+	qu, err := bwadmit.New(bwadmit.Config{
+		Service:  bwmodel.Service{Name: "review-desk", Class: bwmodel.Prompt, QueueLimit: 100, Deadline: 10 * time.Second},
+		Now:      time.Now,
+		Capacity: func() int { return slots },
+		Policy:   pol,
+	})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	qu.Start(ctx)
+	return qu
+}
+
+func request(team bwmodel.TeamID, class bwmodel.WorkClass) bwadmit.Request {
+	return bwadmit.Request{Team: team, Class: class, Tokens: 10}
+}
+
+// Guards against deferrable work that starts while prompt work waits.
+func TestPromptFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		qu := newQueue(ctx, t, 1, bwadmit.Policy{})
+		grant, err := qu.Admit(ctx, request("large", bwmodel.Prompt))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var order []bwmodel.WorkClass
+		admit := func(class bwmodel.WorkClass) {
+			got, err := qu.Admit(ctx, request("small", class))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			order = append(order, class)
+			got.Finish(10)
+		}
+		go admit(bwmodel.Deferrable)
+		synctest.Wait()
+		go admit(bwmodel.Prompt)
+		synctest.Wait()
+		grant.Finish(10)
+		synctest.Wait()
+		if len(order) != 2 || order[0] != bwmodel.Prompt {
+			t.Fatalf("started %v", order)
+		}
+	})
+}
+
+// Guards against a waiter that outlives its deadline, its context or the queue.
+func TestAdmitEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		qu := newQueue(ctx, t, 1, bwadmit.Policy{})
+		if _, err := qu.Admit(ctx, request("large", bwmodel.Prompt)); err != nil {
+			t.Fatal(err)
+		}
+		var refused *bwadmit.RefusedError
+		start := time.Now()
+		_, err := qu.Admit(ctx, request("small", bwmodel.Prompt))
+		if !errors.As(err, &refused) || refused.Reason != bwadmit.DeadlinePassed || time.Since(start) != 10*time.Second {
+			t.Fatalf("got %v after %v", err, time.Since(start))
+		}
+		short, stop := context.WithTimeout(ctx, time.Second)
+		defer stop()
+		if _, err := qu.Admit(short, request("small", bwmodel.Prompt)); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("got %v", err)
+		}
+		time.AfterFunc(time.Second, cancel)
+		_, err = qu.Admit(context.Background(), request("small", bwmodel.Prompt))
+		if !errors.As(err, &refused) || refused.Reason != bwadmit.ShuttingDown {
+			t.Fatalf("got %v", err)
+		}
+		if load := qu.Load(); load.Prompt != 0 {
+			t.Fatalf("load %+v", load)
+		}
+	})
+}
--- a/core/bwadmit/request.go
+++ b/core/bwadmit/request.go
@@ -17,6 +17,9 @@
 	Tokens int
 	// Deadline ends the wait; the zero time means the service's own deadline.
 	Deadline time.Time
+	// Resumed says that the work had started before and gave way, so that it is
+	// not refused for a full queue.
+	Resumed bool
 }
 
 // Grant is the permission to start.
@@ -25,6 +28,11 @@
 	Finish func(tokens int)
 	// Pause is closed when the work is asked to give way; it may be nil.
 	Pause <-chan struct{}
+	// Progress reports the tokens produced so far, so that work longer than
+	// expected is charged and placed as what it is; calling it is optional.
+	Progress func(tokens int)
+	// Waited is the time spent in the queue.
+	Waited time.Duration
 }
 
 // RefusedError says that the work was not started and never will be.
--- /dev/null
+++ b/core/bwplace/planner_test.go
@@ -0,0 +1,64 @@
+package bwplace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwplace"
+)
+
+const gib = 1 << 30
+
+// fleet holds engines that carry out each order at once.
+func fleet(count int, model string) []bwplace.Engine {
+	engs := make([]bwplace.Engine, count)
+	for idx := range engs {
+		engs[idx] = bwplace.Engine{
+			Upstream: bwmodel.UpstreamID(fmt.Sprintf("u%d", idx)), Zone: bwmodel.ZoneID(fmt.Sprintf("z%d", idx%3)),
+			Loaded: []string{model}, Rate: 1000, Usable: true,
+		}
+	}
+	return engs
+}
+
+func carryOut(engs []bwplace.Engine, ords []bwplace.Order) {
+	for _, ord := range ords {
+		for idx := range engs {
+			if engs[idx].Upstream == ord.Upstream && ord.Load != "" {
+				engs[idx].Loaded = []string{ord.Load}
+			}
+		}
+	}
+}
+
+// Guards against a planner that never gives a starved model the idle engines.
+func TestDemandMovesEngines(t *testing.T) {
+	pl, err := bwplace.New(bwplace.Config{WeightRate: gib})
+	if err != nil {
+		t.Fatal(err)
+	}
+	engs := fleet(10, "a")
+	now := time.Unix(0, 0)
+	for range 300 {
+		ords, _ := pl.Plan(bwplace.Input{
+			Now: now, Engines: engs,
+			Models: []bwplace.Model{
+				{Name: "a", Demand: 1000, Bytes: 10 * gib, MinEngines: 1},
+				{Name: "b", Demand: 3000, Bytes: 10 * gib, MinEngines: 1},
+			},
+		})
+		carryOut(engs, ords)
+		now = now.Add(time.Second)
+	}
+	held := 0
+	for _, eng := range engs {
+		if eng.Loaded[0] == "b" {
+			held++
+		}
+	}
+	if held != 4 {
+		t.Fatalf("%d engines hold b, want 4", held)
+	}
+}
--- /dev/null
+++ b/core/bwroute/policy.go
@@ -0,0 +1,47 @@
+package bwroute
+
+// Policy selects among the candidates of a request.
+type Policy struct {
+	Name string
+	// Pick returns the index of the candidate to use; there is at least one.
+	// The turn grows by one for each request.
+	Pick func(cds []Candidate, turn uint64) int
+	// Plain leaves out slow detection and adaptive limits, as a baseline needs.
+	Plain bool
+}
+
+// LeastCost picks the candidate with the lowest cost.
+func LeastCost() Policy { return Policy{Name: "least cost", Pick: pickLeastCost} }
+
+// RoundRobin is the baseline that takes upstreams in turn.
+func RoundRobin() Policy { return Policy{Name: "round robin", Pick: pickNext, Plain: true} }
+
+// LeastConnections is the baseline that picks the fewest requests in flight
+// from this router.
+func LeastConnections() Policy {
+	return Policy{Name: "least connections", Pick: pickLeastInFlight, Plain: true}
+}
+
+func pickLeastCost(cds []Candidate, _ uint64) int {
+	best := 0
+	for idx := range cds {
+		if cds[idx].Cost < cds[best].Cost {
+			best = idx
+		}
+	}
+	return best
+}
+
+func pickNext(cds []Candidate, turn uint64) int { return int(turn % uint64(len(cds))) }
+
+func pickLeastInFlight(cds []Candidate, turn uint64) int {
+	first := int(turn % uint64(len(cds)))
+	best := first
+	for cnt := range cds {
+		idx := (first + cnt) % len(cds)
+		if cds[idx].InFlight < cds[best].InFlight {
+			best = idx
+		}
+	}
+	return best
+}
