Keep a status stream open to each followed agent

Cause: the router must learn at once when an agent leaves or dies. Change: bwrouter.Watches opens a stream per upstream, reports loss and silence of 3 s, and reconnects with a randomized backoff. Conclusion: the service decisions can subscribe.

--- /dev/null
+++ b/io/bwrouter/watch.go
@@ -0,0 +1,150 @@
+package bwrouter
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// Watches keeps a status stream open to the agent of each upstream that the
+// router uses. Its methods are called by the control goroutine only.
+type Watches struct {
+	cfg  WatchesConfig
+	open map[bwmodel.UpstreamID]*watch
+}
+
+// WatchesConfig configures Watches.
+type WatchesConfig struct {
+	Self   bwmodel.MemberID
+	Client *bwrpc.Client
+	// StateNumber is the number of the ticket in force here.
+	StateNumber func() bwmodel.TicketNumber
+	// Observed is called by traffic goroutines with each report.
+	Observed func(context.Context, Report)
+	// Lost is called when an agent has closed its stream or gone silent.
+	Lost func(context.Context, bwmodel.UpstreamID)
+	// Silence is how long an agent may send nothing; 0 means 3 s, three reports.
+	Silence time.Duration
+	Now     func() time.Time
+	Log     *slog.Logger
+}
+
+// Report is an agent's status and when it arrived.
+type Report struct {
+	Upstream bwmodel.Upstream
+	Event    *bwwire.AgentStatusEvent
+	Arrived  time.Time
+}
+
+const (
+	defaultSilence = 3 * time.Second
+	// Reconnecting backs off so that a dead zone does not cost a dial per
+	// upstream and interval.
+	minReconnect = 50 * time.Millisecond
+	maxReconnect = 2 * time.Second
+)
+
+// NewWatches returns a set without streams.
+func NewWatches(cfg WatchesConfig) *Watches {
+	if cfg.Silence == 0 {
+		cfg.Silence = defaultSilence
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &Watches{cfg: cfg, open: make(map[bwmodel.UpstreamID]*watch)}
+}
+
+// Set opens streams to the upstreams that have none, and closes the streams to
+// those that are no longer listed or whose agent has moved.
+func (ws *Watches) Set(ctx context.Context, upstreams []bwmodel.Upstream) {
+	wanted := make(map[bwmodel.UpstreamID]bwmodel.Upstream, len(upstreams))
+	for _, ups := range upstreams {
+		wanted[ups.Name] = ups
+	}
+	for name, wtc := range ws.open {
+		if ups, ok := wanted[name]; !ok || ups.Agent != wtc.upstream.Agent {
+			wtc.cancel()
+			delete(ws.open, name)
+		}
+	}
+	for name, ups := range wanted {
+		if ws.open[name] != nil {
+			continue
+		}
+		wctx, cancel := context.WithCancel(ctx)
+		wtc := &watch{cfg: ws.cfg, upstream: ups, cancel: cancel}
+		ws.open[name] = wtc
+		go wtc.loop(wctx)
+	}
+}
+
+// watch is the status stream of one upstream.
+type watch struct {
+	cfg      WatchesConfig
+	upstream bwmodel.Upstream
+	cancel   context.CancelFunc
+}
+
+func (wtc *watch) loop(ctx context.Context) {
+	delay := minReconnect
+	for ctx.Err() == nil {
+		received, err := wtc.read(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		wtc.cfg.Lost(ctx, wtc.upstream.Name)
+		if received {
+			delay = minReconnect
+		}
+		wtc.cfg.Log.Info("agent status lost", "Upstream", wtc.upstream.Name, "Agent", wtc.upstream.Agent, "Error", err)
+		if !sleep(ctx, delay/2+rand.N(delay/2)) {
+			return
+		}
+		delay = min(2*delay, maxReconnect)
+	}
+}
+
+// read follows one stream until it breaks or falls silent, and tells whether
+// any report arrived.
+func (wtc *watch) read(ctx context.Context) (bool, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(wtc.cfg.Silence, cancel)
+	defer silence.Stop()
+	stm, err := bwrpc.Open[bwwire.AgentStatusEvent, bwwire.StatusRequest](ctx, wtc.cfg.Client, wtc.upstream.Agent, bwwire.AgentStatus)
+	if err != nil {
+		return false, err
+	}
+	req := &bwwire.StatusRequest{From: wtc.cfg.Self, StateNumber: wtc.cfg.StateNumber()}
+	if err := stm.Send(req); err != nil {
+		return false, err
+	}
+	received := false
+	for {
+		event, err := stm.Recv()
+		if err != nil {
+			return received, err
+		}
+		received = true
+		silence.Reset(wtc.cfg.Silence)
+		wtc.cfg.Observed(ctx, Report{Upstream: wtc.upstream, Event: event, Arrived: wtc.cfg.Now()})
+	}
+}
+
+// sleep waits and reports false when the context ended first.
+func sleep(ctx context.Context, delay time.Duration) bool {
+	tmr := time.NewTimer(delay)
+	defer tmr.Stop()
+	select {
+	case <-tmr.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
