Run non-idempotent actions at most once, end to end

Cause: actions had messages and types but no path from a caller to a plain service.

The agent's messages gain DispatchResponse.State, SettleRequest.Expiry and Peek, the code Unsent, and the settle states Waiting and Forgotten.

Fault histories are still to be tested.

--- /dev/null
+++ b/core/bwaction/dispatch.go
@@ -0,0 +1,78 @@
+package bwaction
+
+import (
+	"fmt"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Target is the upstream chosen for an action and the lowest possible time on
+// its agent's clock.
+type Target struct {
+	Upstream    bwmodel.Upstream
+	Incarnation bwmodel.Incarnation
+	Clock       time.Duration
+}
+
+// Dispatch asks an agent to run an action.
+type Dispatch struct {
+	Key         Key
+	Service     bwmodel.ServiceID
+	Attempt     bwmodel.RequestID
+	Fence       bwmodel.Fence
+	Incarnation bwmodel.Incarnation
+	Expiry      time.Duration
+	HTTP        bwmodel.HTTPRequest
+}
+
+// Settle asks an agent what became of the dispatch of a row.
+type Settle struct {
+	Key         Key
+	Fence       bwmodel.Fence
+	Incarnation bwmodel.Incarnation
+	// Expiry is the expiry of the dispatch that the row permits.
+	Expiry time.Duration
+	// Peek leaves an action that has not started able to start.
+	Peek bool
+}
+
+// Settled is an agent's answer.
+type Settled struct {
+	State bwmodel.SettleState
+	// Response is set when the state is SettleDone.
+	Response bwmodel.HTTPResponse
+}
+
+// RefusedError says that an agent did not start the dispatch and never will.
+type RefusedError struct {
+	Refusal Refusal
+	Err     error
+}
+
+// Error returns the reason.
+func (err *RefusedError) Error() string {
+	if err.Err != nil {
+		return fmt.Sprintf("dispatch refused: %s: %v", err.Refusal, err.Err)
+	}
+	return fmt.Sprintf("dispatch refused: %s", err.Refusal)
+}
+
+// Unwrap returns the cause.
+func (err *RefusedError) Unwrap() error { return err.Err }
+
+// Refusal says why an agent refused.
+type Refusal string
+
+// Refusals of an agent.
+const (
+	RefusedLeaving     Refusal = "agent is leaving"
+	RefusedOverloaded  Refusal = "agent has no room"
+	RefusedStale       Refusal = "fence is sealed"
+	RefusedExpired     Refusal = "dispatch has expired"
+	RefusedIncarnation Refusal = "agent has restarted"
+	RefusedDuplicate   Refusal = "key has been started"
+	RefusedInvalid     Refusal = "dispatch is invalid"
+	// RefusedUnsent says that no connection could be made to the agent or upstream.
+	RefusedUnsent Refusal = "nothing was sent"
+)
--- /dev/null
+++ b/core/bwaction/outcome.go
@@ -0,0 +1,84 @@
+package bwaction
+
+import (
+	"fmt"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Done is the outcome of an action that the upstream answered, whatever the status.
+type Done struct {
+	Response bwmodel.HTTPResponse
+	Upstream bwmodel.UpstreamID
+	// Repeat says that an earlier request with the same key ran the action.
+	Repeat bool
+}
+
+// NotRunError is the outcome of an action that has not run under its key, and
+// that this request will not run.
+type NotRunError struct {
+	Reason     NotRunReason
+	RetryAfter time.Duration
+	Err        error
+}
+
+// Error returns the reason.
+func (err *NotRunError) Error() string {
+	if err.Err != nil {
+		return fmt.Sprintf("action not run: %s: %v", err.Reason, err.Err)
+	}
+	return fmt.Sprintf("action not run: %s", err.Reason)
+}
+
+// Unwrap returns the cause.
+func (err *NotRunError) Unwrap() error { return err.Err }
+
+// NotRunReason says why an action was not run.
+type NotRunReason string
+
+// Reasons why an action was not run.
+const (
+	NoUpstream  NotRunReason = "no upstream takes the action"
+	NotReserved NotRunReason = "the action could not be reserved"
+	// NotAdmitted says that the request was turned away before it was reserved.
+	NotAdmitted  NotRunReason = "the request was not admitted"
+	NeverStarted NotRunReason = "the action was never started"
+	// KeyReused says that the key belongs to another request body; only the
+	// request with the other body may have run.
+	KeyReused NotRunReason = "the key was used with another request"
+)
+
+// UnknownError is the outcome of an action that may have run, or that another
+// request with the same key may run or have run.
+type UnknownError struct {
+	Reason UnknownReason
+	// RequestNotRun says that this request has run nothing and never will, so that
+	// only an earlier or concurrent request with the same key can have.
+	RequestNotRun bool
+	Err           error
+}
+
+// Error returns the reason.
+func (err *UnknownError) Error() string {
+	if err.Err != nil {
+		return fmt.Sprintf("outcome unknown: %s: %v", err.Reason, err.Err)
+	}
+	return fmt.Sprintf("outcome unknown: %s", err.Reason)
+}
+
+// Unwrap returns the cause.
+func (err *UnknownError) Unwrap() error { return err.Err }
+
+// UnknownReason says why an outcome is not known.
+type UnknownReason string
+
+// Reasons why an outcome is not known.
+const (
+	StillRunning     UnknownReason = "the action is running"
+	InProgress       UnknownReason = "another request with the same key is in progress"
+	UpstreamBroke    UnknownReason = "the upstream failed after it may have run the action"
+	AgentLost        UnknownReason = "the agent that had the action has restarted or forgotten it"
+	AgentUnreachable UnknownReason = "the agent that has the action does not answer"
+	TableAway        UnknownReason = "the table of actions is unavailable"
+)
--- a/core/bwmodel/action.go
+++ b/core/bwmodel/action.go
@@ -29,4 +29,8 @@
 	SettleDone
 	// SettleBroken says that the upstream failed after it may have run the action.
 	SettleBroken
+	// SettleWaiting says that the action has not started but still may.
+	SettleWaiting
+	// SettleForgotten says that the action may have started and been forgotten.
+	SettleForgotten
 )
--- /dev/null
+++ b/io/bwrouter/actions.go
@@ -0,0 +1,223 @@
+package bwrouter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bilberrywick/core/bwaction"
+	"bilberrywick/core/bwadmit"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwroute"
+	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwwire"
+)
+
+// Actions serves non-idempotent actions of plain services and queries of their outcome.
+type Actions struct{ cfg ActionsConfig }
+
+// ActionsConfig configures an Actions.
+type ActionsConfig struct {
+	Choose  func(context.Context, bwroute.Request) (bwroute.Choice, error)
+	Admit   func(context.Context, bwadmit.Request) (bwadmit.Grant, error)
+	Service func(bwmodel.ServiceID) (bwmodel.Service, bool)
+	// Upstream finds an upstream by its name, whether it takes new work or not.
+	Upstream func(bwmodel.UpstreamID) (bwmodel.Upstream, bool)
+	// AgentClock returns an agent's incarnation and the lowest possible value of its clock now.
+	AgentClock func(bwmodel.UpstreamID) (bwmodel.Incarnation, time.Duration, bool)
+	// Dispatch and Settle call an agent through bwrpc.
+	Dispatch func(context.Context, netip.AddrPort, *bwwire.DispatchRequest) (*bwwire.DispatchResponse, error)
+	Settle   func(context.Context, netip.AddrPort, *bwwire.SettleRequest) (*bwwire.SettleResponse, error)
+	// Table holds the functions Read, Insert and Swap, Now, NewAttempt and the
+	// timeouts; Choose, Dispatch and Settle are set by Actions.
+	Table bwaction.CoordinatorConfig
+	// StateNumber returns the number of the tickets in effect; nil means 0.
+	StateNumber func() bwmodel.TicketNumber
+	// MaxBodyBytes bounds the request's body; 0 means 256 KiB.
+	MaxBodyBytes int64
+}
+
+const (
+	defaultMaxActionBody = 256 << 10
+	maxKeyLength         = 255
+	idempotencyHeader    = "Idempotency-Key"
+	outcomeHeader        = "Outcome"
+	repeatHeader         = "Repeat"
+	actionsPath          = "/v1/actions/"
+	// maxChoices bounds the upstreams tried whose agent's clock is not known.
+	maxChoices = 4
+)
+
+// NewActions returns an Actions.
+func NewActions(cfg ActionsConfig) *Actions {
+	if cfg.MaxBodyBytes == 0 {
+		cfg.MaxBodyBytes = defaultMaxActionBody
+	}
+	if cfg.StateNumber == nil {
+		cfg.StateNumber = noState
+	}
+	return &Actions{cfg: cfg}
+}
+
+// Register adds the routes to a router.
+func (act *Actions) Register(rt *mux.Router) {
+	rt.HandleFunc("/v1/services/{service}/actions/{path:.*}", act.ServeAction).Methods(http.MethodPost)
+	rt.HandleFunc(actionsPath+"{key:.+}", act.ServeQuery).Methods(http.MethodGet)
+}
+
+// ServeAction runs an action and answers with the upstream's whole response or
+// with a problem.
+func (act *Actions) ServeAction(wr http.ResponseWriter, hrq *http.Request) {
+	req, svc, prb := act.parse(wr, hrq)
+	if prb != nil {
+		bwhttp.WriteProblem(wr, *prb)
+		return
+	}
+	job := &actionJob{act: act, req: req}
+	co := act.coordinator(job)
+	grant, err := act.cfg.Admit(hrq.Context(), bwadmit.Request{
+		ID:      req.ID,
+		Service: req.Service,
+		Team:    req.Key.Team,
+		Class:   svc.Class,
+		Tokens:  1,
+	})
+	if err != nil {
+		done, err := co.Refused(hrq.Context(), req, notAdmitted(err))
+		writeOutcome(wr, req.Key, done, err)
+		return
+	}
+	defer grant.Finish(1)
+	defer job.drop()
+	done, err := co.Run(hrq.Context(), req)
+	writeOutcome(wr, req.Key, done, err)
+}
+
+// ServeQuery answers with the outcome of a key of the caller's team so far.
+func (act *Actions) ServeQuery(wr http.ResponseWriter, hrq *http.Request) {
+	team, ok := bwhttp.TeamFrom(hrq.Context())
+	if !ok {
+		bwhttp.WriteProblem(wr, bwhttp.Problem{Status: http.StatusUnauthorized, Outcome: bwhttp.OutcomeUnknown})
+		return
+	}
+	name, err := url.PathUnescape(mux.Vars(hrq)["key"])
+	if err != nil || !validKey(name) {
+		bwhttp.WriteProblem(wr, bwhttp.Problem{
+			Status:  http.StatusBadRequest,
+			Detail:  "the key is not one that an action can have",
+			Outcome: bwhttp.OutcomeNotRun,
+		})
+		return
+	}
+	key := bwaction.Key{Team: team.Name, Name: name}
+	job := &actionJob{act: act}
+	done, err := act.coordinator(job).Query(hrq.Context(), key)
+	writeOutcome(wr, key, done, err)
+}
+
+func (act *Actions) coordinator(job *actionJob) *bwaction.Coordinator {
+	cfg := act.cfg.Table
+	cfg.Choose = job.choose
+	cfg.Dispatch = job.dispatch
+	cfg.Settle = job.settle
+	return bwaction.NewCoordinator(cfg)
+}
+
+// actionJob keeps the choice of one request between its reservation and its dispatch.
+type actionJob struct {
+	act    *Actions
+	req    bwaction.Request
+	choice bwroute.Choice
+	held   bool
+}
+
+func (job *actionJob) choose(ctx context.Context, req bwaction.Request, exclude []bwmodel.UpstreamID) (bwaction.Target, error) {
+	job.drop()
+	exclude = append([]bwmodel.UpstreamID(nil), exclude...)
+	for range maxChoices {
+		choice, err := job.act.cfg.Choose(ctx, bwroute.Request{
+			ID:      req.ID,
+			Service: req.Service,
+			Team:    req.Key.Team,
+			Tokens:  1,
+			Exclude: exclude,
+		})
+		if err != nil {
+			return bwaction.Target{}, err
+		}
+		inc, clock, ok := job.act.cfg.AgentClock(choice.Upstream.Name)
+		if ok {
+			job.choice, job.held = choice, true
+			return bwaction.Target{Upstream: choice.Upstream, Incarnation: inc, Clock: clock}, nil
+		}
+		choice.Finish(bwroute.Outcome{Refused: true})
+		exclude = append(exclude, choice.Upstream.Name)
+	}
+	return bwaction.Target{}, errNoClock
+}
+
+func (job *actionJob) dispatch(ctx context.Context, ups bwmodel.UpstreamID, dis bwaction.Dispatch) (bwaction.Settled, error) {
+	if !job.held || job.choice.Upstream.Name != ups {
+		return bwaction.Settled{}, &bwaction.RefusedError{Refusal: bwaction.RefusedUnsent, Err: errNoUpstream}
+	}
+	began := job.act.cfg.Table.Now()
+	rsp, err := job.act.cfg.Dispatch(ctx, job.choice.Upstream.Agent, &bwwire.DispatchRequest{
+		Team:        dis.Key.Team,
+		Key:         dis.Key.Name,
+		Service:     dis.Service,
+		Attempt:     dis.Attempt,
+		Fence:       dis.Fence,
+		Incarnation: dis.Incarnation,
+		Expiry:      dis.Expiry,
+		StateNumber: job.act.cfg.StateNumber(),
+		HTTP:        dis.HTTP,
+	})
+	took := job.act.cfg.Table.Now().Sub(began)
+	if err != nil {
+		err = agentError(err)
+		ref := new(bwaction.RefusedError)
+		job.finish(bwroute.Outcome{Elapsed: took, Refused: errors.As(err, &ref), Failed: !errors.As(err, &ref)})
+		return bwaction.Settled{}, err
+	}
+	job.finish(bwroute.Outcome{
+		FirstToken: took,
+		Elapsed:    took,
+		Tokens:     1,
+		Failed:     rsp.State != bwmodel.SettleDone,
+	})
+	return bwaction.Settled{State: rsp.State, Response: rsp.HTTP}, nil
+}
+
+func (job *actionJob) settle(ctx context.Context, id bwmodel.UpstreamID, stl bwaction.Settle) (bwaction.Settled, error) {
+	ups, ok := job.act.cfg.Upstream(id)
+	if !ok {
+		return bwaction.Settled{}, errNoUpstream
+	}
+	rsp, err := job.act.cfg.Settle(ctx, ups.Agent, &bwwire.SettleRequest{
+		Team:        stl.Key.Team,
+		Key:         stl.Key.Name,
+		Fence:       stl.Fence,
+		Incarnation: stl.Incarnation,
+		Expiry:      stl.Expiry,
+		Peek:        stl.Peek,
+	})
+	if err != nil {
+		return bwaction.Settled{}, agentError(err)
+	}
+	return bwaction.Settled{State: rsp.State, Response: rsp.HTTP}, nil
+}
+
+// drop releases a choice that was not used.
+func (job *actionJob) drop() { job.finish(bwroute.Outcome{Refused: true}) }
+
+func (job *actionJob) finish(out bwroute.Outcome) {
+	if job.held {
+		job.held = false
+		job.choice.Finish(out)
+	}
+}
--- a/io/bwwire/action.go
+++ b/io/bwwire/action.go
@@ -37,6 +37,9 @@
 
 // DispatchResponse is the whole answer of the upstream.
 type DispatchResponse struct {
+	// State is SettleDone, or SettleBroken when the upstream failed after it may
+	// have run the action.
+	State       bwmodel.SettleState
 	HTTP        bwmodel.HTTPResponse
 	StateNumber bwmodel.TicketNumber
 }
@@ -48,6 +51,10 @@
 	Key         string
 	Fence       bwmodel.Fence
 	Incarnation bwmodel.Incarnation
+	// Expiry is the expiry of the dispatch in question, on the agent's own clock.
+	Expiry time.Duration
+	// Peek leaves an action that has not started able to start.
+	Peek bool
 }
 
 // SettleResponse answers a SettleRequest.
--- a/io/bwwire/method.go
+++ b/io/bwwire/method.go
@@ -45,4 +45,6 @@
 	UpstreamFailed
 	// Invalid says that the request was malformed and must not be repeated.
 	Invalid
+	// Unsent says that the agent could make no connection to its upstream.
+	Unsent
 )
