Decide the acceptance of change tickets

Cause: operators race each other and a commit's answer may be lost. Change: Check returns every fault by field path; State is immutable and refuses old numbers and gaps; Registry settles a write of unknown outcome by reading back and repeating the same conditional write, so that it can't take effect twice. Check: go test -race core/bwticket passes. Conclusion: numbers may leave gaps, so each accepted ticket carries the number before it.

--- /dev/null
+++ b/core/bwticket/check_test.go
@@ -0,0 +1,86 @@
+package bwticket_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwticket"
+)
+
+// Guards against a check that stops at the first fault or names the wrong field.
+func TestCheckReportsEveryFault(t *testing.T) {
+	st := bwticket.NewState(bwticket.StateConfig{
+		Number:    4,
+		Services:  []bwticket.Entry[bwmodel.Service]{{SetBy: 4, Object: service("review-desk")}},
+		Teams:     []bwticket.Entry[bwmodel.Team]{{SetBy: 4, Object: team("inspectors", 1)}},
+		Upstreams: []bwticket.Entry[bwmodel.Upstream]{{SetBy: 4, Object: upstream("u1", "review-desk", 1)}},
+	})
+	faulty := upstream("u 2", "x", 1)
+	faulty.Slots = 0
+	other := team("carvers", 1)
+	other.Services = []bwmodel.ServiceID{"review-desk", "y"}
+	slow := service("review-desk")
+	slow.Deadline = -time.Second
+	slow.Actions = []string{"pay"}
+	tests := []struct {
+		name string
+		tk   bwticket.Ticket
+		want []string
+	}{
+		{"empty", bwticket.Ticket{}, []string{"Number", "Number"}},
+		{
+			"upstream",
+			bwticket.Ticket{Number: 5, Upstreams: []bwmodel.Upstream{upstream("u3", "review-desk", 3), faulty}},
+			[]string{"Upstreams[1].Name", "Upstreams[1].Service", "Upstreams[1].Slots", "Upstreams[1].Agent"},
+		},
+		{
+			"team",
+			bwticket.Ticket{Number: 5, Teams: []bwmodel.Team{other, other}},
+			[]string{"Teams[0].Keys[0].SHA256", "Teams[0].Services[1]", "Teams[1].Name", "Teams[1].Keys[0].SHA256", "Teams[1].Services[1]"},
+		},
+		{
+			"service",
+			bwticket.Ticket{Number: 5, Services: []bwmodel.Service{slow}},
+			[]string{"Services[0].Deadline", "Services[0].Actions", "Services[0].Actions[0]"},
+		},
+		{
+			"removal in use",
+			bwticket.Ticket{Number: 5, Remove: bwticket.Removal{
+				Services: []bwmodel.ServiceID{"review-desk"}, Teams: []bwmodel.TeamID{"z"},
+			}},
+			[]string{"Remove.Services[0]", "Remove.Teams[0]"},
+		},
+		{"valid", bwticket.Ticket{Number: 5, Remove: bwticket.Removal{Upstreams: []bwmodel.UpstreamID{"u1"}, Services: []bwmodel.ServiceID{"review-desk"}}}, nil},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			var got []string
+			faults := bwticket.Check(st, tt.tk)
+			for _, ft := range faults {
+				got = append(got, ft.Path)
+			}
+			if !slices.Equal(got, tt.want) {
+				t.Errorf("got %v, want faults at %v", faults, tt.want)
+			}
+		})
+	}
+	want := `Upstreams[1].Service: service "x" does not exist`
+	got := bwticket.Check(st, tests[1].tk)[1].String()
+	if got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
+
+// Guards against a ticket that is too large for one transaction of the table.
+func TestCheckBoundsSize(t *testing.T) {
+	tk := bwticket.Ticket{Number: 1}
+	for ix := range bwticket.MaxObjects + 1 {
+		tk.Services = append(tk.Services, service(bwmodel.ServiceID(fmt.Sprint("s", ix))))
+	}
+	if faults := bwticket.Check(bwticket.NewState(bwticket.StateConfig{}), tk); len(faults) != 1 {
+		t.Errorf("got %v, want one fault for %d objects", faults, tk.Size())
+	}
+}
--- /dev/null
+++ b/core/bwticket/registry.go
@@ -0,0 +1,173 @@
+package bwticket
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Errors that the function fields of a Registry return, wrapped or not.
+var (
+	// ErrAway says that the store can't be reached and that nothing was written.
+	ErrAway = errors.New("ticket store is unavailable")
+	// ErrUnsure says that a write may or may not have taken effect.
+	ErrUnsure = errors.New("outcome of the ticket's write is unknown, submit the same ticket again")
+	// ErrMoved says that the head or the ticket's row was not as expected, so
+	// that nothing was written.
+	ErrMoved = errors.New("another ticket was accepted first")
+)
+
+// Registry decides whether a ticket becomes part of the history.
+type Registry struct {
+	// ReadState returns the state at the store's head.
+	ReadState func(ctx context.Context) (*State, error)
+	// ReadTicket returns the row of an accepted ticket, or nil when there is none.
+	ReadTicket func(ctx context.Context, num bwmodel.TicketNumber) (*Accepted, error)
+	// Commit moves the head from acc.Previous to the ticket's number, inserts the
+	// ticket's row and puts its objects, all or nothing.
+	Commit func(ctx context.Context, acc Accepted) error
+	// Digest identifies a ticket's content over its canonical form.
+	Digest func(tk Ticket) (Digest, error)
+	// Pause waits before a write of unknown outcome is read back and repeated, or
+	// returns the context's error.
+	Pause func(ctx context.Context) error
+}
+
+// Answer is the result of a ticket that is part of the history.
+type Answer struct {
+	Number bwmodel.TicketNumber
+	Digest Digest
+	// Previous is the number of the ticket before it.
+	Previous bwmodel.TicketNumber
+}
+
+// ConflictError says that the ticket's number is taken by other content, or is
+// below the head without a row of its own.
+type ConflictError struct {
+	Number bwmodel.TicketNumber
+	// Current is the state at the store's head.
+	Current *State
+	// Taken says that another ticket has the number.
+	Taken bool
+}
+
+// Error returns the reason and the number in effect.
+func (err *ConflictError) Error() string {
+	if err.Taken {
+		return fmt.Sprintf("ticket number %d is taken by other content, current number is %d", err.Number, err.Current.Number())
+	}
+	return fmt.Sprintf("ticket number %d is not above the current number %d", err.Number, err.Current.Number())
+}
+
+// Submit makes the ticket part of the history and returns its answer, which is
+// the same for each submission of the same content. It returns Faults, a
+// *ConflictError, ErrAway, ErrUnsure or the context's error otherwise.
+func (reg *Registry) Submit(ctx context.Context, tk Ticket) (Answer, error) {
+	dig, err := reg.Digest(tk)
+	if err != nil {
+		return Answer{}, fmt.Errorf("digest of ticket %d: %w", tk.Number, err)
+	}
+	sub := &submission{reg: reg, ticket: tk, digest: dig}
+	for {
+		ans, settled, err := sub.attempt(ctx)
+		if err != nil {
+			return Answer{}, err
+		}
+		if settled {
+			return ans, nil
+		}
+		if err := ctx.Err(); err != nil {
+			return Answer{}, sub.interrupted(err)
+		}
+	}
+}
+
+// submission is the work on one call of Submit.
+type submission struct {
+	reg    *Registry
+	ticket Ticket
+	digest Digest
+	// unsure is set once a write of this submission may be on its way.
+	unsure bool
+}
+
+// attempt reads the store and tries one write. It returns settled=false when
+// another attempt is needed: after a lost race the head has moved, and after an
+// unsure write the same conditional write is repeated, which can't take effect
+// twice because the first to arrive moves the head.
+func (sub *submission) attempt(ctx context.Context) (Answer, bool, error) {
+	// The row is read after the state, because a row is inserted together with
+	// its head: a number at or below this head that has no row now never gets one.
+	st, err := sub.reg.ReadState(ctx)
+	if err != nil {
+		return Answer{}, false, sub.failed(err)
+	}
+	row, err := sub.reg.ReadTicket(ctx, sub.ticket.Number)
+	if err != nil {
+		return Answer{}, false, sub.failed(err)
+	}
+	if row != nil {
+		ans, err := sub.compare(ctx, row)
+		return ans, err == nil, err
+	}
+	if sub.ticket.Number <= st.Number() {
+		return Answer{}, false, &ConflictError{Number: sub.ticket.Number, Current: st}
+	}
+	if faults := Check(st, sub.ticket); faults != nil {
+		return Answer{}, false, faults
+	}
+	acc := Accepted{Ticket: sub.ticket, Previous: st.Number(), Digest: sub.digest}
+	return sub.commit(ctx, acc)
+}
+
+func (sub *submission) commit(ctx context.Context, acc Accepted) (Answer, bool, error) {
+	err := sub.reg.Commit(ctx, acc)
+	switch {
+	case err == nil:
+		return answer(&acc), true, nil
+	case errors.Is(err, ErrMoved):
+		return Answer{}, false, nil
+	case errors.Is(err, ErrUnsure):
+		sub.unsure = true
+		if err := sub.reg.Pause(ctx); err != nil {
+			return Answer{}, false, sub.interrupted(err)
+		}
+		return Answer{}, false, nil
+	}
+	return Answer{}, false, sub.failed(err)
+}
+
+// compare answers from the row that has the ticket's number.
+func (sub *submission) compare(ctx context.Context, row *Accepted) (Answer, error) {
+	if row.Digest == sub.digest {
+		return answer(row), nil
+	}
+	// The state is read again, since the row may be newer than the first read.
+	st, err := sub.reg.ReadState(ctx)
+	if err != nil {
+		return Answer{}, fmt.Errorf("current state: %w", err)
+	}
+	return Answer{}, &ConflictError{Number: sub.ticket.Number, Current: st, Taken: true}
+}
+
+// failed returns ErrUnsure in place of another error once a write may be on its
+// way, since the store being away then says nothing about that write.
+func (sub *submission) failed(err error) error {
+	if sub.unsure {
+		return fmt.Errorf("%w: %w", ErrUnsure, err)
+	}
+	return err
+}
+
+func (sub *submission) interrupted(err error) error {
+	if sub.unsure {
+		return fmt.Errorf("ticket %d: %w: %w", sub.ticket.Number, ErrUnsure, err)
+	}
+	return fmt.Errorf("ticket %d was not accepted: %w", sub.ticket.Number, err)
+}
+
+func answer(acc *Accepted) Answer {
+	return Answer{Number: acc.Ticket.Number, Digest: acc.Digest, Previous: acc.Previous}
+}
--- /dev/null
+++ b/core/bwticket/state.go
@@ -0,0 +1,192 @@
+package bwticket
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Errors of State.Apply.
+var (
+	// ErrOld is returned for a ticket whose number is not above the state's.
+	ErrOld = errors.New("ticket number is not above the number in effect")
+	// ErrGap is returned for a ticket that doesn't directly follow the state.
+	ErrGap = errors.New("a ticket before this one is missing")
+)
+
+// Entry is an object and the number of the ticket that set it.
+type Entry[T any] struct {
+	SetBy  bwmodel.TicketNumber
+	Object T
+}
+
+// State is an immutable configuration: all objects in effect at a ticket number.
+type State struct {
+	number    bwmodel.TicketNumber
+	services  map[bwmodel.ServiceID]Entry[bwmodel.Service]
+	teams     map[bwmodel.TeamID]Entry[bwmodel.Team]
+	upstreams map[bwmodel.UpstreamID]Entry[bwmodel.Upstream]
+	keys      map[[32]byte]keyOwner
+	served    map[bwmodel.ServiceID][]bwmodel.Upstream
+}
+
+// StateConfig lists the content of a State.
+type StateConfig struct {
+	Number    bwmodel.TicketNumber
+	Services  []Entry[bwmodel.Service]
+	Teams     []Entry[bwmodel.Team]
+	Upstreams []Entry[bwmodel.Upstream]
+}
+
+// NewState returns a state that holds the listed objects; the zero config gives
+// the state before the first ticket.
+func NewState(cfg StateConfig) *State {
+	st := &State{
+		number:    cfg.Number,
+		services:  make(map[bwmodel.ServiceID]Entry[bwmodel.Service], len(cfg.Services)),
+		teams:     make(map[bwmodel.TeamID]Entry[bwmodel.Team], len(cfg.Teams)),
+		upstreams: make(map[bwmodel.UpstreamID]Entry[bwmodel.Upstream], len(cfg.Upstreams)),
+	}
+	for _, ent := range cfg.Services {
+		st.services[ent.Object.Name] = ent
+	}
+	for _, ent := range cfg.Teams {
+		st.teams[ent.Object.Name] = ent
+	}
+	for _, ent := range cfg.Upstreams {
+		st.upstreams[ent.Object.Name] = ent
+	}
+	st.index()
+	return st
+}
+
+// Number returns the number of the last ticket in effect, 0 before the first.
+func (st *State) Number() bwmodel.TicketNumber { return st.number }
+
+// Service returns a service by name.
+func (st *State) Service(id bwmodel.ServiceID) (bwmodel.Service, bool) {
+	ent, ok := st.services[id]
+	return ent.Object, ok
+}
+
+// Team returns a team by name.
+func (st *State) Team(id bwmodel.TeamID) (bwmodel.Team, bool) {
+	ent, ok := st.teams[id]
+	return ent.Object, ok
+}
+
+// Upstream returns an upstream by name.
+func (st *State) Upstream(id bwmodel.UpstreamID) (bwmodel.Upstream, bool) {
+	ent, ok := st.upstreams[id]
+	return ent.Object, ok
+}
+
+// TeamByKey returns the team that owns a key which is valid at the given time.
+func (st *State) TeamByKey(hash [32]byte, now time.Time) (bwmodel.Team, bool) {
+	own, ok := st.keys[hash]
+	if !ok || own.expired(now) {
+		return bwmodel.Team{}, false
+	}
+	return st.Team(own.team)
+}
+
+// UpstreamsOf returns the upstreams of a service by name; callers must not
+// change the slice.
+func (st *State) UpstreamsOf(id bwmodel.ServiceID) []bwmodel.Upstream { return st.served[id] }
+
+// Services returns all services with the tickets that set them, by name.
+func (st *State) Services() []Entry[bwmodel.Service] {
+	return sorted(st.services, func(svc bwmodel.Service) bwmodel.ServiceID { return svc.Name })
+}
+
+// Teams returns all teams with the tickets that set them, by name.
+func (st *State) Teams() []Entry[bwmodel.Team] {
+	return sorted(st.teams, func(tm bwmodel.Team) bwmodel.TeamID { return tm.Name })
+}
+
+// Upstreams returns all upstreams with the tickets that set them, by name.
+func (st *State) Upstreams() []Entry[bwmodel.Upstream] {
+	return sorted(st.upstreams, func(ups bwmodel.Upstream) bwmodel.UpstreamID { return ups.Name })
+}
+
+// Apply returns the state after a ticket, or ErrOld or ErrGap; the receiver
+// stays as it is.
+func (st *State) Apply(acc Accepted) (*State, error) {
+	num := acc.Ticket.Number
+	if num <= st.number {
+		return nil, fmt.Errorf("ticket %d on state %d: %w", num, st.number, ErrOld)
+	}
+	if acc.Previous != st.number {
+		return nil, fmt.Errorf("ticket %d follows %d, state is %d: %w", num, acc.Previous, st.number, ErrGap)
+	}
+	return st.with(acc.Ticket), nil
+}
+
+// Overlay returns the state with a ticket's objects set and its number raised
+// to the ticket's if that is higher. It serves to complete a read of object
+// rows during which tickets were accepted, in the order of their numbers.
+func (st *State) Overlay(tk Ticket) *State { return st.with(tk) }
+
+func (st *State) with(tk Ticket) *State {
+	out := &State{
+		number:    max(st.number, tk.Number),
+		services:  maps.Clone(st.services),
+		teams:     maps.Clone(st.teams),
+		upstreams: maps.Clone(st.upstreams),
+	}
+	tk = tk.Clone()
+	for _, id := range tk.Remove.Services {
+		delete(out.services, id)
+	}
+	for _, id := range tk.Remove.Teams {
+		delete(out.teams, id)
+	}
+	for _, id := range tk.Remove.Upstreams {
+		delete(out.upstreams, id)
+	}
+	for _, svc := range tk.Services {
+		out.services[svc.Name] = Entry[bwmodel.Service]{SetBy: tk.Number, Object: svc}
+	}
+	for _, tm := range tk.Teams {
+		out.teams[tm.Name] = Entry[bwmodel.Team]{SetBy: tk.Number, Object: tm}
+	}
+	for _, ups := range tk.Upstreams {
+		out.upstreams[ups.Name] = Entry[bwmodel.Upstream]{SetBy: tk.Number, Object: ups}
+	}
+	out.index()
+	return out
+}
+
+func (st *State) index() {
+	st.keys = make(map[[32]byte]keyOwner, len(st.teams))
+	for _, ent := range st.teams {
+		for _, key := range ent.Object.Keys {
+			st.keys[key.Hash] = keyOwner{team: ent.Object.Name, notAfter: key.NotAfter}
+		}
+	}
+	st.served = make(map[bwmodel.ServiceID][]bwmodel.Upstream, len(st.services))
+	for _, ent := range st.Upstreams() {
+		ups := ent.Object
+		st.served[ups.Service] = append(st.served[ups.Service], ups)
+	}
+}
+
+type keyOwner struct {
+	team     bwmodel.TeamID
+	notAfter time.Time
+}
+
+func (ko keyOwner) expired(now time.Time) bool {
+	return !ko.notAfter.IsZero() && now.After(ko.notAfter)
+}
+
+func sorted[K cmp.Ordered, T any](objects map[K]Entry[T], name func(T) K) []Entry[T] {
+	entries := slices.Collect(maps.Values(objects))
+	slices.SortFunc(entries, func(aa, bb Entry[T]) int { return cmp.Compare(name(aa.Object), name(bb.Object)) })
+	return entries
+}
