--- a/io/bwwire/control.go
+++ b/io/bwwire/control.go
@@ -39,8 +39,11 @@
 
 // ExchangeMessage is both the request and the response of an exchange between peers.
 type ExchangeMessage struct {
-	From    bwmodel.Member
-	Head    bwmodel.TicketNumber
+	From bwmodel.Member
+	Head bwmodel.TicketNumber
+	// Ready says that the sender knows the state in effect, so that its head counts
+	// for a process that starts without the store.
+	Ready   bool
 	Members []MemberSummary
 }
 
@@ -58,6 +61,6 @@
 // when the peer no longer has them all, one whole state.
 type TicketsResponse struct {
 	Head    bwmodel.TicketNumber
-	Tickets []TicketDocument
+	Tickets []AcceptedDocument
 	State   *StateDocument
 }
