Add clients of the table, object store and VM list

Cause: tickets, leases and actions need the platform, whose answers may be lost. Conclusion: a row is a key, a version and a JSON body, which all users share.

--- /dev/null
+++ b/io/bwstore/lease.go
@@ -0,0 +1,67 @@
+package bwstore
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"bilberrywick/core/bwlease"
+)
+
+const leasePartition = "Lease"
+
+// Lease keeps one lease in the table; its methods fill the function fields of
+// bwlease.HolderConfig and return the errors of bwlease.
+type Lease struct {
+	tab *Table
+	key Key
+}
+
+// NewLease returns the lease of a control duty.
+func NewLease(tab *Table, duty string) *Lease {
+	return &Lease{tab: tab, key: Key{Partition: leasePartition, Sort: duty}}
+}
+
+// Read returns the lease's row, or a zero row when there is none.
+func (ls *Lease) Read(ctx context.Context) (bwlease.Row, error) {
+	row, err := ls.tab.Get(ctx, ls.key)
+	if err != nil {
+		return bwlease.Row{}, leaseError(err)
+	}
+	if row == nil {
+		return bwlease.Row{}, nil
+	}
+	var lease bwlease.Row
+	if err := json.Unmarshal(row.Body, &lease); err != nil {
+		return bwlease.Row{}, fmt.Errorf("row %v: %w", ls.key, err)
+	}
+	lease.Version = row.Version
+	return lease, nil
+}
+
+// Swap replaces the row whose version is one below next's, or inserts the first.
+func (ls *Lease) Swap(ctx context.Context, next bwlease.Row) error {
+	body, err := json.Marshal(next)
+	if err != nil {
+		return fmt.Errorf("encode row %v: %w", ls.key, err)
+	}
+	row := Row{Key: ls.key, Version: next.Version, Body: body}
+	if next.Version == 1 {
+		return leaseError(ls.tab.Insert(ctx, row))
+	}
+	return leaseError(ls.tab.Replace(ctx, next.Version-1, row))
+}
+
+// leaseError translates an error of the table into those of bwlease.
+func leaseError(err error) error {
+	switch {
+	case errors.Is(err, ErrConflict):
+		return fmt.Errorf("%w: %w", bwlease.ErrMoved, err)
+	case errors.Is(err, ErrUnsure):
+		return fmt.Errorf("%w: %w", bwlease.ErrUnsure, err)
+	case errors.Is(err, ErrUnavailable):
+		return fmt.Errorf("%w: %w", bwlease.ErrAway, err)
+	}
+	return err
+}
--- /dev/null
+++ b/io/bwstore/list.go
@@ -0,0 +1,100 @@
+package bwstore
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// listPath is where the platform serves its VM list.
+const listPath = "/v1/vms"
+
+// maxListBytes bounds the list; 4,000 VMs take about 1 MB.
+const maxListBytes = 16 << 20
+
+// List is a client of the platform's list of VMs, which lags.
+type List struct {
+	web *http.Client
+	url string
+}
+
+// VMList is the platform's document of live and leaving VMs.
+type VMList struct{ VMs []VM }
+
+// VM is one entry of the platform's list.
+type VM struct {
+	ID          bwmodel.MemberID
+	Incarnation bwmodel.Incarnation
+	// Role is Router or Agent.
+	Role    string
+	Region  bwmodel.RegionID
+	Zone    bwmodel.ZoneID
+	Address netip.AddrPort
+	Leaving bool `json:",omitempty"`
+}
+
+// Members returns the VMs that run a process of the system, or ErrUnavailable.
+func (ls *List) Members(ctx context.Context) ([]bwmodel.Member, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, ls.url, http.NoBody)
+	if err != nil {
+		return nil, fmt.Errorf("list VMs: %w: %w", ErrInvalid, err)
+	}
+	rsp, err := ls.web.Do(req)
+	if err != nil {
+		return nil, readError("list VMs", err)
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	if rsp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("list VMs: status %d: %w", rsp.StatusCode, ErrUnavailable)
+	}
+	var doc VMList
+	if err := json.NewDecoder(io.LimitReader(rsp.Body, maxListBytes)).Decode(&doc); err != nil {
+		return nil, readError("list VMs", err)
+	}
+	members := make([]bwmodel.Member, 0, len(doc.VMs))
+	for _, vm := range doc.VMs {
+		if mem, ok := vm.member(); ok {
+			members = append(members, mem)
+		}
+	}
+	return members, nil
+}
+
+// NewVM returns the platform's entry of a member.
+func NewVM(mem bwmodel.Member) VM {
+	return VM{
+		ID:          mem.ID,
+		Incarnation: mem.Incarnation,
+		Role:        mem.Role.String(),
+		Region:      mem.Region,
+		Zone:        mem.Zone,
+		Address:     mem.Address,
+		Leaving:     mem.Leaving,
+	}
+}
+
+// member converts the entry; VMs with other roles are not ours.
+func (vm VM) member() (bwmodel.Member, bool) {
+	mem := bwmodel.Member{
+		ID:          vm.ID,
+		Incarnation: vm.Incarnation,
+		Region:      vm.Region,
+		Zone:        vm.Zone,
+		Address:     vm.Address,
+		Leaving:     vm.Leaving,
+	}
+	switch vm.Role {
+	case bwmodel.RouterRole.String():
+		mem.Role = bwmodel.RouterRole
+	case bwmodel.AgentRole.String():
+		mem.Role = bwmodel.AgentRole
+	default:
+		return bwmodel.Member{}, false
+	}
+	return mem, true
+}
--- /dev/null
+++ b/io/bwstore/object.go
@@ -0,0 +1,42 @@
+package bwstore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/aws/aws-sdk-go-v2/service/s3"
+)
+
+// Objects is a client of one bucket of the platform's object store.
+type Objects struct {
+	api    *s3.Client
+	bucket string
+}
+
+// Put stores an object, or returns ErrUnsure or ErrUnavailable.
+func (obj *Objects) Put(ctx context.Context, name string, body []byte) error {
+	_, err := obj.api.PutObject(ctx, &s3.PutObjectInput{Bucket: &obj.bucket, Key: &name, Body: bytes.NewReader(body)})
+	if err != nil {
+		return writeError("put object "+name, err)
+	}
+	return nil
+}
+
+// Get returns an object, or nil when there is none, or ErrUnavailable.
+func (obj *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	out, err := obj.api.GetObject(ctx, &s3.GetObjectInput{Bucket: &obj.bucket, Key: &name})
+	if statusOf(err) == http.StatusNotFound {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, readError("get object "+name, err)
+	}
+	body, err := io.ReadAll(out.Body)
+	if err = errors.Join(err, out.Body.Close()); err != nil {
+		return nil, readError("get object "+name, err)
+	}
+	return body, nil
+}
