Keep a process current with tickets and members

Cause: an accepted ticket must be in effect everywhere within 3 s without polling by every process. Change: Fleet reads the head only as a watcher or when it hears no peer, pushes a higher number, exchanges with a random peer each second, learns numbers from traffic, and starts from the store or from half of its seeds. Conclusion: thin first version; sizes at scale are not measured yet.

--- /dev/null
+++ b/io/bwfleet/fleet.go
@@ -0,0 +1,258 @@
+package bwfleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bilberrywick/core/bwcontrol"
+	"bilberrywick/core/bwmember"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwticket"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// Fleet keeps a process current with the change tickets and the members.
+type Fleet struct {
+	cfg   Config
+	own   *bwcontrol.Owner[control, Snapshot]
+	hints chan hint
+	heard chan bwmodel.Member
+	// pushes wakes loopPush.
+	pushes chan struct{}
+	// revision is the last one that subscribers were told of.
+	revision    atomic.Uint64
+	subscribers []chan struct{}
+	running     sync.WaitGroup
+}
+
+// Config configures a Fleet.
+type Config struct {
+	Self bwmodel.Member
+	// Seeds are peers to ask when nothing else is known; the own address is ignored.
+	Seeds []netip.AddrPort
+	Store Store
+	Peers Peers
+	// Now reads a monotonic clock; nil means time.Now.
+	Now func() time.Time
+	Log *slog.Logger
+	// RandomSeed seeds the choice of peers.
+	RandomSeed uint64
+	// PollInterval separates reads of the store's head by a watcher; 0 means 500 ms.
+	PollInterval time.Duration
+	// ExchangeInterval separates exchanges with a random peer; 0 means 1 s.
+	ExchangeInterval time.Duration
+	// ListInterval separates reads of the platform's VM list; 0 means 5 s.
+	ListInterval time.Duration
+	// CallTimeout bounds one call to a peer or the store; 0 means 1 s.
+	CallTimeout time.Duration
+	// Fanout is the number of peers that a new number is pushed to; 0 means 6.
+	Fanout int
+}
+
+// Snapshot is an immutable view of the fleet.
+type Snapshot struct {
+	Self  bwmodel.Member
+	State *bwticket.State
+	// Members are all known members but the process itself, by name.
+	Members []bwmember.Entry
+	// Ready says that the state is known and that the store or a peer was heard
+	// from within 3 s.
+	Ready bool
+	// Revision rises whenever the state, the readiness or a member's status changes.
+	Revision uint64
+	// recent are the last tickets up to the state, to pass on to peers.
+	recent []bwticket.Accepted
+}
+
+const (
+	defaultPollInterval     = 500 * time.Millisecond
+	defaultExchangeInterval = time.Second
+	defaultListInterval     = 5 * time.Second
+	defaultCallTimeout      = time.Second
+	defaultFanout           = 6
+	hintBacklog             = 16
+	heardBacklog            = 1024
+)
+
+// New returns a fleet that knows nothing yet, or an error that names a missing field.
+func New(cfg Config) (*Fleet, error) {
+	if cfg.Self.ID == "" || !cfg.Self.Address.IsValid() || cfg.Self.Role == 0 {
+		return nil, errors.New("field Self needs ID, Address and Role")
+	}
+	if cfg.Peers.Exchange == nil || cfg.Peers.Tickets == nil {
+		return nil, errors.New("field Peers needs Exchange and Tickets")
+	}
+	cfg.setDefaults()
+	fl := &Fleet{
+		cfg:    cfg,
+		hints:  make(chan hint, hintBacklog),
+		heard:  make(chan bwmodel.Member, heardBacklog),
+		pushes: make(chan struct{}, 1),
+	}
+	ctl := newControl(cfg)
+	fl.own = bwcontrol.New(bwcontrol.Config[control, Snapshot]{State: ctl, View: (*control).view})
+	return fl, nil
+}
+
+// Register serves the methods by which peers keep each other current.
+func (fl *Fleet) Register(srv *bwrpc.Server) {
+	bwrpc.HandleUnary(srv, bwwire.PeerExchange, fl.HandleExchange)
+	bwrpc.HandleUnary(srv, bwwire.PeerTickets, fl.HandleTickets)
+}
+
+// Changes returns a channel that gets a value after each change of the
+// snapshot's revision; several changes may share one value. It must be called
+// before Start.
+func (fl *Fleet) Changes() <-chan struct{} {
+	ch := make(chan struct{}, 1)
+	fl.subscribers = append(fl.subscribers, ch)
+	return ch
+}
+
+// Start runs the fleet until the context ends.
+func (fl *Fleet) Start(ctx context.Context) {
+	fl.own.Start(ctx)
+	loops := []func(context.Context){fl.loopStart, fl.loopPoll, fl.loopExchange, fl.loopList, fl.loopPull, fl.loopPush}
+	fl.running.Add(len(loops))
+	for _, loop := range loops {
+		tsk := task{loop: loop, done: fl.running.Done}
+		go tsk.run(ctx)
+	}
+}
+
+// Wait returns when all goroutines have ended after the end of Start's context.
+func (fl *Fleet) Wait() {
+	<-fl.own.Done()
+	fl.running.Wait()
+}
+
+// Snapshot returns the current view; it never blocks.
+func (fl *Fleet) Snapshot() *Snapshot { return fl.own.Snapshot() }
+
+// Learn records that a peer has a ticket number, as seen in its messages. It is
+// cheap and never blocks, so that traffic goroutines may call it on each message.
+func (fl *Fleet) Learn(num bwmodel.TicketNumber, from netip.AddrPort) {
+	if num <= fl.Snapshot().State.Number() {
+		return
+	}
+	select {
+	case fl.hints <- hint{number: num, from: from}:
+	default:
+		// A later message or the next exchange carries the number again.
+	}
+}
+
+// Hear records direct evidence of a member, such as its status message. It
+// never blocks; the view shows it within the poll interval.
+func (fl *Fleet) Hear(mem bwmodel.Member) {
+	select {
+	case fl.heard <- mem:
+	default:
+	}
+}
+
+// Leave marks the process as leaving and tells some peers at once.
+func (fl *Fleet) Leave(ctx context.Context) error {
+	if err := fl.update(ctx, func(ctl *control) { ctl.dir.Leave() }); err != nil {
+		return err
+	}
+	fl.wakePush()
+	return nil
+}
+
+// Apply submits a ticket and returns its answer once it is part of the history.
+// It returns bwticket.Faults with every fault, a *bwticket.ConflictError,
+// bwticket.ErrAway or bwticket.ErrUnsure otherwise.
+func (fl *Fleet) Apply(ctx context.Context, doc bwwire.TicketDocument) (bwticket.Answer, error) {
+	if fl.cfg.Store.Registry == nil {
+		return bwticket.Answer{}, fmt.Errorf("no store is configured: %w", bwticket.ErrAway)
+	}
+	tk, faults := doc.Ticket()
+	if faults != nil {
+		return bwticket.Answer{}, doc.Check(fl.Snapshot().State)
+	}
+	ans, err := fl.cfg.Store.Registry(fl.baseState).Submit(ctx, tk)
+	if err != nil {
+		return bwticket.Answer{}, err
+	}
+	// The ticket is accepted whatever happens now; a watcher repairs a failure.
+	if err := fl.pullStore(ctx); err != nil {
+		fl.cfg.Log.Warn("read of accepted ticket failed", "Number", ans.Number, "Error", err)
+	}
+	return ans, nil
+}
+
+func (fl *Fleet) baseState() *bwticket.State { return fl.Snapshot().State }
+
+// update changes the control state and tells the subscribers.
+func (fl *Fleet) update(ctx context.Context, change func(*control)) error {
+	if err := fl.own.Do(ctx, change); err != nil {
+		return err
+	}
+	rev := fl.Snapshot().Revision
+	if fl.revision.Swap(rev) == rev {
+		return nil
+	}
+	for _, ch := range fl.subscribers {
+		select {
+		case ch <- struct{}{}:
+		default:
+		}
+	}
+	return nil
+}
+
+func (cfg *Config) setDefaults() {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	if cfg.PollInterval == 0 {
+		cfg.PollInterval = defaultPollInterval
+	}
+	if cfg.ExchangeInterval == 0 {
+		cfg.ExchangeInterval = defaultExchangeInterval
+	}
+	if cfg.ListInterval == 0 {
+		cfg.ListInterval = defaultListInterval
+	}
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = defaultCallTimeout
+	}
+	if cfg.Fanout == 0 {
+		cfg.Fanout = defaultFanout
+	}
+	var seeds []netip.AddrPort
+	for _, addr := range cfg.Seeds {
+		if addr != cfg.Self.Address {
+			seeds = append(seeds, addr)
+		}
+	}
+	cfg.Seeds = seeds
+}
+
+// hint says that a peer has a ticket number.
+type hint struct {
+	number bwmodel.TicketNumber
+	from   netip.AddrPort
+}
+
+// task runs one loop of the fleet.
+type task struct {
+	loop func(context.Context)
+	done func()
+}
+
+func (tsk task) run(ctx context.Context) {
+	defer tsk.done()
+	tsk.loop(ctx)
+}
--- /dev/null
+++ b/io/bwfleet/loop.go
@@ -0,0 +1,280 @@
+package bwfleet
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwmember"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwticket"
+)
+
+// loopStart reads the state from the store, or from the seeds while the store
+// is down, and ends once the state is known.
+func (fl *Fleet) loopStart(ctx context.Context) {
+	tick := time.NewTicker(fl.cfg.PollInterval)
+	defer tick.Stop()
+	for {
+		err := fl.startFromStore(ctx)
+		if err == nil {
+			return
+		}
+		if fl.startFromSeeds(ctx) {
+			fl.cfg.Log.Warn("started without the store", "Number", fl.Snapshot().State.Number(), "Error", err)
+			return
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (fl *Fleet) startFromStore(ctx context.Context) error {
+	if fl.cfg.Store.Read == nil {
+		return errors.New("no store is configured")
+	}
+	call, cancel := context.WithTimeout(ctx, fl.cfg.CallTimeout)
+	defer cancel()
+	st, err := fl.cfg.Store.Read(call, nil)
+	if err != nil {
+		return err
+	}
+	return fl.update(ctx, func(ctl *control) {
+		ctl.touch()
+		ctl.replace(st)
+		ctl.started = true
+	})
+}
+
+// startFromSeeds asks all seeds, and takes the highest number when at least
+// half of them know the state.
+func (fl *Fleet) startFromSeeds(ctx context.Context) bool {
+	answers := make(chan hint, len(fl.cfg.Seeds))
+	for _, addr := range fl.cfg.Seeds {
+		fl.running.Add(1)
+		tsk := task{done: fl.running.Done, loop: asking{fl: fl, addr: addr, answers: answers}.ask}
+		go tsk.run(ctx)
+	}
+	var best hint
+	ready := 0
+	for range fl.cfg.Seeds {
+		ans := <-answers
+		if !ans.from.IsValid() {
+			continue
+		}
+		ready++
+		if ready == 1 || ans.number > best.number {
+			best = ans
+		}
+	}
+	if ready == 0 || ready*2 < len(fl.cfg.Seeds) {
+		return false
+	}
+	if err := fl.pullPeer(ctx, best.from); err != nil {
+		fl.cfg.Log.Debug("start from seed failed", "Peer", best.from, "Error", err)
+		return false
+	}
+	if fl.Snapshot().State.Number() < best.number {
+		return false
+	}
+	return fl.update(ctx, func(ctl *control) { ctl.started = true }) == nil
+}
+
+// asking is a question to one seed at the start.
+type asking struct {
+	fl      *Fleet
+	addr    netip.AddrPort
+	answers chan<- hint
+}
+
+// ask answers with a zero hint when the seed doesn't know the state.
+func (ask asking) ask(ctx context.Context) {
+	rsp, err := ask.fl.exchange(ctx, ask.addr)
+	if err != nil || !rsp.Ready {
+		ask.answers <- hint{}
+		return
+	}
+	ask.answers <- hint{number: rsp.Head, from: ask.addr}
+}
+
+// loopPoll reads the store's head while the process is a watcher of its zone,
+// and records the members heard since the last round.
+func (fl *Fleet) loopPoll(ctx context.Context) {
+	tick := time.NewTicker(fl.cfg.PollInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		if err := fl.update(ctx, fl.drainHeard); err != nil {
+			return
+		}
+		if err := fl.poll(ctx); err != nil {
+			fl.cfg.Log.Debug("read of the store failed", "Error", err)
+		}
+	}
+}
+
+// poll reads the head when the process is a watcher or hears from no peer.
+func (fl *Fleet) poll(ctx context.Context) error {
+	snap := fl.Snapshot()
+	alone := !hearsPeer(snap.Members)
+	if fl.cfg.Store.Head == nil || !alone && !bwmember.Watches(snap.Self, snap.Members) {
+		return nil
+	}
+	call, cancel := context.WithTimeout(ctx, fl.cfg.CallTimeout)
+	defer cancel()
+	head, err := fl.cfg.Store.Head(call)
+	if err != nil {
+		return err
+	}
+	if err := fl.update(ctx, (*control).touch); err != nil {
+		return err
+	}
+	if head <= snap.State.Number() {
+		return nil
+	}
+	err = fl.pullStore(ctx)
+	if !errors.Is(err, bwticket.ErrGap) {
+		return err
+	}
+	st, err := fl.cfg.Store.Read(call, nil)
+	if err != nil {
+		return err
+	}
+	return fl.advance(ctx, nil, st)
+}
+
+func (fl *Fleet) drainHeard(ctl *control) {
+	for {
+		select {
+		case mem := <-fl.heard:
+			ctl.touch()
+			ctl.dir.Hear(mem, 0)
+		default:
+			return
+		}
+	}
+}
+
+// loopExchange exchanges with one random peer at a time.
+func (fl *Fleet) loopExchange(ctx context.Context) {
+	rng := newRandom(fl.cfg, 0)
+	tick := time.NewTicker(fl.cfg.ExchangeInterval)
+	defer tick.Stop()
+	for {
+		if addr, ok := fl.pickPeer(rng); ok {
+			if _, err := fl.exchange(ctx, addr); err != nil {
+				fl.cfg.Log.Debug("exchange failed", "Peer", addr, "Error", err)
+			}
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// seedShare is the part of exchanges that go to a seed, so that two halves of a
+// fleet that have forgotten each other meet again.
+const seedShare = 0.1
+
+func (fl *Fleet) pickPeer(rng *rand.Rand) (netip.AddrPort, bool) {
+	mem, ok := bwmember.ExchangePeer(fl.Snapshot().Members, rng)
+	if len(fl.cfg.Seeds) > 0 && (!ok || rng.Float64() < seedShare) {
+		return fl.cfg.Seeds[rng.IntN(len(fl.cfg.Seeds))], true
+	}
+	return mem.Address, ok
+}
+
+// loopList reads the platform's list.
+func (fl *Fleet) loopList(ctx context.Context) {
+	if fl.cfg.Store.List == nil {
+		return
+	}
+	tick := time.NewTicker(fl.cfg.ListInterval)
+	defer tick.Stop()
+	for {
+		fl.readList(ctx)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (fl *Fleet) readList(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, fl.cfg.CallTimeout)
+	defer cancel()
+	members, err := fl.cfg.Store.List(call)
+	if err != nil {
+		fl.cfg.Log.Debug("read of the VM list failed", "Error", err)
+		return
+	}
+	if err := fl.update(ctx, func(ctl *control) { ctl.dir.List(members) }); err != nil {
+		fl.cfg.Log.Debug("VM list not recorded", "Error", err)
+	}
+}
+
+// loopPull fetches the tickets behind each higher number that is heard of.
+func (fl *Fleet) loopPull(ctx context.Context) {
+	for {
+		select {
+		case hnt := <-fl.hints:
+			if hnt.number <= fl.Snapshot().State.Number() {
+				continue
+			}
+			if err := fl.pullPeer(ctx, hnt.from); err != nil {
+				fl.cfg.Log.Debug("pull failed", "Peer", hnt.from, "Error", err)
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// loopPush tells peers of each higher number. It doesn't wait for their
+// answers, so that an unreachable peer doesn't delay the next push.
+func (fl *Fleet) loopPush(ctx context.Context) {
+	for {
+		select {
+		case <-fl.pushes:
+			fl.push(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func hearsPeer(entries []bwmember.Entry) bool {
+	for _, ent := range entries {
+		if ent.Status == bwmember.Live {
+			return true
+		}
+	}
+	return false
+}
+
+// newRandom mixes the member's name into the seed, so that members with the
+// same settings choose different peers.
+func newRandom(cfg Config, stream uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(cfg.RandomSeed^nameSeed(cfg.Self.ID), stream))
+}
+
+func nameSeed(id bwmodel.MemberID) uint64 {
+	const offset, prime = 14695981039346656037, 1099511628211
+	sum := uint64(offset)
+	for _, chr := range []byte(id) {
+		sum = (sum ^ uint64(chr)) * prime
+	}
+	return sum
+}
--- /dev/null
+++ b/io/bwfleet/seam.go
@@ -0,0 +1,61 @@
+package bwfleet
+
+import (
+	"context"
+	"net/netip"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwticket"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwstore"
+	"bilberrywick/io/bwwire"
+)
+
+// Store is what a fleet needs of the platform. Functions that are nil are not used.
+type Store struct {
+	// Head returns the number of the last accepted ticket.
+	Head func(ctx context.Context) (bwmodel.TicketNumber, error)
+	// After returns the tickets above a number, in order.
+	After func(ctx context.Context, num bwmodel.TicketNumber) ([]bwticket.Accepted, error)
+	// Read returns the state at the head, from the objects when base is nil.
+	Read func(ctx context.Context, base *bwticket.State) (*bwticket.State, error)
+	// Registry returns the acceptance decision.
+	Registry func(base func() *bwticket.State) *bwticket.Registry
+	// List returns what the platform lists.
+	List func(ctx context.Context) ([]bwmodel.Member, error)
+}
+
+// NewStore returns the functions over the platform's clients.
+func NewStore(cl *bwstore.Client) Store {
+	var str Store
+	if cl.Table != nil {
+		tks := bwstore.NewTickets(cl.Table)
+		str.Head, str.After, str.Read, str.Registry = tks.Head, tks.After, tks.Read, tks.Registry
+	}
+	if cl.List != nil {
+		str.List = cl.List.Members
+	}
+	return str
+}
+
+// Peers calls the methods that other processes' fleets serve.
+type Peers struct {
+	Exchange func(ctx context.Context, addr netip.AddrPort, msg *bwwire.ExchangeMessage) (*bwwire.ExchangeMessage, error)
+	Tickets  func(ctx context.Context, addr netip.AddrPort, req *bwwire.TicketsRequest) (*bwwire.TicketsResponse, error)
+}
+
+// NewPeers returns the functions over an rpc client.
+func NewPeers(cl *bwrpc.Client) Peers {
+	cal := &caller{client: cl}
+	return Peers{Exchange: cal.exchange, Tickets: cal.tickets}
+}
+
+type caller struct{ client *bwrpc.Client }
+
+func (cal *caller) exchange(ctx context.Context, addr netip.AddrPort, msg *bwwire.ExchangeMessage) (*bwwire.ExchangeMessage, error) {
+	return bwrpc.Call[bwwire.ExchangeMessage, bwwire.ExchangeMessage](ctx, cal.client, addr, bwwire.PeerExchange, msg)
+}
+
+func (cal *caller) tickets(ctx context.Context, addr netip.AddrPort, req *bwwire.TicketsRequest) (*bwwire.TicketsResponse, error) {
+	return bwrpc.Call[bwwire.TicketsRequest, bwwire.TicketsResponse](ctx, cal.client, addr, bwwire.PeerTickets, req)
+}
