--- /dev/null
+++ b/standin/bwfakestore/fleet_test.go
@@ -0,0 +1,92 @@
+package bwfakestore_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwfleet"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwstore"
+	"bilberrywick/io/bwwire"
+	"bilberrywick/standin/bwfakestore"
+)
+
+type served struct {
+	srv *bwrpc.Server
+	lis net.Listener
+}
+
+func (sv served) run(ctx context.Context) { _ = sv.srv.Serve(ctx, sv.lis) }
+
+// Guards against a ticket that is accepted but does not reach processes that
+// don't read the store themselves.
+func TestTicketReachesEveryProcess(t *testing.T) {
+	platform := bwfakestore.New(bwfakestore.Config{})
+	if err := platform.Start(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(platform.Close)
+	store, err := bwstore.New(bwstore.Config{
+		Table: platform.Table(), List: platform.List(), TableName: "t", Region: "r", AccessKey: "a", SecretKey: "s",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(store.Close)
+	client, err := bwrpc.NewClient(bwrpc.ClientConfig{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var listeners []net.Listener
+	var seeds []netip.AddrPort
+	for range 6 {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, lis)
+		seeds = append(seeds, lis.Addr().(*net.TCPAddr).AddrPort())
+	}
+	var fleets []*bwfleet.Fleet
+	var changes []<-chan struct{}
+	for ix, lis := range listeners {
+		role := bwmodel.RouterRole
+		if ix >= 4 {
+			role = bwmodel.AgentRole
+		}
+		fl, err := bwfleet.New(bwfleet.Config{
+			Self: bwmodel.Member{
+				ID: bwmodel.MemberID(fmt.Sprint("m", ix)), Incarnation: 1, Role: role, Zone: "Brezno", Address: seeds[ix],
+			},
+			Seeds: seeds, Store: bwfleet.NewStore(store), Peers: bwfleet.NewPeers(client),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv, err := bwrpc.NewServer(bwrpc.ServerConfig{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		fl.Register(srv)
+		go served{srv: srv, lis: lis}.run(t.Context())
+		changes = append(changes, fl.Changes())
+		fl.Start(t.Context())
+		fleets = append(fleets, fl)
+	}
+	doc := bwwire.TicketDocument{Number: 7, Services: []bwwire.ServiceDocument{{
+		Name: "pisar-model", Kind: "Model", Class: "Prompt", QueueLimit: 10, Deadline: bwwire.DurationText(time.Second),
+	}}}
+	if _, err := fleets[5].Apply(t.Context(), doc); err != nil {
+		t.Fatal(err)
+	}
+	for ix, fl := range fleets {
+		for snap := fl.Snapshot(); snap.State.Number() < 7 || !snap.Ready; snap = fl.Snapshot() {
+			<-changes[ix]
+		}
+	}
+}
