Read settings and tickets strictly

Cause: routers, agents and operators need settings and tickets whose faults are all reported in one run.

--- /dev/null
+++ b/io/bwsettings/fault.go
@@ -0,0 +1,66 @@
+package bwsettings
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Fault is one wrong value of a document.
+type Fault struct {
+	// Path names the field, such as "Upstreams[2].Agent"; empty means the whole document.
+	Path string
+	// Line is the line of the value, counted from 1; 0 means that the value is missing.
+	Line int `json:",omitempty"`
+	// Message says what is wrong.
+	Message string
+	// Accepted lists the values or fields that are accepted, when they are known.
+	Accepted []string `json:",omitempty"`
+}
+
+// String returns the path, the line, the message and the accepted values.
+func (ft Fault) String() string {
+	var txt strings.Builder
+	if ft.Path != "" {
+		txt.WriteString(ft.Path + ": ")
+	}
+	txt.WriteString(ft.Message)
+	if len(ft.Accepted) > 0 {
+		txt.WriteString("; accepted: " + strings.Join(ft.Accepted, ", "))
+	}
+	if ft.Line > 0 {
+		fmt.Fprintf(&txt, " (line %d)", ft.Line)
+	}
+	return txt.String()
+}
+
+// Error holds every fault of a document.
+type Error struct{ Faults []Fault }
+
+// Error returns the faults, one a line.
+func (err *Error) Error() string {
+	lines := make([]string, 0, len(err.Faults))
+	for _, ft := range err.Faults {
+		lines = append(lines, ft.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Report collects the faults of one document.
+type Report struct{ faults []Fault }
+
+// Add records a fault without a line.
+func (rep *Report) Add(path, message string, accepted ...string) {
+	rep.faults = append(rep.faults, Fault{Path: path, Message: message, Accepted: accepted})
+}
+
+// Err returns an *Error with the faults, or nil when there are none.
+func (rep *Report) Err() error {
+	if len(rep.faults) == 0 {
+		return nil
+	}
+	return &Error{Faults: rep.faults}
+}
+
+func (rep *Report) addAt(path string, line int, message string, accepted ...string) {
+	rep.faults = append(rep.faults, Fault{Path: path, Line: line, Message: message, Accepted: accepted})
+}
--- /dev/null
+++ b/io/bwsettings/scalar.go
@@ -0,0 +1,148 @@
+package bwsettings
+
+import (
+	"encoding"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strconv"
+	"time"
+
+	"bilberrywick/io/bwwire"
+)
+
+// forms describes the text of a type to the writer of a document.
+var forms = map[reflect.Type]string{
+	reflect.TypeFor[netip.AddrPort]():      `an address and port such as "192.0.2.1:7000"`,
+	reflect.TypeFor[netip.Addr]():          `an address such as "192.0.2.1"`,
+	reflect.TypeFor[time.Time]():           `a time such as "2026-12-31T23:59:59Z"`,
+	reflect.TypeFor[time.Duration]():       `a duration such as "300ms" or "1m30s"`,
+	reflect.TypeFor[bwwire.DurationText](): `a duration such as "300ms" or "1m30s"`,
+}
+
+// setScalar stores a node in a value and returns what is wrong with it, or "".
+func setScalar(val reflect.Value, nd node) string {
+	if reflect.PointerTo(val.Type()).Implements(textType) || val.Type() == durationType {
+		return setText(val, nd)
+	}
+	switch val.Kind() {
+	case reflect.String:
+		if nd.kind != stringNode {
+			return wantKind(nd, stringNode.String())
+		}
+		val.SetString(nd.text)
+	case reflect.Bool:
+		if nd.kind != boolNode {
+			return wantKind(nd, boolNode.String())
+		}
+		val.SetBool(nd.text == "true")
+	default:
+		if nd.kind != numberNode {
+			return wantKind(nd, numberNode.String())
+		}
+		return setNumber(val, nd.text)
+	}
+	return ""
+}
+
+func setText(val reflect.Value, nd node) string {
+	form, ok := forms[val.Type()]
+	if !ok {
+		form = "text of type " + val.Type().Name()
+	}
+	if nd.kind != stringNode {
+		return wantKind(nd, form)
+	}
+	if val.Type() == durationType {
+		dur, err := time.ParseDuration(nd.text)
+		if err != nil {
+			return strconv.Quote(nd.text) + " is not " + form
+		}
+		val.SetInt(int64(dur))
+		return ""
+	}
+	if nd.text == "" {
+		// netip types read an empty text as the zero value, which no field means.
+		return "is empty, want " + form
+	}
+	dst := val.Addr().Interface().(encoding.TextUnmarshaler)
+	if err := dst.UnmarshalText([]byte(nd.text)); err != nil {
+		return strconv.Quote(nd.text) + " is not " + form
+	}
+	return ""
+}
+
+func setNumber(val reflect.Value, txt string) string {
+	switch {
+	case val.CanInt():
+		num, err := strconv.ParseInt(txt, 10, val.Type().Bits())
+		if err != nil {
+			return txt + " is not a whole number in range"
+		}
+		val.SetInt(num)
+	case val.CanUint():
+		num, err := strconv.ParseUint(txt, 10, val.Type().Bits())
+		if err != nil {
+			return txt + " is not a whole number of at least 0 in range"
+		}
+		val.SetUint(num)
+	case val.CanFloat():
+		num, err := strconv.ParseFloat(txt, val.Type().Bits())
+		if err != nil {
+			return txt + " is not a number in range"
+		}
+		val.SetFloat(num)
+	}
+	return ""
+}
+
+func wantKind(nd node, want string) string { return "is " + nd.kind.String() + ", want " + want }
+
+// scalarNode returns the node that a document would hold for a default's text.
+func scalarNode(val reflect.Value, txt string) node {
+	nd := node{kind: numberNode, text: txt}
+	switch {
+	case reflect.PointerTo(val.Type()).Implements(textType), val.Type() == durationType, val.Kind() == reflect.String:
+		nd.kind = stringNode
+	case val.Kind() == reflect.Bool:
+		nd.kind = boolNode
+	}
+	return nd
+}
+
+// checkScalar compares a value with its tags and returns what is wrong, or "".
+func checkScalar(val reflect.Value, tag reflect.StructTag) string {
+	if tag.Get("required") == "true" && val.IsZero() {
+		return "must not be empty"
+	}
+	if accepted := oneOf(tag); accepted != nil && !slices.Contains(accepted, val.String()) {
+		return strconv.Quote(val.String()) + " is not accepted"
+	}
+	if txt, ok := tag.Lookup("min"); ok && numberOf(val) < numberOf(bound(val, txt)) {
+		return "must be at least " + txt
+	}
+	if txt, ok := tag.Lookup("max"); ok && numberOf(val) > numberOf(bound(val, txt)) {
+		return "must be at most " + txt
+	}
+	return ""
+}
+
+func bound(val reflect.Value, txt string) reflect.Value {
+	limit := reflect.New(val.Type()).Elem()
+	if msg := setScalar(limit, scalarNode(limit, txt)); msg != "" {
+		panic("bwsettings: bound " + txt + " " + msg)
+	}
+	return limit
+}
+
+func numberOf(val reflect.Value) float64 {
+	switch {
+	case val.CanInt():
+		return float64(val.Int())
+	case val.CanUint():
+		return float64(val.Uint())
+	case val.CanFloat():
+		return val.Float()
+	}
+	panic("bwsettings: bounds on type " + val.Type().String())
+}
--- a/io/bwwire/ticket.go
+++ b/io/bwwire/ticket.go
@@ -28,10 +28,11 @@
 }
 
 // ServiceDocument is the written form of bwmodel.Service.
+// The oneof tags tell bwsettings the accepted values.
 type ServiceDocument struct {
 	Name       bwmodel.ServiceID
-	Kind       string
-	Class      string
+	Kind       string `oneof:"Model,Plain"`
+	Class      string `oneof:"Prompt,Deferrable"`
 	QueueLimit int
 	Deadline   DurationText
 	Actions    []string `json:",omitempty"`
