--- /dev/null
+++ b/io/bwhttp/server.go
@@ -0,0 +1,121 @@
+package bwhttp
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+)
+
+// Server serves one listener within its bounds.
+type Server struct {
+	http *http.Server
+	lis  net.Listener
+	done chan struct{}
+	err  error
+}
+
+// ServerConfig configures a Server.
+type ServerConfig struct {
+	// Address is where the server listens; port 0 picks a free port.
+	Address netip.AddrPort
+	Handler http.Handler
+	// TLS secures the listener when set.
+	TLS    *tls.Config
+	Bounds Bounds
+	// Fail answers requests that break a bound; nil answers with the status and plain text.
+	Fail func(http.ResponseWriter, *http.Request, error)
+	// Log receives the faults of connections; nil discards them.
+	Log *slog.Logger
+}
+
+// Listen opens the listener; no request is served before Start.
+func Listen(cfg ServerConfig) (*Server, error) {
+	cfg.Bounds.setDefaults()
+	if cfg.Fail == nil {
+		cfg.Fail = FailText
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	lis, err := net.Listen("tcp", cfg.Address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen on %v: %w", cfg.Address, err)
+	}
+	bounded := &boundedHandler{
+		next:   cfg.Handler,
+		bounds: cfg.Bounds,
+		slots:  make(chan struct{}, cfg.Bounds.Streams),
+		fail:   cfg.Fail,
+	}
+	srv := &Server{
+		http: &http.Server{
+			Handler:           bounded,
+			TLSConfig:         cfg.TLS,
+			MaxHeaderBytes:    cfg.Bounds.HeaderBytes,
+			ReadHeaderTimeout: cfg.Bounds.HeaderTimeout,
+			IdleTimeout:       cfg.Bounds.IdleTimeout,
+			ErrorLog:          slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug),
+		},
+		lis:  lis,
+		done: make(chan struct{}),
+	}
+	return srv, nil
+}
+
+// Address returns where the server listens, with the port it was given.
+func (srv *Server) Address() netip.AddrPort {
+	addr := srv.lis.Addr().(*net.TCPAddr).AddrPort()
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+}
+
+// Start serves requests until Shutdown or Close.
+func (srv *Server) Start() { go srv.run() }
+
+// Done is closed when the server accepts no more connections.
+func (srv *Server) Done() <-chan struct{} { return srv.done }
+
+// Err returns why the server ended by itself, and nil after Shutdown or
+// Close; it is valid once Done is closed.
+func (srv *Server) Err() error { return srv.err }
+
+// Shutdown stops accepting and waits for the requests in progress; when the
+// context ends first it cuts them off and returns the context's error.
+func (srv *Server) Shutdown(ctx context.Context) error {
+	if err := srv.http.Shutdown(ctx); err != nil {
+		_ = srv.http.Close()
+		return fmt.Errorf("shut down %v: %w", srv.Address(), err)
+	}
+	return nil
+}
+
+// Close stops the server and cuts off its requests.
+func (srv *Server) Close() error { return srv.http.Close() }
+
+func (srv *Server) run() {
+	defer close(srv.done)
+	var err error
+	if srv.http.TLSConfig != nil {
+		err = srv.http.ServeTLS(srv.lis, "", "")
+	} else {
+		err = srv.http.Serve(srv.lis)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		srv.err = fmt.Errorf("serve %v: %w", srv.Address(), err)
+	}
+}
+
+// FailText answers with an error's status and text; errors other than
+// *RequestError are answered with 500.
+func FailText(rw http.ResponseWriter, _ *http.Request, err error) {
+	status := http.StatusInternalServerError
+	var req *RequestError
+	if errors.As(err, &req) {
+		status = req.Status
+	}
+	http.Error(rw, err.Error(), status)
+}
