--- a/io/bwobserve/doc.go
+++ b/io/bwobserve/doc.go
@@ -1,2 +1,2 @@
-// Package bwobserve sets up logs and metrics.
+// Package bwobserve sets up the log and declares every metric of the system.
 package bwobserve
--- /dev/null
+++ b/io/bwobserve/log.go
@@ -0,0 +1,60 @@
+package bwobserve
+
+import (
+	"io"
+	"log/slog"
+	"net/netip"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// LogConfig configures the log of a process.
+type LogConfig struct {
+	// Output receives one JSON object a line.
+	Output io.Writer
+	Level  slog.Level
+	// Member is the process's identity, which each line carries.
+	Member bwmodel.Member
+	// Version is the program's version, which each line carries.
+	Version string
+}
+
+// NewLog returns the log of a process.
+func NewLog(cfg LogConfig) *slog.Logger {
+	hdl := slog.NewJSONHandler(cfg.Output, &slog.HandlerOptions{Level: cfg.Level, ReplaceAttr: renameField})
+	attrs := []slog.Attr{
+		slog.String("Member", string(cfg.Member.ID)),
+		slog.Uint64("Incarnation", uint64(cfg.Member.Incarnation)),
+		slog.String("Role", cfg.Member.Role.String()),
+		slog.String("Region", string(cfg.Member.Region)),
+		slog.String("Zone", string(cfg.Member.Zone)),
+		slog.String("Version", cfg.Version),
+	}
+	return slog.New(hdl.WithAttrs(attrs))
+}
+
+// renameField gives slog's own fields names like all others in our formats,
+// and writes addresses as text.
+func renameField(groups []string, attr slog.Attr) slog.Attr {
+	if len(groups) == 0 {
+		switch attr.Key {
+		case slog.TimeKey:
+			attr.Key = "Time"
+		case slog.LevelKey:
+			attr.Key = "Level"
+		case slog.MessageKey:
+			attr.Key = "Message"
+		case slog.SourceKey:
+			attr.Key = "Source"
+		}
+	}
+	switch attr.Value.Kind() {
+	case slog.KindDuration:
+		attr.Value = slog.StringValue(attr.Value.Duration().String())
+	case slog.KindAny:
+		if addr, ok := attr.Value.Any().(netip.AddrPort); ok {
+			attr.Value = slog.StringValue(addr.String())
+		}
+	}
+	return attr
+}
