Test the member directory's decisions

Cause: the directory landed without tests of its own. Change: tests for a lagging list, incarnations, watchers, record holders, pushes and subsets. Check: go test -race core/bwmember passes. Conclusion: no change of behaviour.

--- /dev/null
+++ b/core/bwmember/member_test.go
@@ -0,0 +1,152 @@
+package bwmember_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwmember"
+	"bilberrywick/core/bwmodel"
+)
+
+type clock struct{ now time.Time }
+
+func (clk *clock) read() time.Time { return clk.now }
+
+func router(id bwmodel.MemberID, zone bwmodel.ZoneID) bwmodel.Member {
+	return bwmodel.Member{ID: id, Incarnation: 1, Role: bwmodel.RouterRole, Zone: zone}
+}
+
+func statuses(dir *bwmember.Directory) map[bwmodel.MemberID]bwmember.Status {
+	got := make(map[bwmodel.MemberID]bwmember.Status)
+	for _, ent := range dir.Entries() {
+		got[ent.Member.ID] = ent.Status
+	}
+	return got
+}
+
+// Guards against a lagging list that hides a live member or shows a silent one as live.
+func TestListLagsBehindEvidence(t *testing.T) {
+	clk := &clock{now: time.Unix(1e6, 0)}
+	dir := bwmember.NewDirectory(bwmember.Config{Self: router("self", "Bole"), Now: clk.read})
+	leaving := router("c", "Bole")
+	leaving.Leaving = true
+	dir.Hear(router("a", "Bole"), 0)
+	dir.List([]bwmodel.Member{router("b", "Bole"), leaving})
+	want := map[bwmodel.MemberID]bwmember.Status{"a": bwmember.Live, "b": bwmember.Suspect, "c": bwmember.Leaving}
+	if got := statuses(dir); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("got %v, want %v", got, want)
+	}
+	clk.now = clk.now.Add(4 * time.Second)
+	dir.Hear(router("b", "Bole"), time.Second)
+	dir.Hear(router("a", "Bole"), 5*time.Second)
+	want = map[bwmodel.MemberID]bwmember.Status{"a": bwmember.Suspect, "b": bwmember.Live, "c": bwmember.Leaving}
+	if got := statuses(dir); fmt.Sprint(got) != fmt.Sprint(want) {
+		t.Errorf("after 4 s: got %v, want %v", got, want)
+	}
+}
+
+// Guards against a message of an earlier run that revives a member, and
+// against a leaving member that returns without a restart.
+func TestIncarnations(t *testing.T) {
+	clk := &clock{now: time.Unix(1e6, 0)}
+	dir := bwmember.NewDirectory(bwmember.Config{Self: router("self", "Bole"), Now: clk.read})
+	leaving := router("a", "Bole")
+	leaving.Leaving = true
+	dir.Hear(leaving, time.Second)
+	dir.Hear(router("a", "Bole"), 0)
+	if got := statuses(dir)["a"]; got != bwmember.Leaving {
+		t.Errorf("same incarnation: got %v, want Leaving", got)
+	}
+	next := router("a", "Bole")
+	next.Incarnation = 2
+	dir.Hear(next, 0)
+	dir.Hear(leaving, 0)
+	dir.List([]bwmodel.Member{leaving})
+	if got := statuses(dir)["a"]; got != bwmember.Live {
+		t.Errorf("after a restart: got %v, want Live", got)
+	}
+}
+
+func entries(zones ...bwmodel.ZoneID) []bwmember.Entry {
+	var ents []bwmember.Entry
+	for _, zone := range zones {
+		for ix := range 10 {
+			mem := router(bwmodel.MemberID(fmt.Sprint(zone, ix)), zone)
+			ents = append(ents, bwmember.Entry{Member: mem, Status: bwmember.Live})
+		}
+	}
+	return ents
+}
+
+// Guards against a zone in which nobody or everybody polls the store.
+func TestTwoWatchersPerZone(t *testing.T) {
+	all := entries("Bole", "Kality")
+	watchers := make(map[bwmodel.ZoneID]int)
+	for ix, ent := range all {
+		others := append(append([]bwmember.Entry(nil), all[:ix]...), all[ix+1:]...)
+		if bwmember.Watches(ent.Member, others) {
+			watchers[ent.Member.Zone]++
+		}
+	}
+	if watchers["Bole"] != 2 || watchers["Kality"] != 2 {
+		t.Errorf("got watchers %v, want 2 in each zone", watchers)
+	}
+}
+
+// Guards against a copy of a record in the zone whose loss it must survive.
+func TestRecordHolderIsInAnotherZone(t *testing.T) {
+	self := router("self", "Bole")
+	chosen := make(map[bwmodel.MemberID]int)
+	for ix := range 200 {
+		holders := bwmember.RecordHolders(self, entries("Bole", "Kality", "Merkato"), bwmodel.RequestID{byte(ix)})
+		if holders[0].Zone == self.Zone || len(holders) != 30 {
+			t.Fatalf("got %d holders, first %v", len(holders), holders[0])
+		}
+		chosen[holders[0].ID]++
+	}
+	if len(chosen) < 15 {
+		t.Errorf("200 requests use %d of 20 holders", len(chosen))
+	}
+	if holders := bwmember.RecordHolders(self, entries("Bole"), bwmodel.RequestID{}); len(holders) != 10 {
+		t.Errorf("with one zone: got %d holders, want 10", len(holders))
+	}
+}
+
+// Guards against a push that stays within the own zone.
+func TestPushCrossesZones(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for range 20 {
+		zones := make(map[bwmodel.ZoneID]int)
+		for _, mem := range bwmember.PushTargets(router("self", "Bole"), entries("Bole", "Kality", "Merkato"), 6, rng) {
+			zones[mem.Zone]++
+		}
+		if zones["Kality"] != 1 || zones["Merkato"] != 1 || zones["Bole"] != 4 {
+			t.Errorf("got targets in %v, want one in each other zone and 4 in the own", zones)
+		}
+	}
+}
+
+// Guards against a subset that one zone's loss empties.
+func TestSubsetSpansTwoZones(t *testing.T) {
+	var ups []bwmodel.Upstream
+	for ix := range 100 {
+		zone := bwmodel.ZoneID("Bole")
+		if ix == 0 {
+			zone = "Kality"
+		}
+		ups = append(ups, bwmodel.Upstream{Name: bwmodel.UpstreamID(fmt.Sprint("u", ix)), Region: "Addis", Zone: zone})
+	}
+	for ix := range 20 {
+		self := router(bwmodel.MemberID(fmt.Sprint("r", ix)), "Bole")
+		self.Region = "Addis"
+		zones := make(map[bwmodel.ZoneID]int)
+		for _, up := range bwmember.Subset(self, ups, 8) {
+			zones[up.Zone]++
+		}
+		if zones["Kality"] != 1 || zones["Bole"] != 7 {
+			t.Errorf("router %d follows %v, want 8 upstreams in 2 zones", ix, zones)
+		}
+	}
+}
