Test the store's errors under faults

Cause: a lost answer must not look like a refusal. TransactionInProgressException was taken for a refusal. Check: go test -race standin/bwfakestore passes.

--- a/io/bwstore/error.go
+++ b/io/bwstore/error.go
@@ -44,6 +44,9 @@
 	"SlowDown":                               true,
 }
 
+// inProgress is refused with a client error although the same write may be under way.
+const inProgress = "TransactionInProgressException"
+
 const conditionFailed = "ConditionalCheckFailed"
 
 // readError translates the error of a read, which changes nothing.
@@ -94,7 +97,7 @@
 // refused reports whether the platform found the request itself wrong.
 func refused(err error) bool {
 	var api smithy.APIError
-	if !errors.As(err, &api) || notApplied[api.ErrorCode()] {
+	if !errors.As(err, &api) || notApplied[api.ErrorCode()] || api.ErrorCode() == inProgress {
 		return false
 	}
 	status := statusOf(err)
--- a/standin/bwfakestore/store_test.go
+++ b/standin/bwfakestore/store_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/netip"
 	"testing"
+	"time"
 
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwstore"
@@ -19,7 +20,7 @@
 	t.Cleanup(srv.Close)
 	cl, err := bwstore.New(bwstore.Config{
 		Table: srv.Table(), Objects: srv.Objects(), List: srv.List(),
-		Region: "sk-stred", AccessKey: "a", SecretKey: "s", TableName: "t", Bucket: "b",
+		Region: "sk-stred", AccessKey: "a", SecretKey: "s", TableName: "t", Bucket: "b", Timeout: 300 * time.Millisecond,
 	})
 	if err != nil {
 		t.Fatal(err)
