--- a/core/bwticket/check_test.go
+++ b/core/bwticket/check_test.go
@@ -67,10 +67,15 @@
 			}
 		})
 	}
-	want := `Upstreams[1].Service: service "x" does not exist`
-	got := bwticket.Check(st, tests[1].tk)[1].String()
-	if got != want {
-		t.Errorf("got %q, want %q", got, want)
+}
+
+// Guards against a fault whose text doesn't say where it is.
+func TestFaultText(t *testing.T) {
+	st := bwticket.NewState(bwticket.StateConfig{})
+	tk := bwticket.Ticket{Number: 1, Upstreams: []bwmodel.Upstream{upstream("u1", "x", 1)}}
+	want := `Upstreams[0].Service: service "x" does not exist`
+	if got := bwticket.Check(st, tk); len(got) != 1 || got[0].String() != want {
+		t.Errorf("got %v, want %q", got, want)
 	}
 }
 
--- a/standin/bwfakestore/fleet_test.go
+++ b/standin/bwfakestore/fleet_test.go
@@ -23,6 +23,19 @@
 
 func (sv served) run(ctx context.Context) { _ = sv.srv.Serve(ctx, sv.lis) }
 
+func listen(t *testing.T, count int) (listeners []net.Listener, addrs []netip.AddrPort) {
+	t.Helper()
+	for range count {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		listeners = append(listeners, lis)
+		addrs = append(addrs, lis.Addr().(*net.TCPAddr).AddrPort())
+	}
+	return listeners, addrs
+}
+
 // Guards against a ticket that is accepted but does not reach processes that
 // don't read the store themselves.
 func TestTicketReachesEveryProcess(t *testing.T) {
@@ -42,16 +55,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var listeners []net.Listener
-	var seeds []netip.AddrPort
-	for range 6 {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		listeners = append(listeners, lis)
-		seeds = append(seeds, lis.Addr().(*net.TCPAddr).AddrPort())
-	}
+	listeners, seeds := listen(t, 6)
 	var fleets []*bwfleet.Fleet
 	var changes []<-chan struct{}
 	for ix, lis := range listeners {
