Suspend slow upstreams, adapt limits and view prefix caches in the chooser

Cause: the first chooser priced upstreams by a report that is seconds late and kept using one that answers slowly.

Change: an upstream whose own answers exceed three times the median of its peers is suspended and probed with one request at a time; it returns with a limit of 2. The limit of an upstream follows the gradient of its latency. Cache events fill a table of fixed size that is read without locks; a gap halves the trust in it. What routers have sent since a report is scaled by the number of routers seen in the reports. Above 32 upstreams a sample is compared.

--- a/core/bwroute/chooser.go
+++ b/core/bwroute/chooser.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -14,11 +16,19 @@
 // Chooser selects upstreams for one service.
 type Chooser struct {
 	cfg     Config
+	begin   time.Time
 	current atomic.Pointer[snapshot]
 	turn    atomic.Uint64
 	freed   signal
-	// nodes belongs to the control goroutine.
-	nodes map[bwmodel.UpstreamID]*node
+	holders *holderIndex
+	// meanTokens is the smoothed expected work of a request.
+	meanTokens number
+
+	// The rest belongs to the control goroutine.
+	nodes     map[bwmodel.UpstreamID]*node
+	ordered   []*node
+	slots     slotTable
+	refreshed time.Time
 }
 
 // Config holds what a Chooser starts from.
@@ -29,14 +39,22 @@
 	Now  func() time.Time
 	// Policy selects among candidates; the zero value means LeastCost.
 	Policy Policy
-	// Seed makes the random parts repeatable; 0 draws a seed.
+	// Seed makes the random parts repeatable; 0 draws a seed. Routers that share
+	// a seed choose alike, so it is set in tests only.
 	Seed uint64
-	// ZonePenalty is the cost of a choice in another zone; 0 means 3 ms.
+	// ZonePenalty is the cost of a choice in another zone; 0 means 3 ms, which
+	// is a round trip between the zones of today's deployments.
 	ZonePenalty time.Duration
 	// BlockTime is the prefill time that one cached prefix block saves; 0 means 2 ms.
 	BlockTime time.Duration
+	// CacheBlocks is the number of prefix blocks remembered for each upstream; 0
+	// means 8192.
+	CacheBlocks int
 	// ProbePause is the first pause before a slow upstream is tried again; 0 means 1 s.
 	ProbePause time.Duration
+	// MaxLimit bounds the requests in flight to an upstream without a number of
+	// slots; 0 means 256.
+	MaxLimit int
 }
 
 // Status is what a router learned of one upstream from its agent.
@@ -53,13 +71,11 @@
 const (
 	defaultZonePenalty = 3 * time.Millisecond
 	defaultBlockTime   = 2 * time.Millisecond
+	defaultCacheBlocks = 8192
 	defaultProbePause  = time.Second
-	// scanLimit is the number of upstreams up to which every one is compared.
-	scanLimit = 32
-	// sampleSize is the number of upstreams compared above scanLimit.
-	sampleSize = 8
-	// loggedCandidates bounds the candidates of a Decision.
-	loggedCandidates = 8
+	defaultMaxLimit    = 256
+	// refreshInterval is the age from which Observe renews the medians.
+	refreshInterval = 100 * time.Millisecond
 )
 
 // New returns a chooser without upstreams.
@@ -70,19 +86,18 @@
 	if cfg.Policy.Pick == nil {
 		cfg.Policy = LeastCost()
 	}
-	if cfg.ZonePenalty == 0 {
-		cfg.ZonePenalty = defaultZonePenalty
-	}
-	if cfg.BlockTime == 0 {
-		cfg.BlockTime = defaultBlockTime
-	}
-	if cfg.ProbePause == 0 {
-		cfg.ProbePause = defaultProbePause
-	}
+	cfg.ZonePenalty = orDefault(cfg.ZonePenalty, defaultZonePenalty)
+	cfg.BlockTime = orDefault(cfg.BlockTime, defaultBlockTime)
+	cfg.CacheBlocks = orDefault(cfg.CacheBlocks, defaultCacheBlocks)
+	cfg.ProbePause = orDefault(cfg.ProbePause, defaultProbePause)
+	cfg.MaxLimit = orDefault(cfg.MaxLimit, defaultMaxLimit)
 	if cfg.Seed == 0 {
 		cfg.Seed = rand.Uint64()
 	}
-	chs := &Chooser{cfg: cfg, nodes: map[bwmodel.UpstreamID]*node{}}
+	chs := &Chooser{
+		cfg: cfg, begin: cfg.Now(), nodes: map[bwmodel.UpstreamID]*node{},
+		holders: newHolderIndex(cfg.CacheBlocks),
+	}
 	chs.freed.reset()
 	chs.current.Store(&snapshot{})
 	return chs, nil
@@ -96,13 +111,21 @@
 		if up.Service != chs.cfg.Service {
 			continue
 		}
-		nd := chs.nodes[up.Name]
-		if nd == nil {
-			nd = newNode(up)
+		if old := chs.nodes[up.Name]; old != nil {
+			nodes[up.Name] = old.with(up)
+		} else {
+			nodes[up.Name] = chs.newNode(up)
+		}
+	}
+	for id, nd := range chs.nodes {
+		if nodes[id] == nil {
+			chs.slots.release(nd.slot)
 		}
-		nodes[up.Name] = nd.with(up)
 	}
 	chs.nodes = nodes
+	chs.ordered = slices.SortedFunc(maps.Values(nodes), func(na, nb *node) int {
+		return strings.Compare(string(na.up.Name), string(nb.up.Name))
+	})
 	chs.publish()
 }
 
@@ -113,34 +136,54 @@
 	if nd == nil {
 		return
 	}
-	nd.observe(chs.cfg.Now(), st)
+	now := chs.cfg.Now()
+	old := nd.report.Load()
+	if old != nil && old.Incarnation != st.Incarnation {
+		nd.cache.reset()
+		nd.work.health.renew()
+	}
+	nd.observe(now, st, chs.meanTokens.load())
+	nd.cache.apply(st.Cache, nd.slot, chs.holders)
+	if old == nil || now.Sub(chs.refreshed) >= refreshInterval || !slices.Equal(old.Load.Models, st.Load.Models) {
+		chs.publish()
+		return
+	}
 	chs.freed.broadcast()
 }
 
-// Refresh recomputes the medians that slow upstreams are compared with. The
-// control goroutine calls it several times a second.
-func (chs *Chooser) Refresh() {
-	chs.publish()
-}
+// Refresh renews the medians that upstreams are compared with. The control
+// goroutine calls it several times a second; Observe does so as well when the
+// last time is 100 ms ago.
+func (chs *Chooser) Refresh() { chs.publish() }
 
 // Choose selects an upstream and counts the request against it until the
 // choice's Finish. It returns a *NoFreeError when every usable upstream is at
 // its limit and a *NoUpstreamError when none is usable.
 func (chs *Chooser) Choose(req Request) (Choice, Decision, error) {
-	snap := chs.current.Load()
-	now := chs.cfg.Now()
-	sel := selection{chs: chs, req: &req, now: now, turn: chs.turn.Add(1)}
-	sel.collect(snap)
+	sel := selection{
+		chs: chs, req: &req, now: chs.cfg.Now(), turn: chs.turn.Add(1), snap: chs.current.Load(),
+	}
+	sel.collect()
+	if nd := sel.takeProbe(); nd != nil {
+		chc := chs.choice(&lease{nd: nd, tokens: req.Tokens, probe: true, claimed: true})
+		return chc, sel.decision(nd, ReasonProbe), nil
+	}
+	reason := ReasonPolicy
+	if sel.slow == sel.seen {
+		sel.cands, reason = sel.suspended, ReasonAllSlow
+	}
+	sel.record()
 	for len(sel.cands) > 0 {
 		idx := chs.cfg.Policy.Pick(sel.cands, sel.turn)
 		nd := sel.cands[idx].node
-		if nd.acquire(req.Tokens, sel.limit(nd)) {
-			return chs.choice(nd, req.Tokens, false), sel.decision(idx), nil
+		if nd.work.acquire(req.Tokens, sel.limit(nd)) {
+			chc := chs.choice(&lease{nd: nd, tokens: req.Tokens, probe: reason == ReasonAllSlow})
+			return chc, sel.decision(nd, reason), nil
 		}
 		sel.busy++
 		sel.cands = slices.Delete(sel.cands, idx, idx+1)
 	}
-	return Choice{}, sel.decision(-1), sel.failure()
+	return Choice{}, sel.decision(nil, sel.failureReason()), sel.failure()
 }
 
 // Wait chooses like Choose, but waits while every usable upstream is at its
@@ -166,53 +209,77 @@
 func (chs *Chooser) Freed() <-chan struct{} { return chs.freed.wait() }
 
 // Capacity returns the number of requests that the usable upstreams take at a
-// time, and how many of these places are free.
+// time, and how many of these places are free. Suspended upstreams count only
+// when no other is usable.
 func (chs *Chooser) Capacity() (total, free int) {
+	var slowTotal, slowFree int
 	for _, nd := range chs.current.Load().nodes {
 		if !nd.usable() {
 			continue
 		}
-		lim := nd.limitNow()
-		total += lim
-		free += max(0, lim-int(nd.work.inFlight.Load()))
+		lim := chs.limit(nd)
+		room := max(0, lim-int(nd.work.inFlight.Load()))
+		if chs.suspended(nd) {
+			slowTotal, slowFree = slowTotal+lim, slowFree+room
+			continue
+		}
+		total, free = total+lim, free+room
+	}
+	if total == 0 {
+		return slowTotal, slowFree
 	}
 	return total, free
 }
 
+func (chs *Chooser) limit(nd *node) int {
+	if chs.cfg.Policy.Plain {
+		return chs.maxLimit(nd.up)
+	}
+	return nd.work.limit.now()
+}
+
+func (chs *Chooser) suspended(nd *node) bool {
+	return !chs.cfg.Policy.Plain && nd.work.health.suspended.Load()
+}
+
+func (chs *Chooser) maxLimit(up bwmodel.Upstream) int {
+	if up.Slots > 0 {
+		return up.Slots
+	}
+	return chs.cfg.MaxLimit
+}
+
 func (chs *Chooser) publish() {
-	nodes := make([]*node, 0, len(chs.nodes))
-	for _, nd := range chs.nodes {
-		nodes = append(nodes, nd)
+	chs.refreshed = chs.cfg.Now()
+	for _, nd := range chs.ordered {
+		nd.past.add(chs.refreshed, nd.work.tokens.Load())
 	}
-	slices.SortFunc(nodes, func(na, nb *node) int {
-		if na.up.Name < nb.up.Name {
-			return -1
-		}
-		return 1
-	})
-	chs.current.Store(newSnapshot(nodes))
+	chs.current.Store(newSnapshot(chs.ordered))
 	chs.freed.broadcast()
 }
 
-func (chs *Chooser) choice(nd *node, tokens int, probe bool) Choice {
-	ls := &lease{chs: chs, nd: nd, tokens: tokens, probe: probe}
-	return Choice{Upstream: nd.up, Finish: ls.finish}
+func (chs *Chooser) newNode(up bwmodel.Upstream) *node {
+	wk := &work{}
+	wk.health.firstPause = chs.cfg.ProbePause
+	wk.limit.start(min(chs.maxLimit(up), startLimit(up)))
+	return &node{
+		up: up, slot: chs.slots.take(), work: wk, report: &atomic.Pointer[report]{},
+		cache: newCacheView(chs.cfg.CacheBlocks), past: &past{},
+	}
 }
 
-// lease is one request in flight.
-type lease struct {
-	chs    *Chooser
-	nd     *node
-	tokens int
-	probe  bool
-	done   atomic.Bool
+func (chs *Chooser) choice(ls *lease) Choice {
+	ls.chs = chs
+	if ls.tokens > 0 {
+		chs.meanTokens.blend(float64(ls.tokens), smoothing)
+	}
+	return Choice{Upstream: ls.nd.up, Finish: ls.finish, Started: ls.started, Probe: ls.probe}
 }
 
-func (ls *lease) finish(out Outcome) {
-	if ls.done.Swap(true) {
-		return
+func orDefault[T comparable](val, def T) T {
+	var zero T
+	if val == zero {
+		return def
 	}
-	ls.nd.release(ls.tokens)
-	ls.nd.learn(out)
-	ls.chs.freed.broadcast()
+	return val
 }
--- a/core/bwroute/node.go
+++ b/core/bwroute/node.go
@@ -9,68 +9,57 @@
 	"bilberrywick/core/bwmodel"
 )
 
-// snapshot is immutable; the control goroutine replaces it.
-type snapshot struct {
-	nodes []*node
-	// medianLatency and medianRate describe the peers, in seconds and in tokens per second.
-	medianLatency float64
-	medianRate    float64
-}
-
-func newSnapshot(nodes []*node) *snapshot {
-	lats := make([]float64, 0, len(nodes))
-	rates := make([]float64, 0, len(nodes))
-	for _, nd := range nodes {
-		if lat := nd.work.latency.load(); lat > 0 {
-			lats = append(lats, lat)
-		}
-		if rt := nd.rate(0); rt > 0 {
-			rates = append(rates, rt)
-		}
-	}
-	return &snapshot{nodes: nodes, medianLatency: lowerMedian(lats), medianRate: lowerMedian(rates)}
-}
-
-// node is an upstream in a snapshot; work and report outlive the snapshot.
+// node is an upstream in a snapshot; all but up outlives the snapshot.
 type node struct {
 	up     bwmodel.Upstream
+	slot   uint16
 	work   *work
 	report *atomic.Pointer[report]
+	cache  *cacheView
+	// past belongs to the control goroutine.
+	past *past
 }
 
 // work holds what traffic goroutines change.
 type work struct {
 	inFlight atomic.Int64
 	tokens   atomic.Int64
-	failures atomic.Int64
 	// latency is the smoothed time to the first token or response head, in seconds.
 	latency number
+	// sampled is when latency last changed, counted from the chooser's start.
+	sampled atomic.Int64
 	// pace is the smoothed rate of one request, in tokens per second.
-	pace  number
-	limit number
+	pace   number
+	limit  limit
+	health health
 }
 
 // report is the last status of an upstream; it is immutable.
 type report struct {
 	Status
-	// measured is when the upstream took the load's figures.
-	measured time.Time
-	// own is the router's own outstanding tokens when the report arrived.
-	own int64
-}
-
-func newNode(up bwmodel.Upstream) *node {
-	nd := &node{up: up, work: &work{}, report: &atomic.Pointer[report]{}}
-	nd.work.limit.store(float64(startLimit(up)))
-	return nd
+	// queued is the outstanding work of all routers when the upstream measured it.
+	queued float64
+	// own is the part of queued that came from this router.
+	own float64
 }
 
 func (nd *node) with(up bwmodel.Upstream) *node {
-	return &node{up: up, work: nd.work, report: nd.report}
-}
-
-func (nd *node) observe(now time.Time, st Status) {
-	nd.report.Store(&report{Status: st, measured: now.Add(-st.Load.Age), own: nd.work.tokens.Load()})
+	next := *nd
+	next.up = up
+	return &next
+}
+
+// observe stores a report. An upstream that counts requests but not tokens is
+// taken to hold requests of the mean size.
+func (nd *node) observe(now time.Time, st Status, meanTokens float64) {
+	st.Cache = nil
+	count := float64(st.Load.Running + st.Load.Waiting)
+	queued := max(float64(st.Load.QueuedTokens), count*max(1, meanTokens))
+	if st.Load.QueuedTokens > 0 {
+		queued = float64(st.Load.QueuedTokens)
+	}
+	own := float64(nd.past.at(now.Add(-st.Load.Age), nd.work.tokens.Load()))
+	nd.report.Store(&report{Status: st, queued: queued, own: min(own, queued)})
 }
 
 // usable reports whether the upstream may get new work at all.
@@ -83,14 +72,18 @@
 	return model == "" || slices.Contains(nd.report.Load().Load.Models, model)
 }
 
-// outstanding joins the router's own count with what others had queued.
-func (nd *node) outstanding() float64 {
-	own := nd.work.tokens.Load()
+// outstanding joins the router's own count with the lagging report. What has
+// changed since the report is the router's own change, and that of the other
+// routers, which are taken to behave alike: peers is the number of routers as
+// seen in the reports. Without this every router would fill the same upstream
+// until its next report.
+func (nd *node) outstanding(peers float64) float64 {
+	own := float64(nd.work.tokens.Load())
 	rep := nd.report.Load()
 	if rep == nil {
-		return float64(own)
+		return own
 	}
-	return float64(own + max(0, int64(rep.Load.QueuedTokens)-rep.own))
+	return max(own, rep.queued+peers*(own-rep.own))
 }
 
 // rate is the tokens per second that one request gets.
@@ -104,54 +97,81 @@
 	return fallback
 }
 
-func (nd *node) limitNow() int { return max(1, int(nd.work.limit.load())) }
-
-func (nd *node) acquire(tokens, limit int) bool {
-	if nd.work.inFlight.Add(1) > int64(limit) {
-		nd.work.inFlight.Add(-1)
+func (wk *work) acquire(tokens, lim int) bool {
+	if wk.inFlight.Add(1) > int64(lim) {
+		wk.inFlight.Add(-1)
 		return false
 	}
-	nd.work.tokens.Add(int64(tokens))
+	wk.tokens.Add(int64(tokens))
 	return true
 }
 
-func (nd *node) release(tokens int) {
-	nd.work.inFlight.Add(-1)
-	nd.work.tokens.Add(-int64(tokens))
+func (wk *work) release(tokens int) {
+	wk.inFlight.Add(-1)
+	wk.tokens.Add(-int64(tokens))
 }
 
 const smoothing = 0.25
 
-func (nd *node) learn(out Outcome) {
-	if out.Refused || out.Canceled {
-		return
-	}
-	if out.Failed {
-		nd.work.failures.Add(1)
-		return
-	}
-	nd.work.failures.Store(0)
-	nd.work.latency.blend(out.FirstToken.Seconds(), smoothing)
+func (wk *work) learnPace(out Outcome) {
 	if out.Elapsed > 0 && out.Tokens > 0 {
-		nd.work.pace.blend(float64(out.Tokens)/out.Elapsed.Seconds(), smoothing)
+		wk.pace.blend(float64(out.Tokens)/out.Elapsed.Seconds(), smoothing)
 	}
 }
 
-const unknownSlots = 16
-
 func startLimit(up bwmodel.Upstream) int {
 	if up.Slots > 0 {
 		return up.Slots
 	}
-	return unknownSlots
+	return firstLimit
+}
+
+// past remembers the router's own outstanding tokens, so that a lagging report
+// is compared with the count of its own time.
+type past struct {
+	entries [pastSize]pastEntry
+	next    int
+}
+
+type pastEntry struct {
+	at     time.Time
+	tokens int64
 }
 
-func lowerMedian(vals []float64) float64 {
-	if len(vals) == 0 {
-		return 0
+// pastSize entries at least pastSpacing apart reach back 6.4 s, more than the
+// 5 s by which reports lag.
+const (
+	pastSize    = 64
+	pastSpacing = 100 * time.Millisecond
+)
+
+func (ps *past) add(now time.Time, tokens int64) {
+	newest := ps.entries[(ps.next+pastSize-1)%pastSize]
+	if !newest.at.IsZero() && now.Sub(newest.at) < pastSpacing {
+		return
+	}
+	ps.entries[ps.next] = pastEntry{at: now, tokens: tokens}
+	ps.next = (ps.next + 1) % pastSize
+}
+
+// at returns the newest count that is not newer than a time, or the oldest; it
+// returns current when the time is later than every entry by the spacing.
+func (ps *past) at(tm time.Time, current int64) int64 {
+	oldest := current
+	for cnt := 1; cnt <= pastSize; cnt++ {
+		ent := ps.entries[(ps.next+pastSize-cnt)%pastSize]
+		if ent.at.IsZero() {
+			break
+		}
+		if !ent.at.After(tm) {
+			if cnt == 1 && tm.Sub(ent.at) >= pastSpacing {
+				return current
+			}
+			return ent.tokens
+		}
+		oldest = ent.tokens
 	}
-	slices.Sort(vals)
-	return vals[(len(vals)-1)/2]
+	return oldest
 }
 
 // number is a float64 that several goroutines change.
--- a/core/bwroute/selection.go
+++ b/core/bwroute/selection.go
@@ -1,128 +1,78 @@
 package bwroute
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"slices"
 	"time"
-
-	"bilberrywick/core/bwmodel"
 )
 
-// Candidate is an upstream that a policy may pick.
-type Candidate struct {
-	Upstream bwmodel.UpstreamID
-	Cost     time.Duration
-	InFlight int
-	// Tokens is the outstanding work expected at the upstream.
-	Tokens int
-	// SlowFactor is the upstream's latency relative to the median of its peers, at least 1.
-	SlowFactor float64
-	// CachedBlocks is the length of the request's prefix that the upstream is believed to hold.
-	CachedBlocks int
-
-	node *node
-}
-
-// Decision says how a choice came about, for one log line.
-type Decision struct {
-	Policy string
-	// Chosen is empty when no upstream was free.
-	Chosen bwmodel.UpstreamID
-	Reason Reason
-	// Candidates holds at most eight of the upstreams compared, the cheapest first.
-	Candidates []Candidate
-	// Compared, AtLimit and Upstreams count the upstreams compared, found at
-	// their limit, and known.
-	Compared  int
-	AtLimit   int
-	Upstreams int
+// selection is the work of one Choose.
+type selection struct {
+	chs  *Chooser
+	req  *Request
+	now  time.Time
+	turn uint64
+	snap *snapshot
+	// cands are free and not suspended; suspended are free.
+	cands     []Candidate
+	suspended []Candidate
+	log       []Candidate
+	probe     *node
+	seen      int
+	busy      int
+	slow      int
 }
 
-// Reason says why an upstream was chosen, or why none was.
-type Reason string
-
-// Reasons of a decision.
 const (
-	ReasonPolicy   Reason = "policy"
-	ReasonProbe    Reason = "probe of a slow upstream"
-	ReasonAllSlow  Reason = "every usable upstream is slow"
-	ReasonNoFree   Reason = "every usable upstream is at its limit"
-	ReasonUnusable Reason = "no usable upstream"
+	// scanLimit is the number of upstreams up to which every one is compared.
+	scanLimit = 32
+	// sampleSize is the number of upstreams compared above scanLimit.
+	sampleSize = 8
+	// sampleLooks bounds the upstreams looked at for a sample; when none of them
+	// is free, all are.
+	sampleLooks = 64
+	// cachedHolders is the number of upstreams added to a sample for their cache.
+	cachedHolders = 2
+	// loggedCandidates bounds the candidates of a Decision.
+	loggedCandidates = 8
+	// costNoise is the random part of a cost, so that routers with equal views
+	// choose differently among upstreams that cost nearly the same.
+	costNoise = 0.1
 )
 
-// NoFreeError says that every usable upstream is at its limit; Freed tells when
-// to try again.
-type NoFreeError struct {
-	Service bwmodel.ServiceID
-	AtLimit int
-}
-
-// Error returns the service and the number of upstreams at their limit.
-func (err *NoFreeError) Error() string {
-	return fmt.Sprintf("service %q: no free upstream, %d at their limit", err.Service, err.AtLimit)
-}
-
-// NoUpstreamError says that no upstream of the service can take the request now.
-type NoUpstreamError struct {
-	Service   bwmodel.ServiceID
-	Model     string
-	Upstreams int
-	Excluded  int
-}
-
-// Error returns the service and the number of upstreams known and excluded.
-func (err *NoUpstreamError) Error() string {
-	return fmt.Sprintf("service %q, model %q: none of %d upstreams is usable, %d excluded",
-		err.Service, err.Model, err.Upstreams, err.Excluded)
-}
-
-// selection is the work of one Choose.
-type selection struct {
-	chs   *Chooser
-	req   *Request
-	now   time.Time
-	turn  uint64
-	snap  *snapshot
-	cands []Candidate
-	log   []Candidate
-	seen  int
-	busy  int
-}
-
-func (sel *selection) collect(snap *snapshot) {
-	sel.snap = snap
-	if len(snap.nodes) <= scanLimit {
-		sel.cands = make([]Candidate, 0, len(snap.nodes))
-		for _, nd := range snap.nodes {
+func (sel *selection) collect() {
+	nodes := sel.snap.serving(sel.req.Model)
+	if len(nodes) <= scanLimit {
+		sel.cands = make([]Candidate, 0, len(nodes))
+		for _, nd := range nodes {
 			sel.consider(nd)
 		}
-	} else {
-		sel.sample()
+		return
 	}
-	sel.log = sel.cheapest()
-}
-
-// sample considers random upstreams until enough of them are free, and at
-// worst every one, so that a mostly busy service still finds its free places.
-func (sel *selection) sample() {
-	sel.cands = make([]Candidate, 0, sampleSize)
-	nodes := sel.snap.nodes
-	rng := rand.New(rand.NewPCG(sel.chs.cfg.Seed, sel.turn))
-	start, step := rng.IntN(len(nodes)), stride(rng, len(nodes))
-	for cnt := 0; cnt < len(nodes) && len(sel.cands) < sampleSize; cnt++ {
+	sel.cands = make([]Candidate, 0, sampleSize+cachedHolders)
+	sel.considerHolders()
+	sel.sample(nodes)
+}
+
+// sample considers random upstreams until enough of them are free.
+func (sel *selection) sample(nodes []*node) {
+	rnd := mix(sel.chs.cfg.Seed ^ mix(sel.turn))
+	start, step := int(rnd%uint64(len(nodes))), stride(rnd>>32, len(nodes))
+	want := len(sel.cands) + sampleSize
+	for cnt := range nodes {
+		if len(sel.cands) >= want || (cnt >= sampleLooks && len(sel.cands) > 0) {
+			return
+		}
 		sel.consider(nodes[(start+cnt*step)%len(nodes)])
 	}
 }
 
 // stride returns a step that visits every index modulo size once.
-func stride(rng *rand.Rand, size int) int {
-	for {
-		step := 1 + rng.IntN(size-1)
-		if gcd(step, size) == 1 {
-			return step
-		}
+func stride(rnd uint64, size int) int {
+	step := 1 + int(rnd%uint64(size-1))
+	for gcd(step, size) != 1 {
+		step = step%size + 1
 	}
+	return step
 }
 
 func gcd(va, vb int) int {
@@ -132,77 +82,133 @@
 	return va
 }
 
+// considerHolders considers the upstreams that hold the most of the prefix.
+func (sel *selection) considerHolders() {
+	found := 0
+	for idx := len(sel.req.Prefix) - 1; idx >= 0 && found < cachedHolders; idx-- {
+		key := blockKey(sel.req.Prefix[idx])
+		sel.chs.holders.holders(key, func(slot uint16) bool {
+			nd := sel.snap.bySlot[slot]
+			if nd != nil && nd.cache.blocks.has(key) && !sel.has(nd) {
+				found++
+				sel.consider(nd)
+			}
+			return found < cachedHolders
+		})
+	}
+}
+
+func (sel *selection) has(nd *node) bool {
+	return slices.ContainsFunc(sel.cands, func(cd Candidate) bool { return cd.node == nd })
+}
+
 func (sel *selection) consider(nd *node) {
-	if !nd.usable() || slices.Contains(sel.req.Exclude, nd.up.Name) || !nd.serves(sel.req.Model) {
+	if !nd.usable() || !nd.serves(sel.req.Model) || slices.Contains(sel.req.Exclude, nd.up.Name) {
 		return
 	}
 	sel.seen++
 	cnt := int(nd.work.inFlight.Load())
-	if cnt >= sel.limit(nd) {
+	lim := sel.limit(nd)
+	slow := sel.chs.suspended(nd)
+	if slow {
+		sel.slow++
+		if sel.probe == nil && nd.work.health.due(sel.now.Sub(sel.chs.begin), sel.turn) {
+			sel.probe = nd
+		}
+	}
+	switch {
+	case cnt >= lim:
 		sel.busy++
-		return
+	case slow:
+		sel.suspended = append(sel.suspended, sel.price(nd, cnt, lim))
+	default:
+		sel.cands = append(sel.cands, sel.price(nd, cnt, lim))
 	}
-	sel.cands = append(sel.cands, sel.price(nd, cnt))
 }
 
-func (sel *selection) limit(nd *node) int {
-	if sel.chs.cfg.Policy.Plain {
-		return startLimit(nd.up)
+func (sel *selection) limit(nd *node) int { return sel.chs.limit(nd) }
+
+// takeProbe claims a due probe of a suspended upstream, or returns nil.
+func (sel *selection) takeProbe() *node {
+	nd := sel.probe
+	if nd == nil || len(sel.cands) == 0 || !nd.work.health.begin(sel.turn) {
+		return nil
+	}
+	if !nd.work.acquire(sel.req.Tokens, sel.limit(nd)) {
+		nd.work.health.probing.Store(false)
+		return nil
 	}
-	return nd.limitNow()
+	sel.record()
+	return nd
 }
 
 // price computes the cost of a request at an upstream: the time to work off
-// what is outstanding there and the request itself.
-func (sel *selection) price(nd *node, inFlight int) Candidate {
-	out := nd.outstanding()
+// what is outstanding there and the request itself, the prefill of what is not
+// cached, and the way to another zone; all of it times the slow factor.
+func (sel *selection) price(nd *node, inFlight, lim int) Candidate {
+	out := nd.outstanding(sel.snap.peers)
+	age := sel.now.Sub(sel.chs.begin) - time.Duration(nd.work.sampled.Load())
 	rate := nd.rate(sel.snap.medianRate)
 	if rate <= 0 {
 		rate = 1
 	}
-	sec := (out/float64(startLimit(nd.up)) + float64(sel.req.Tokens)) / rate
-	slow := sel.slowFactor(nd)
-	cost := time.Duration(sec * float64(time.Second))
+	if median := sel.snap.medianRate; rate < median {
+		rate = median / faded(median/rate, age)
+	}
+	sec := (out/float64(startLimit(nd.up)) + float64(max(1, sel.req.Tokens))) / rate
+	cached := nd.cache.cached(sel.req.Prefix)
+	trust := nd.cache.trust.load()
+	missing := float64(len(sel.req.Prefix)) - float64(cached)*trust
+	sec += missing * sel.chs.cfg.BlockTime.Seconds()
 	if nd.up.Zone != sel.chs.cfg.Zone {
-		cost += sel.chs.cfg.ZonePenalty
+		sec += sel.chs.cfg.ZonePenalty.Seconds()
 	}
+	slow := faded(relative(nd.work.latency.load(), sel.snap.medianLatency), age)
+	noise := 1 + costNoise*float64(mix(sel.chs.cfg.Seed^mix(sel.turn^uint64(nd.slot)<<40))>>40)/(1<<24)
 	return Candidate{
-		Upstream: nd.up.Name, Cost: time.Duration(float64(cost) * slow), InFlight: inFlight,
-		Tokens: int(out), SlowFactor: slow, node: nd,
+		Upstream: nd.up.Name, Cost: time.Duration(sec * slow * noise * float64(time.Second)),
+		InFlight: inFlight, Limit: lim, Tokens: int(out), SlowFactor: slow,
+		CachedBlocks: cached, CacheTrust: trust, node: nd,
 	}
 }
 
-func (sel *selection) slowFactor(nd *node) float64 {
-	lat := nd.work.latency.load()
-	if sel.snap.medianLatency <= 0 || lat <= 0 {
-		return 1
+// record keeps a copy of the cheapest candidates for the decision.
+func (sel *selection) record() {
+	var order [loggedCandidates + 1]int
+	kept := 0
+	for idx := range sel.cands {
+		place := kept
+		for place > 0 && sel.cands[order[place-1]].Cost > sel.cands[idx].Cost {
+			order[place] = order[place-1]
+			place--
+		}
+		order[place] = idx
+		kept = min(kept+1, loggedCandidates)
+	}
+	sel.log = make([]Candidate, kept)
+	for place, idx := range order[:kept] {
+		sel.log[place] = sel.cands[idx]
 	}
-	return max(1, lat/sel.snap.medianLatency)
-}
-
-// cheapest returns a copy of the first candidates by cost.
-func (sel *selection) cheapest() []Candidate {
-	cds := slices.Clone(sel.cands)
-	slices.SortFunc(cds, func(ca, cb Candidate) int { return int(ca.Cost - cb.Cost) })
-	return cds[:min(len(cds), loggedCandidates)]
 }
 
-func (sel *selection) decision(idx int) Decision {
+func (sel *selection) decision(nd *node, rsn Reason) Decision {
 	dec := Decision{
-		Policy: sel.chs.cfg.Policy.Name, Candidates: sel.log, Reason: ReasonPolicy,
-		Compared: sel.seen, AtLimit: sel.busy, Upstreams: len(sel.snap.nodes),
+		Policy: sel.chs.cfg.Policy.Name, Candidates: sel.log, Reason: rsn,
+		Compared: sel.seen, AtLimit: sel.busy, Suspended: sel.slow, Upstreams: len(sel.snap.nodes),
 	}
-	switch {
-	case idx >= 0:
-		dec.Chosen = sel.cands[idx].Upstream
-	case sel.seen > 0:
-		dec.Reason = ReasonNoFree
-	default:
-		dec.Reason = ReasonUnusable
+	if nd != nil {
+		dec.Chosen = nd.up.Name
 	}
 	return dec
 }
 
+func (sel *selection) failureReason() Reason {
+	if sel.seen > 0 {
+		return ReasonNoFree
+	}
+	return ReasonUnusable
+}
+
 func (sel *selection) failure() error {
 	if sel.seen > 0 {
 		return &NoFreeError{Service: sel.chs.cfg.Service, AtLimit: sel.busy}
