Add the operators' commands

Cause: operators need tickets, checks and the fleet's status in a terminal. The program adds its processes through Config.Commands. A ticket's conflict has a problem type of its own, so that one with head 0 keeps its exit code. Conclusion: go test -race passes.

--- a/cmd/bilberrywick/main.go
+++ b/cmd/bilberrywick/main.go
@@ -1,3 +1,29 @@
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"bilberrywick/cmd/bwcommand"
+)
+
+// version is set by the linker in released builds.
+var version = "dev"
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	cfg := bwcommand.Config{
+		Version: version,
+		Output:  os.Stdout,
+		Errors:  os.Stderr,
+		Getenv:  os.Getenv,
+		// Commands of the processes, the stand-ins and the bench are added here.
+		Commands: nil,
+	}
+	return bwcommand.Run(ctx, cfg, os.Args[1:])
+}
--- /dev/null
+++ b/cmd/bwcommand/connection.go
@@ -0,0 +1,98 @@
+package bwcommand
+
+import (
+	"bytes"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bilberrywick/io/bwadmin"
+	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwsettings"
+)
+
+// keyVariable is the environment variable that holds the operator's key; a key
+// in a flag would show in the list of processes.
+const keyVariable = "BILBERRYWICK_OPERATOR_KEY"
+
+// connection says how to reach the administration API of a process.
+type connection struct {
+	cfg       *Config
+	address   string
+	keyFile   string
+	authority string
+	name      string
+	timeout   time.Duration
+}
+
+func (cn *connection) addFlags(cmd *cobra.Command) {
+	flags := cmd.Flags()
+	flags.StringVar(&cn.address, "address", "127.0.0.1:7002", "address and port of a process's operators' listener")
+	flags.StringVar(&cn.keyFile, "key-file", "", "file with the operator's key; "+keyVariable+" when not set")
+	flags.StringVar(&cn.authority, "authority-file", "", "PEM file of the authority that signed the server's certificate; turns TLS on")
+	flags.StringVar(&cn.name, "server-name", "bilberrywick", "name in the server's certificate")
+	flags.DurationVar(&cn.timeout, "timeout", 10*time.Second, "longest wait for the answer")
+}
+
+// client returns a client, or a *UsageError, or the error of reading a file.
+func (cn *connection) client() (*bwadmin.Client, error) {
+	addr, err := netip.ParseAddrPort(cn.address)
+	if err != nil {
+		return nil, &UsageError{Err: fmt.Errorf("--address %q: want an address and port such as 192.0.2.1:7002", cn.address)}
+	}
+	key, err := cn.key()
+	if err != nil {
+		return nil, err
+	}
+	cfg := bwhttp.ClientConfig{Address: addr, Key: key, Timeout: cn.timeout}
+	if cn.authority != "" {
+		if cfg.TLS, err = cn.tls(); err != nil {
+			return nil, err
+		}
+	}
+	return bwadmin.NewClient(cfg), nil
+}
+
+func (cn *connection) key() (string, error) {
+	if cn.keyFile == "" {
+		return cn.cfg.Getenv(keyVariable), nil
+	}
+	data, err := os.ReadFile(cn.keyFile)
+	if err != nil {
+		return "", fmt.Errorf("operator's key: %w", err)
+	}
+	return string(bytes.TrimSpace(data)), nil
+}
+
+func (cn *connection) tls() (*tls.Config, error) {
+	pem, err := os.ReadFile(cn.authority)
+	if err != nil {
+		return nil, fmt.Errorf("authority: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("authority %s: no certificate in the file", cn.authority)
+	}
+	return &tls.Config{MinVersion: tls.VersionTLS13, RootCAs: roots, ServerName: cn.name}, nil
+}
+
+// classify marks errors of the connection itself, which have none of the types
+// that an answer is translated to.
+func classify(err error) error {
+	if err == nil {
+		return nil
+	}
+	var faults *bwsettings.Error
+	var conflict *bwadmin.ConflictError
+	var prob *bwadmin.ProblemError
+	if errors.As(err, &faults) || errors.As(err, &conflict) || errors.As(err, &prob) {
+		return err
+	}
+	return &unreachableError{err: err}
+}
--- /dev/null
+++ b/cmd/bwcommand/doc.go
@@ -0,0 +1,2 @@
+// Package bwcommand holds the operators' commands of the program bilberrywick.
+package bwcommand
--- a/io/bwadmin/client.go
+++ b/io/bwadmin/client.go
@@ -122,7 +122,7 @@
 	if len(prob.Faults) > 0 {
 		return &bwsettings.Error{Faults: prob.Faults}
 	}
-	if prob.Head > 0 {
+	if prob.Type == conflictType {
 		return &ConflictError{Head: prob.Head, Reason: prob.Detail}
 	}
 	return &ProblemError{Status: prob.Status, Title: prob.Title, Detail: prob.Detail}
--- a/io/bwadmin/error.go
+++ b/io/bwadmin/error.go
@@ -44,6 +44,9 @@
 
 const problemType = "application/problem+json"
 
+// conflictType tells a ticket's conflict from other ones with the same status.
+const conflictType = "urn:bilberrywick:ticket-conflict"
+
 // fail answers with problem details.
 func fail(rw http.ResponseWriter, _ *http.Request, err error) {
 	prob := newProblem(err)
@@ -67,7 +70,7 @@
 	}
 	var conflict *ConflictError
 	if errors.As(err, &conflict) {
-		prob.Head = conflict.Head
+		prob.Type, prob.Head = conflictType, conflict.Head
 	}
 	return prob
 }
