--- a/core/bwaction/outcome.go
+++ b/core/bwaction/outcome.go
@@ -20,7 +20,8 @@
 type NotRunError struct {
 	Reason     NotRunReason
 	RetryAfter time.Duration
-	Err        error
+	// Err is the cause; it is not unwrapped, so that errors.As finds one outcome only.
+	Err error
 }
 
 // Error returns the reason.
@@ -31,9 +32,6 @@
 	return fmt.Sprintf("action not run: %s", err.Reason)
 }
 
-// Unwrap returns the cause.
-func (err *NotRunError) Unwrap() error { return err.Err }
-
 // NotRunReason says why an action was not run.
 type NotRunReason string
 
@@ -43,6 +41,8 @@
 	NotReserved NotRunReason = "the action could not be reserved"
 	// NotAdmitted says that the request was turned away before it was reserved.
 	NotAdmitted  NotRunReason = "the request was not admitted"
+	NoService    NotRunReason = "there is no plain service of this name"
+	NotAllowed   NotRunReason = "the team may not call this service"
 	NeverStarted NotRunReason = "the action was never started"
 	// KeyReused says that the key belongs to another request body; only the
 	// request with the other body may have run.
@@ -56,7 +56,8 @@
 	// RequestNotRun says that this request has run nothing and never will, so that
 	// only an earlier or concurrent request with the same key can have.
 	RequestNotRun bool
-	Err           error
+	// Err is the cause; it is not unwrapped, so that errors.As finds one outcome only.
+	Err error
 }
 
 // Error returns the reason.
@@ -67,9 +68,6 @@
 	return fmt.Sprintf("outcome unknown: %s", err.Reason)
 }
 
-// Unwrap returns the cause.
-func (err *UnknownError) Unwrap() error { return err.Err }
-
 // UnknownReason says why an outcome is not known.
 type UnknownReason string
 
--- a/io/bwrouter/actions.go
+++ b/io/bwrouter/actions.go
@@ -73,36 +73,44 @@
 // ServeAction runs an action and answers with the upstream's whole response or
 // with a problem.
 func (act *Actions) ServeAction(wr http.ResponseWriter, hrq *http.Request) {
-	req, svc, prb := act.parse(wr, hrq)
+	psd, prb := act.parse(wr, hrq)
 	if prb != nil {
 		bwhttp.WriteProblem(wr, *prb)
 		return
 	}
-	job := &actionJob{act: act, req: req}
+	done, err := act.run(hrq.Context(), psd)
+	writeOutcome(wr, psd.req.Key, done, err)
+}
+
+// run admits and runs an action; a refusal is checked against earlier requests
+// with the same key.
+func (act *Actions) run(ctx context.Context, psd parsedAction) (bwaction.Done, error) {
+	req := psd.req
+	job := &actionJob{act: act}
+	defer job.drop()
 	co := act.coordinator(job)
-	grant, err := act.cfg.Admit(hrq.Context(), bwadmit.Request{
+	if psd.barred != nil {
+		return co.Refused(ctx, req, psd.barred)
+	}
+	grant, err := act.cfg.Admit(ctx, bwadmit.Request{
 		ID:      req.ID,
 		Service: req.Service,
 		Team:    req.Key.Team,
-		Class:   svc.Class,
+		Class:   psd.svc.Class,
 		Tokens:  1,
 	})
 	if err != nil {
-		done, err := co.Refused(hrq.Context(), req, notAdmitted(err))
-		writeOutcome(wr, req.Key, done, err)
-		return
+		return co.Refused(ctx, req, notAdmitted(err))
 	}
 	defer grant.Finish(1)
-	defer job.drop()
-	done, err := co.Run(hrq.Context(), req)
-	writeOutcome(wr, req.Key, done, err)
+	return co.Run(ctx, req)
 }
 
 // ServeQuery answers with the outcome of a key of the caller's team so far.
 func (act *Actions) ServeQuery(wr http.ResponseWriter, hrq *http.Request) {
 	team, ok := bwhttp.TeamFrom(hrq.Context())
 	if !ok {
-		bwhttp.WriteProblem(wr, bwhttp.Problem{Status: http.StatusUnauthorized, Outcome: bwhttp.OutcomeUnknown})
+		bwhttp.WriteProblem(wr, *unauthorized())
 		return
 	}
 	name, err := url.PathUnescape(mux.Vars(hrq)["key"])
@@ -131,7 +139,6 @@
 // actionJob keeps the choice of one request between its reservation and its dispatch.
 type actionJob struct {
 	act    *Actions
-	req    bwaction.Request
 	choice bwroute.Choice
 	held   bool
 }
--- a/io/bwrouter/actions_http.go
+++ b/io/bwrouter/actions_http.go
@@ -28,19 +28,27 @@
 // retryAfter is the advice for work that was refused for lack of an upstream.
 const retryAfter = time.Second
 
-// parse reads an action, or returns the problem to send; nothing has been run then.
-func (act *Actions) parse(wr http.ResponseWriter, hrq *http.Request) (bwaction.Request, bwmodel.Service, *bwhttp.Problem) {
-	team, svc, prb := authorize(hrq, act.cfg.Service)
-	if prb != nil {
-		return bwaction.Request{}, svc, prb
+// parsedAction is an action as the caller sent it.
+type parsedAction struct {
+	req bwaction.Request
+	svc bwmodel.Service
+	// barred says why the team may not run it now; an earlier request may have.
+	barred *bwaction.NotRunError
+}
+
+// parse reads an action, or returns the problem to send when it can't be one.
+func (act *Actions) parse(wr http.ResponseWriter, hrq *http.Request) (parsedAction, *bwhttp.Problem) {
+	team, ok := bwhttp.TeamFrom(hrq.Context())
+	if !ok {
+		return parsedAction{}, unauthorized()
 	}
 	name := hrq.Header.Get(idempotencyHeader)
 	if !validKey(name) {
-		return bwaction.Request{}, svc, invalid("header %s must have 1 to %d printable ASCII characters", idempotencyHeader, maxKeyLength)
+		return parsedAction{}, invalid("header %s must have 1 to %d printable ASCII characters", idempotencyHeader, maxKeyLength)
 	}
 	target, prb := upstreamPath(hrq, "actions")
 	if prb != nil {
-		return bwaction.Request{}, svc, prb
+		return parsedAction{}, prb
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(wr, hrq.Body, act.cfg.MaxBodyBytes))
 	if err != nil {
@@ -48,12 +56,13 @@
 		if lim := new(http.MaxBytesError); errors.As(err, &lim) {
 			prb.Status = http.StatusRequestEntityTooLarge
 		}
-		return bwaction.Request{}, svc, prb
+		return parsedAction{}, prb
 	}
+	svc, barred := access(hrq, team, act.cfg.Service)
 	req := bwaction.Request{
 		ID:      act.cfg.Table.NewAttempt(),
 		Key:     bwaction.Key{Team: team.Name, Name: name},
-		Service: svc.Name,
+		Service: bwmodel.ServiceID(mux.Vars(hrq)["service"]),
 		HTTP: bwmodel.HTTPRequest{
 			Method:      hrq.Method,
 			Path:        target,
@@ -61,31 +70,28 @@
 			Body:        body,
 		},
 	}
-	return req, svc, nil
+	return parsedAction{req: req, svc: svc, barred: barred}, nil
 }
 
-// authorize finds the caller's team and the plain service that it asks for.
-func authorize(hrq *http.Request, find func(bwmodel.ServiceID) (bwmodel.Service, bool)) (bwmodel.Team, bwmodel.Service, *bwhttp.Problem) {
-	team, ok := bwhttp.TeamFrom(hrq.Context())
-	if !ok {
-		return team, bwmodel.Service{}, &bwhttp.Problem{Status: http.StatusUnauthorized, Outcome: bwhttp.OutcomeNotRun}
-	}
+// access finds the plain service that the caller asks for, or says why the team
+// can't use it.
+func access(hrq *http.Request, team bwmodel.Team, find func(bwmodel.ServiceID) (bwmodel.Service, bool)) (bwmodel.Service, *bwaction.NotRunError) {
 	svc, ok := find(bwmodel.ServiceID(mux.Vars(hrq)["service"]))
 	if !ok || svc.Kind != bwmodel.PlainService {
-		return team, svc, &bwhttp.Problem{
-			Status:  http.StatusNotFound,
-			Detail:  "there is no plain service of this name",
-			Outcome: bwhttp.OutcomeNotRun,
-		}
+		return svc, &bwaction.NotRunError{Reason: bwaction.NoService}
 	}
 	if !team.MayCall(svc.Name) {
-		return team, svc, &bwhttp.Problem{
-			Status:  http.StatusForbidden,
-			Detail:  "the team may not call this service",
-			Outcome: bwhttp.OutcomeNotRun,
-		}
+		return svc, &bwaction.NotRunError{Reason: bwaction.NotAllowed}
+	}
+	return svc, nil
+}
+
+func unauthorized() *bwhttp.Problem {
+	return &bwhttp.Problem{
+		Status:  http.StatusUnauthorized,
+		Detail:  "no valid team key",
+		Outcome: bwhttp.OutcomeNotRun,
 	}
-	return team, svc, nil
 }
 
 // upstreamPath returns the path and query after the service's name and the kind
@@ -202,6 +208,8 @@
 	bwaction.NoUpstream:   http.StatusServiceUnavailable,
 	bwaction.NotReserved:  http.StatusServiceUnavailable,
 	bwaction.NotAdmitted:  http.StatusTooManyRequests,
+	bwaction.NoService:    http.StatusNotFound,
+	bwaction.NotAllowed:   http.StatusForbidden,
 	bwaction.NeverStarted: http.StatusNotFound,
 	bwaction.KeyReused:    http.StatusUnprocessableEntity,
 }
--- a/io/bwrouter/calls.go
+++ b/io/bwrouter/calls.go
@@ -75,9 +75,18 @@
 
 // ServeCall runs a call and answers with the first whole response or with a problem.
 func (cls *Calls) ServeCall(wr http.ResponseWriter, hrq *http.Request) {
-	team, svc, prb := authorize(hrq, cls.cfg.Service)
-	if prb != nil {
-		bwhttp.WriteProblem(wr, *prb)
+	team, ok := bwhttp.TeamFrom(hrq.Context())
+	if !ok {
+		bwhttp.WriteProblem(wr, *unauthorized())
+		return
+	}
+	svc, barred := access(hrq, team, cls.cfg.Service)
+	if barred != nil {
+		bwhttp.WriteProblem(wr, bwhttp.Problem{
+			Status:  notRunStatus[barred.Reason],
+			Detail:  string(barred.Reason),
+			Outcome: bwhttp.OutcomeNotRun,
+		})
 		return
 	}
 	target, prb := upstreamPath(hrq, "calls")
