--- a/bench/bwbench/arrival.go
+++ b/bench/bwbench/arrival.go
@@ -26,6 +26,10 @@
 	Service bwmodel.ServiceID
 	Team    bwmodel.TeamID
 	Class   bwmodel.WorkClass
+	// Labeled names the team in the results, to compare teams.
+	Labeled bool
+	// Deadline is the time within which the first token counts as in time; 0 counts none.
+	Deadline time.Duration
 	// Rate is the number of requests per second at a time since the start.
 	Rate func(since time.Duration) float64
 	// PeakRate is the highest value that Rate returns.
--- a/bench/bwbench/recorder.go
+++ b/bench/bwbench/recorder.go
@@ -13,6 +13,7 @@
 	mu     sync.Mutex
 	hists  map[string]*hdrhistogram.Histogram
 	counts map[string]int64
+	errors map[string]error
 }
 
 // Latencies from 1 µs to 10 min are kept with three significant digits.
@@ -27,6 +28,7 @@
 	return &Recorder{
 		hists:  make(map[string]*hdrhistogram.Histogram),
 		counts: make(map[string]int64),
+		errors: make(map[string]error),
 	}
 }
 
@@ -51,6 +53,26 @@
 	rec.counts[name] += count
 }
 
+// Sample keeps the first error under a name.
+func (rec *Recorder) Sample(name string, err error) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if rec.errors[name] == nil {
+		rec.errors[name] = err
+	}
+}
+
+// Samples returns the kept errors as text.
+func (rec *Recorder) Samples() map[string]string {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	texts := make(map[string]string, len(rec.errors))
+	for name, err := range rec.errors {
+		texts[name] = err.Error()
+	}
+	return texts
+}
+
 // Count returns a count.
 func (rec *Recorder) Count(name string) int64 {
 	rec.mu.Lock()
--- a/bench/bwbench/result.go
+++ b/bench/bwbench/result.go
@@ -20,6 +20,8 @@
 	// Latencies are in nanoseconds in the JSON form.
 	Latencies map[string]Summary
 	Counts    map[string]int64
+	// Errors holds the first error of each kind of failure.
+	Errors map[string]string
 	// Violations lists broken guarantees; an empty list is a pass.
 	Violations []string
 }
@@ -33,6 +35,7 @@
 		Elapsed:    elapsed,
 		Latencies:  make(map[string]Summary),
 		Counts:     rec.Counts(),
+		Errors:     rec.Samples(),
 	}
 	for _, name := range rec.Names() {
 		res.Latencies[name] = rec.Summary(name)
@@ -53,6 +56,9 @@
 		for _, name := range sortedKeys(res.Counts) {
 			fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t\t\t\t\n", res.Experiment, res.Policy, name, res.Counts[name])
 		}
+		for _, name := range sortedKeys(res.Errors) {
+			fmt.Fprintf(tab, "%s\t%s\t%s: %s\t\t\t\t\t\n", res.Experiment, res.Policy, name, res.Errors[name])
+		}
 		for _, vio := range res.Violations {
 			fmt.Fprintf(tab, "%s\t%s\tVIOLATION: %s\t\t\t\t\t\n", res.Experiment, res.Policy, vio)
 		}
--- /dev/null
+++ b/bench/bwcaller/caller.go
@@ -0,0 +1,155 @@
+package bwcaller
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"bilberrywick/io/bwhttp"
+)
+
+// Caller sends requests to routers in turn, as the platform's load balancer would.
+type Caller struct {
+	cfg  Config
+	web  *http.Client
+	turn atomic.Uint64
+}
+
+// Config configures a Caller.
+type Config struct {
+	// Routers are the routers' addresses for callers.
+	Routers func() []netip.AddrPort
+	// Key is the team's key.
+	Key string
+	// Reconnect is how long a caller tries to get the rest of an answer after its
+	// connection broke; 0 means not at all.
+	Reconnect time.Duration
+	Now       func() time.Time
+}
+
+// reconnectPause lies between two tries to reconnect.
+const reconnectPause = 20 * time.Millisecond
+
+// maxConns bounds the idle connections to one router.
+const maxConns = 1024
+
+// New returns a caller without connections.
+func New(cfg Config) *Caller {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	transport := &http.Transport{
+		MaxIdleConns:        maxConns,
+		MaxIdleConnsPerHost: maxConns,
+		DisableCompression:  true,
+	}
+	return &Caller{cfg: cfg, web: &http.Client{Transport: transport}}
+}
+
+// Close closes the idle connections.
+func (cal *Caller) Close() { cal.web.CloseIdleConnections() }
+
+// RefusedError is an answer that says what became of the request.
+type RefusedError struct {
+	Status     int
+	Outcome    bwhttp.Outcome
+	Detail     string
+	RetryAfter time.Duration
+}
+
+// Error returns the status, the outcome and the detail.
+func (err *RefusedError) Error() string {
+	return fmt.Sprintf("status %d, outcome %s: %s", err.Status, err.Outcome, err.Detail)
+}
+
+// Reply is the whole answer of an action or a lookup.
+type Reply struct {
+	Status int
+	Body   []byte
+	// Repeat says that an earlier request with the same key ran the action.
+	Repeat bool
+}
+
+// Act runs an action under a key, or returns a *RefusedError or the
+// connection's error, after which the outcome must be asked for.
+func (cal *Caller) Act(ctx context.Context, service, path, key string, body []byte) (Reply, error) {
+	req, err := cal.request(ctx, http.MethodPost, "/v1/services/"+service+"/actions/"+path, body)
+	if err != nil {
+		return Reply{}, err
+	}
+	req.Header.Set("Idempotency-Key", key)
+	return cal.reply(req)
+}
+
+// Query asks for the outcome of an action.
+func (cal *Caller) Query(ctx context.Context, key string) (Reply, error) {
+	req, err := cal.request(ctx, http.MethodGet, "/v1/actions/"+key, nil)
+	if err != nil {
+		return Reply{}, err
+	}
+	return cal.reply(req)
+}
+
+// Look runs an idempotent call.
+func (cal *Caller) Look(ctx context.Context, service, path string) (Reply, error) {
+	req, err := cal.request(ctx, http.MethodGet, "/v1/services/"+service+"/calls/"+path, nil)
+	if err != nil {
+		return Reply{}, err
+	}
+	return cal.reply(req)
+}
+
+func (cal *Caller) reply(req *http.Request) (Reply, error) {
+	rsp, err := cal.web.Do(req)
+	if err != nil {
+		return Reply{}, err
+	}
+	defer func() { _ = rsp.Body.Close() }()
+	if rsp.Header.Get("Content-Type") == bwhttp.ProblemContentType {
+		return Reply{}, readProblem(rsp)
+	}
+	body, err := io.ReadAll(rsp.Body)
+	if err != nil {
+		return Reply{}, fmt.Errorf("read answer: %w", err)
+	}
+	return Reply{Status: rsp.StatusCode, Body: body, Repeat: rsp.Header.Get("Repeat") != ""}, nil
+}
+
+// request builds a request to the next router.
+func (cal *Caller) request(ctx context.Context, method, path string, body []byte) (*http.Request, error) {
+	routers := cal.cfg.Routers()
+	if len(routers) == 0 {
+		return nil, errNoRouter
+	}
+	addr := routers[cal.turn.Add(1)%uint64(len(routers))]
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	bwhttp.SetBearer(req, cal.cfg.Key)
+	return req, nil
+}
+
+var errNoRouter = errors.New("no router is known")
+
+// readProblem returns the problem that a response carries as a *RefusedError.
+func readProblem(rsp *http.Response) error {
+	refused := &RefusedError{Status: rsp.StatusCode}
+	var prb bwhttp.Problem
+	if err := json.NewDecoder(rsp.Body).Decode(&prb); err != nil {
+		return fmt.Errorf("status %d without a problem: %w", rsp.StatusCode, err)
+	}
+	refused.Outcome, refused.Detail = prb.Outcome, prb.Detail
+	if secs, err := strconv.Atoi(rsp.Header.Get("Retry-After")); err == nil {
+		refused.RetryAfter = time.Duration(secs) * time.Second
+	}
+	return refused
+}
--- /dev/null
+++ b/bench/bwcapacity/measure.go
@@ -0,0 +1,32 @@
+package bwcapacity
+
+import (
+	"runtime"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// RecordBytes is the slope of a generation record's memory.
+const RecordBytes = "RecordBytes"
+
+// MeasureAll measures every slope on this machine, which takes about a minute.
+func MeasureAll(now func() time.Time) (Measurement, error) {
+	slopes, err := messageSlopes()
+	if err != nil {
+		return Measurement{}, err
+	}
+	record, err := Measure(RecordBytes, "tokens", Bytes, []int{1 << 10, 1 << 12, 1 << 14}, func(count int) float64 {
+		return heapOf(func() any { return &bwmodel.GenerationRecord{Issued: tokens(count)} })
+	})
+	if err != nil {
+		return Measurement{}, err
+	}
+	mst := Measurement{
+		Measured:  now(),
+		GoVersion: runtime.Version(),
+		Cores:     runtime.NumCPU(),
+		Slopes:    append(slopes, record),
+	}
+	return mst, nil
+}
--- a/cmd/bilberrywick/main.go
+++ b/cmd/bilberrywick/main.go
@@ -7,6 +7,7 @@
 	"syscall"
 
 	"bilberrywick/cmd/bwcommand"
+	"bilberrywick/cmd/bwlauncher"
 )
 
 // version is set by the linker in released builds.
@@ -18,12 +19,11 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cfg := bwcommand.Config{
-		Version: version,
-		Output:  os.Stdout,
-		Errors:  os.Stderr,
-		Getenv:  os.Getenv,
-		// Commands of the processes, the stand-ins and the bench are added here.
-		Commands: nil,
+		Version:  version,
+		Output:   os.Stdout,
+		Errors:   os.Stderr,
+		Getenv:   os.Getenv,
+		Commands: bwlauncher.Commands(bwlauncher.Config{Version: version, Logs: os.Stderr}),
 	}
 	return bwcommand.Run(ctx, cfg, os.Args[1:])
 }
--- /dev/null
+++ b/cmd/bwdev/fleet.go
@@ -0,0 +1,501 @@
+package bwdev
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"bilberrywick/core/bwadmit"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
+	"bilberrywick/core/bwroute"
+	"bilberrywick/io/bwagent"
+	"bilberrywick/io/bwrouter"
+	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwwire"
+	"bilberrywick/standin/bwfakeapp"
+	"bilberrywick/standin/bwfakeengine"
+	"bilberrywick/standin/bwfakestore"
+)
+
+// Fleet is a whole system on loopback: stand-ins, agents and routers.
+type Fleet struct {
+	Platform *bwfakestore.Server
+	Engines  []*Engine
+	Apps     []*App
+	Routers  []*bwrouter.Router
+
+	cfg    Config
+	ctx    context.Context
+	cancel context.CancelFunc
+	// lost is the zone that LoseZone ended.
+	lost atomic.Pointer[bwmodel.ZoneID]
+}
+
+// Engine is a model engine with its agent.
+type Engine struct {
+	Name  bwmodel.UpstreamID
+	Fake  *bwfakeengine.Engine
+	Agent *bwagent.Agent
+	Zone  bwmodel.ZoneID
+}
+
+// App is an instance of a plain service with its agent.
+type App struct {
+	Name  bwmodel.UpstreamID
+	Fake  *bwfakeapp.App
+	Agent *bwagent.Agent
+	Zone  bwmodel.ZoneID
+}
+
+// Config configures a Fleet.
+type Config struct {
+	Region  bwmodel.RegionID
+	Zones   []bwmodel.ZoneID
+	Routers int
+	// ModelService and PlainService name the two services.
+	ModelService bwmodel.ServiceID
+	PlainService bwmodel.ServiceID
+	Engines      int
+	Engine       bwfakeengine.Config
+	Apps         int
+	App          bwfakeapp.Config
+	// AppSlots is the number of requests that one app runs at a time.
+	AppSlots int
+	Teams    []Team
+	// QueueLimit and Deadline are those of both services.
+	QueueLimit int
+	Deadline   time.Duration
+	DrainTime  time.Duration
+	LogOutput  io.Writer
+	LogLevel   string
+	// NoResume makes routers end a generation whose engine fails, as a baseline.
+	NoResume bool
+	// Resumed is told of each resumed generation; may be nil.
+	Resumed func(cause string, took time.Duration, recomputed int)
+	// Route, Order and Hedge are the routers' policies.
+	Route bwroute.Policy
+	Order bwadmit.Policy
+	Hedge func(bwretry.Latencies) (time.Duration, bool)
+}
+
+// Team is a team with the key that its callers send.
+type Team struct {
+	Name   bwmodel.TeamID
+	Key    string
+	Weight int
+}
+
+// OperatorKey is the operators' key of a development fleet.
+const OperatorKey = "dev-operator"
+
+const (
+	defaultAppSlots   = 32
+	defaultQueueLimit = 1000
+	defaultDeadline   = 30 * time.Second
+	defaultDrainTime  = 10 * time.Second
+	settleTime        = 10 * time.Second
+	settlePoll        = 10 * time.Millisecond
+)
+
+// loopback is a free port on this machine.
+var loopback = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+
+// Start starts every part, applies the first ticket and returns once all
+// routers are ready and follow all upstreams, or an error and nothing running.
+func Start(ctx context.Context, cfg Config) (*Fleet, error) {
+	cfg = withDefaults(cfg)
+	ctx, cancel := context.WithCancel(ctx)
+	flt := &Fleet{cfg: cfg, ctx: ctx, cancel: cancel}
+	if err := flt.start(); err != nil {
+		flt.Close()
+		return nil, err
+	}
+	return flt, nil
+}
+
+// Close ends everything at once.
+func (flt *Fleet) Close() {
+	lost := flt.lost.Load()
+	kept := func(zone bwmodel.ZoneID) bool { return lost == nil || zone != *lost }
+	for ix, rtr := range flt.Routers {
+		if kept(flt.zone(ix)) {
+			_ = rtr.Kill()
+		}
+	}
+	for _, eng := range flt.Engines {
+		if kept(eng.Zone) {
+			_ = eng.Agent.Kill()
+		}
+	}
+	for _, app := range flt.Apps {
+		if kept(app.Zone) {
+			_ = app.Agent.Kill()
+		}
+	}
+	flt.cancel()
+	if flt.Platform != nil {
+		flt.Platform.Close()
+	}
+}
+
+// Callers returns where callers reach the routers that are ready, as the
+// platform's load balancer does.
+func (flt *Fleet) Callers() []netip.AddrPort {
+	lost := flt.lost.Load()
+	var addrs []netip.AddrPort
+	for ix, rtr := range flt.Routers {
+		if lost != nil && flt.zone(ix) == *lost {
+			continue
+		}
+		if rtr.Ready() == nil {
+			addrs = append(addrs, rtr.CallerAddress())
+		}
+	}
+	return addrs
+}
+
+// LoseZone ends every router, agent and upstream of a zone at once; it can be
+// called once.
+func (flt *Fleet) LoseZone(ctx context.Context, index int) error {
+	zone := flt.zone(index)
+	flt.lost.Store(&zone)
+	var err error
+	for ix, rtr := range flt.Routers {
+		if flt.zone(ix) == zone {
+			err = errors.Join(err, rtr.Kill())
+		}
+	}
+	for _, eng := range flt.Engines {
+		if eng.Zone == zone {
+			err = errors.Join(err, eng.Fake.Die(ctx), eng.Agent.Kill())
+		}
+	}
+	for _, app := range flt.Apps {
+		if app.Zone == zone {
+			err = errors.Join(err, app.Agent.Kill())
+		}
+	}
+	return err
+}
+
+// Teams returns the teams with their keys.
+func (flt *Fleet) Teams() []Team { return flt.cfg.Teams }
+
+// Ticket returns a ticket with all services, teams and upstreams of the fleet.
+func (flt *Fleet) Ticket(num bwmodel.TicketNumber) bwwire.TicketDocument {
+	doc := bwwire.TicketDocument{
+		Number:   num,
+		Comment:  "create the services, teams and upstreams",
+		Services: flt.serviceDocuments(),
+	}
+	for _, team := range flt.cfg.Teams {
+		hash := sha256.Sum256([]byte(team.Key))
+		doc.Teams = append(doc.Teams, bwwire.TeamDocument{
+			Name:   team.Name,
+			Keys:   []bwwire.TeamKeyDocument{{SHA256: hex.EncodeToString(hash[:])}},
+			Weight: max(team.Weight, 1),
+		})
+	}
+	for _, eng := range flt.Engines {
+		doc.Upstreams = append(doc.Upstreams, bwwire.UpstreamDocument{
+			Name:    eng.Name,
+			Service: flt.cfg.ModelService,
+			Region:  flt.cfg.Region,
+			Zone:    eng.Zone,
+			Agent:   eng.Agent.Address(),
+			Slots:   max(flt.cfg.Engine.Slots, 1),
+		})
+	}
+	for _, app := range flt.Apps {
+		doc.Upstreams = append(doc.Upstreams, bwwire.UpstreamDocument{
+			Name:    app.Name,
+			Service: flt.cfg.PlainService,
+			Region:  flt.cfg.Region,
+			Zone:    app.Zone,
+			Agent:   app.Agent.Address(),
+			Slots:   flt.cfg.AppSlots,
+		})
+	}
+	return doc
+}
+
+func (flt *Fleet) serviceDocuments() []bwwire.ServiceDocument {
+	return []bwwire.ServiceDocument{
+		{
+			Name:       flt.cfg.ModelService,
+			Kind:       bwmodel.ModelService.String(),
+			Class:      bwmodel.Prompt.String(),
+			QueueLimit: flt.cfg.QueueLimit,
+			Deadline:   bwwire.DurationText(flt.cfg.Deadline),
+		},
+		{
+			Name:       flt.cfg.PlainService,
+			Kind:       bwmodel.PlainService.String(),
+			Class:      bwmodel.Prompt.String(),
+			QueueLimit: flt.cfg.QueueLimit,
+			Deadline:   bwwire.DurationText(flt.cfg.Deadline),
+			Actions:    []string{"/orders", "/payments"},
+		},
+	}
+}
+
+func (flt *Fleet) start() error {
+	flt.Platform = bwfakestore.New(bwfakestore.Config{})
+	if err := flt.Platform.Start(flt.ctx); err != nil {
+		return fmt.Errorf("start platform stand-in: %w", err)
+	}
+	for ix := range flt.cfg.Routers {
+		if err := flt.startRouter(ix); err != nil {
+			return err
+		}
+	}
+	for ix := range flt.cfg.Engines {
+		if err := flt.startEngine(ix); err != nil {
+			return err
+		}
+	}
+	for ix := range flt.cfg.Apps {
+		if err := flt.startApp(ix); err != nil {
+			return err
+		}
+	}
+	if _, err := flt.Routers[0].Fleet().Apply(flt.ctx, flt.Ticket(1)); err != nil {
+		return fmt.Errorf("apply the first ticket: %w", err)
+	}
+	return flt.settle()
+}
+
+// settle waits until all routers have the first ticket and an upstream to use.
+func (flt *Fleet) settle() error {
+	ctx, cancel := context.WithTimeout(flt.ctx, settleTime)
+	defer cancel()
+	tick := time.NewTicker(settlePoll)
+	defer tick.Stop()
+	for {
+		waiting := flt.waitingFor()
+		if waiting == nil {
+			return nil
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return fmt.Errorf("fleet is not ready after %v: %w", settleTime, waiting)
+		}
+	}
+}
+
+func (flt *Fleet) waitingFor() error {
+	for _, rtr := range flt.Routers {
+		if err := rtr.Ready(); err != nil {
+			return fmt.Errorf("router %s: %w", rtr.Member().ID, err)
+		}
+		if missing := rtr.Services().Unconnected(); len(missing) > 0 || rtr.Fleet().Snapshot().State.Number() == 0 {
+			return fmt.Errorf("router %s: no status from %v", rtr.Member().ID, missing)
+		}
+	}
+	return nil
+}
+
+func (flt *Fleet) startRouter(index int) error {
+	set := bwsettings.Router{
+		Identity:  flt.identity("router", index),
+		Callers:   bwsettings.CallerListener{Address: loopback},
+		Peers:     bwsettings.PeerListener{Address: loopback},
+		Operators: flt.operatorListener(),
+		SeedPeers: flt.seeds(),
+		Platform:  flt.platform(),
+		DrainTime: flt.cfg.DrainTime,
+		Log:       bwsettings.Log{Level: flt.cfg.LogLevel},
+	}
+	rtr, err := bwrouter.New(bwrouter.Config{
+		Settings:  set,
+		LogOutput: flt.cfg.LogOutput,
+		Route:     flt.cfg.Route,
+		Order:     flt.cfg.Order,
+		Hedge:     flt.cfg.Hedge,
+		NoResume:  flt.cfg.NoResume,
+		Resumed:   flt.cfg.Resumed,
+	})
+	if err != nil {
+		return fmt.Errorf("start router %d: %w", index, err)
+	}
+	rtr.Start(flt.ctx)
+	flt.Routers = append(flt.Routers, rtr)
+	return nil
+}
+
+func (flt *Fleet) startEngine(index int) error {
+	cfg := flt.cfg.Engine
+	cfg.Address = loopback
+	fake, err := bwfakeengine.New(cfg)
+	if err != nil {
+		return fmt.Errorf("start engine %d: %w", index, err)
+	}
+	if err := fake.Start(flt.ctx); err != nil {
+		return fmt.Errorf("start engine %d: %w", index, err)
+	}
+	eng := &Engine{
+		Name: bwmodel.UpstreamID(fmt.Sprintf("%s-%d", flt.cfg.ModelService, index+1)),
+		Fake: fake,
+		Zone: flt.zone(index),
+	}
+	eng.Agent, err = flt.startAgent(index, bwsettings.UpstreamSettings{
+		Name:    eng.Name,
+		Service: flt.cfg.ModelService,
+		Kind:    bwmodel.ModelService.String(),
+		Address: fake.Address(),
+		Slots:   max(cfg.Slots, 1),
+	})
+	if err != nil {
+		return err
+	}
+	flt.Engines = append(flt.Engines, eng)
+	return nil
+}
+
+func (flt *Fleet) startApp(index int) error {
+	app := &App{
+		Name: bwmodel.UpstreamID(fmt.Sprintf("%s-%d", flt.cfg.PlainService, index+1)),
+		Zone: flt.zone(index),
+	}
+	cfg := flt.cfg.App
+	cfg.Name = string(app.Name)
+	app.Fake = bwfakeapp.New(cfg)
+	app.Fake.Start(flt.ctx)
+	lis, err := net.Listen("tcp", loopback.String())
+	if err != nil {
+		return fmt.Errorf("start app %d: %w", index, err)
+	}
+	serving := &appServing{app: app.Fake, lis: lis}
+	go serving.run(flt.ctx)
+	app.Agent, err = flt.startAgent(index, bwsettings.UpstreamSettings{
+		Name:    app.Name,
+		Service: flt.cfg.PlainService,
+		Kind:    bwmodel.PlainService.String(),
+		Address: lis.Addr().(*net.TCPAddr).AddrPort(),
+		Slots:   flt.cfg.AppSlots,
+	})
+	if err != nil {
+		return err
+	}
+	flt.Apps = append(flt.Apps, app)
+	return nil
+}
+
+func (flt *Fleet) startAgent(index int, ups bwsettings.UpstreamSettings) (*bwagent.Agent, error) {
+	agt, err := bwagent.New(bwagent.Config{
+		Settings: bwsettings.Agent{
+			Identity:  flt.identity("agent-"+string(ups.Service), index),
+			Peers:     bwsettings.PeerListener{Address: loopback},
+			Operators: flt.operatorListener(),
+			Upstream:  ups,
+			SeedPeers: flt.seeds(),
+			Platform:  flt.platform(),
+			DrainTime: flt.cfg.DrainTime,
+			Log:       bwsettings.Log{Level: flt.cfg.LogLevel},
+		},
+		LogOutput: flt.cfg.LogOutput,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("start agent of %s: %w", ups.Name, err)
+	}
+	agt.Start(flt.ctx)
+	return agt, nil
+}
+
+func (flt *Fleet) identity(kind string, index int) bwsettings.Identity {
+	return bwsettings.Identity{
+		ID:     bwmodel.MemberID(fmt.Sprintf("%s-%d", kind, index+1)),
+		Region: flt.cfg.Region,
+		Zone:   flt.zone(index),
+	}
+}
+
+func (flt *Fleet) zone(index int) bwmodel.ZoneID { return flt.cfg.Zones[index%len(flt.cfg.Zones)] }
+
+func (flt *Fleet) seeds() []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, rtr := range flt.Routers {
+		addrs = append(addrs, rtr.Member().Address)
+	}
+	return addrs
+}
+
+func (flt *Fleet) operatorListener() bwsettings.OperatorListener {
+	hash := sha256.Sum256([]byte(OperatorKey))
+	return bwsettings.OperatorListener{
+		Address: loopback,
+		Keys:    []bwsettings.OperatorKey{{Name: "dev", SHA256: hex.EncodeToString(hash[:])}},
+	}
+}
+
+func (flt *Fleet) platform() bwsettings.Platform {
+	return bwsettings.Platform{
+		Table:       bwsettings.Table{Address: flt.Platform.Table(), Name: "bilberrywick", SigningRegion: "local"},
+		Objects:     bwsettings.ObjectStore{Address: flt.Platform.Objects(), Bucket: "bilberrywick", SigningRegion: "local"},
+		VMList:      bwsettings.VMList{Address: flt.Platform.List()},
+		Credentials: bwsettings.Credentials{AccessKeyID: "dev", SecretKey: "dev"},
+		Timeout:     2 * time.Second,
+	}
+}
+
+// appServing serves a plain service's stand-in until the fleet ends.
+type appServing struct {
+	app *bwfakeapp.App
+	lis net.Listener
+}
+
+func (asv *appServing) run(ctx context.Context) {
+	if err := asv.app.Serve(ctx, asv.lis); err != nil && !errors.Is(err, net.ErrClosed) {
+		_ = asv.lis.Close()
+	}
+}
+
+func withDefaults(cfg Config) Config {
+	if len(cfg.Zones) == 0 {
+		cfg.Zones = []bwmodel.ZoneID{"brezno", "zvolen", "polomka"}
+	}
+	if cfg.Region == "" {
+		cfg.Region = "sk-stred"
+	}
+	if cfg.ModelService == "" {
+		cfg.ModelService = "pisar-model"
+	}
+	if cfg.PlainService == "" {
+		cfg.PlainService = "objednavky-pult"
+	}
+	if len(cfg.Engine.Models) == 0 {
+		cfg.Engine.Models = []string{string(cfg.ModelService)}
+	}
+	if len(cfg.Teams) == 0 {
+		cfg.Teams = []Team{{Name: "rezbari", Key: "dev-team", Weight: 1}}
+	}
+	if cfg.AppSlots == 0 {
+		cfg.AppSlots = defaultAppSlots
+	}
+	if cfg.QueueLimit == 0 {
+		cfg.QueueLimit = defaultQueueLimit
+	}
+	if cfg.Deadline == 0 {
+		cfg.Deadline = defaultDeadline
+	}
+	if cfg.DrainTime == 0 {
+		cfg.DrainTime = defaultDrainTime
+	}
+	if cfg.LogLevel == "" {
+		cfg.LogLevel = "Info"
+	}
+	if cfg.LogOutput == nil {
+		cfg.LogOutput = io.Discard
+	}
+	cfg.Routers = max(cfg.Routers, 1)
+	return cfg
+}
--- /dev/null
+++ b/cmd/bwlauncher/bench.go
@@ -0,0 +1,98 @@
+package bwlauncher
+
+import (
+	"fmt"
+	"io"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"bilberrywick/bench/bwbench"
+)
+
+type benchFlags struct {
+	settings string
+	output   string
+	plots    string
+	seed     uint64
+	verbose  bool
+}
+
+func newBenchCommand(cfg Config) *cobra.Command {
+	var fls benchFlags
+	cmd := &cobra.Command{
+		Use:   "bench [EXPERIMENT...]",
+		Short: "Run experiments that compare policies",
+		Long: "Run experiments that compare policies on a fleet in this process, and print a table.\n" +
+			"Without a name every experiment runs. Experiments: " + bwbench.Names() + ".",
+		Example: "  bilberrywick bench EngineDeath --seed 7 --output result.json --plots plots",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return runBench(cmd, cfg, fls, args)
+		},
+	}
+	flags := cmd.Flags()
+	flags.StringVar(&fls.settings, "settings", "", "JSON file that changes the experiments' sizes")
+	flags.StringVar(&fls.output, "output", "", "write the results to this JSON file")
+	flags.StringVar(&fls.plots, "plots", "", "write a plot of each latency into this existing directory")
+	flags.Uint64Var(&fls.seed, "seed", 1, "seed of the arrivals")
+	flags.BoolVar(&fls.verbose, "verbose", false, "print the processes' logs to standard error")
+	return cmd
+}
+
+func runBench(cmd *cobra.Command, cfg Config, fls benchFlags, names []string) error {
+	size, err := bwbench.LoadSize(fls.settings)
+	if err != nil {
+		return err
+	}
+	exps, err := bwbench.Select(size, names)
+	if err != nil {
+		return err
+	}
+	run := bwbench.Config{Seed: fls.seed, Progress: cmd.ErrOrStderr(), LogOutput: io.Discard}
+	if fls.verbose {
+		run.LogOutput = cfg.Logs
+	}
+	var results []bwbench.Result
+	violations := 0
+	for _, exp := range exps {
+		runs, err := bwbench.RunAll(cmd.Context(), exp, run)
+		if err != nil {
+			return err
+		}
+		for _, done := range runs {
+			results = append(results, done.Result)
+			violations += len(done.Result.Violations)
+		}
+		if fls.plots != "" {
+			if err := plotAll(fls.plots, exp.Name, runs); err != nil {
+				return err
+			}
+		}
+	}
+	if err := bwbench.WriteTable(cmd.OutOrStdout(), results); err != nil {
+		return err
+	}
+	if fls.output != "" {
+		if err := bwbench.WriteJSON(fls.output, results); err != nil {
+			return err
+		}
+	}
+	if violations > 0 {
+		return fmt.Errorf("%d guarantees were broken", violations)
+	}
+	return nil
+}
+
+// plotAll draws each latency that the first policy observed.
+func plotAll(dir, name string, runs []bwbench.Run) error {
+	if len(runs) == 0 {
+		return nil
+	}
+	for _, measure := range runs[0].Recorder.Names() {
+		path := filepath.Join(dir, name+"."+measure+".svg")
+		if err := bwbench.WritePlot(path, measure, runs); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/bwlauncher/doc.go
@@ -0,0 +1,3 @@
+// Package bwlauncher holds the commands that run processes: router, agent, dev,
+// bench and the stand-ins.
+package bwlauncher
--- /dev/null
+++ b/cmd/bwlauncher/standin.go
@@ -0,0 +1,136 @@
+package bwlauncher
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bilberrywick/standin/bwfakeapp"
+	"bilberrywick/standin/bwfakeengine"
+	"bilberrywick/standin/bwfakestore"
+)
+
+func newStandinCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "standin",
+		Short:   "Run a stand-in for an outside system, for tests",
+		Example: "  bilberrywick standin engine --address 127.0.0.1:8000",
+	}
+	cmd.AddCommand(newStandinPlatform(), newStandinEngine(), newStandinApp())
+	return cmd
+}
+
+// addressFlag is a flag that holds an IP address and port.
+type addressFlag struct{ addr *netip.AddrPort }
+
+// Set parses the flag.
+func (afl addressFlag) Set(txt string) error {
+	addr, err := netip.ParseAddrPort(txt)
+	if err != nil {
+		return err
+	}
+	*afl.addr = addr
+	return nil
+}
+
+// String returns the address.
+func (afl addressFlag) String() string {
+	if afl.addr == nil {
+		return ""
+	}
+	return afl.addr.String()
+}
+
+// Type names the flag's type in help texts.
+func (afl addressFlag) Type() string { return "address" }
+
+func newStandinPlatform() *cobra.Command {
+	cfg := bwfakestore.Config{Table: loopbackPort(8101), Objects: loopbackPort(8102), List: loopbackPort(8103)}
+	cmd := &cobra.Command{
+		Use:     "platform",
+		Short:   "Run the table service, the object store and the VM list",
+		Example: "  bilberrywick standin platform --table 127.0.0.1:8101",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			srv := bwfakestore.New(cfg)
+			if err := srv.Start(cmd.Context()); err != nil {
+				return err
+			}
+			defer srv.Close()
+			if _, err := fmt.Fprintf(cmd.OutOrStdout(), "table %v, objects %v, VM list %v\n", srv.Table(), srv.Objects(), srv.List()); err != nil {
+				return err
+			}
+			<-cmd.Context().Done()
+			return nil
+		},
+	}
+	cmd.Flags().Var(addressFlag{&cfg.Table}, "table", "where the table service listens")
+	cmd.Flags().Var(addressFlag{&cfg.Objects}, "objects", "where the object store listens")
+	cmd.Flags().Var(addressFlag{&cfg.List}, "list", "where the VM list is served")
+	return cmd
+}
+
+func newStandinEngine() *cobra.Command {
+	cfg := bwfakeengine.Config{Address: loopbackPort(8000), CacheBlocks: 4096}
+	cmd := &cobra.Command{
+		Use:     "engine",
+		Short:   "Run a model engine that speaks the completions protocol",
+		Example: "  bilberrywick standin engine --address 127.0.0.1:8000 --token-time 40ms",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			eng, err := bwfakeengine.New(cfg)
+			if err != nil {
+				return err
+			}
+			if err := eng.Start(cmd.Context()); err != nil {
+				return err
+			}
+			if _, err := fmt.Fprintf(cmd.OutOrStdout(), "engine %v\n", eng.Address()); err != nil {
+				return err
+			}
+			<-cmd.Context().Done()
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.Var(addressFlag{&cfg.Address}, "address", "where the engine listens")
+	flags.DurationVar(&cfg.TokenTime, "token-time", devTokenTime, "time between the tokens of a sequence")
+	flags.DurationVar(&cfg.FirstToken, "first-token", devFirstToken, "time to the first token")
+	flags.IntVar(&cfg.Slots, "slots", devSlots, "sequences in the batch")
+	flags.BoolVar(&cfg.CheckFence, "checks-fence", false, "refuse orders with an old fencing number")
+	return cmd
+}
+
+func newStandinApp() *cobra.Command {
+	cfg := bwfakeapp.Config{Name: "app", Latency: 5 * time.Millisecond}
+	addr := loopbackPort(8200)
+	cmd := &cobra.Command{
+		Use:     "app",
+		Short:   "Run a plain application service",
+		Example: "  bilberrywick standin app --address 127.0.0.1:8200 --latency 5ms",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			app := bwfakeapp.New(cfg)
+			app.Start(cmd.Context())
+			lis, err := net.Listen("tcp", addr.String())
+			if err != nil {
+				return err
+			}
+			if _, err := fmt.Fprintf(cmd.OutOrStdout(), "app %v\n", lis.Addr()); err != nil {
+				return err
+			}
+			return app.Serve(cmd.Context(), lis)
+		},
+	}
+	cmd.Flags().Var(addressFlag{&addr}, "address", "where the app listens")
+	cmd.Flags().StringVar(&cfg.Name, "name", cfg.Name, "name in the app's answers")
+	cmd.Flags().DurationVar(&cfg.Latency, "latency", cfg.Latency, "time that an action or lookup takes")
+	return cmd
+}
+
+func loopbackPort(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), port)
+}
--- a/core/bwaction/ledger.go
+++ b/core/bwaction/ledger.go
@@ -28,6 +28,9 @@
 type LedgerConfig struct {
 	Incarnation bwmodel.Incarnation
 	Now         func() time.Time
+	// Start is where the clock begins that expiries refer to; the zero time means
+	// now. It must be the start of the clock that the agent reports to routers.
+	Start time.Time
 	// Horizon bounds how far ahead an expiry may be; 0 means 1 min.
 	Horizon time.Duration
 	// Retention is the time for which results are kept; 0 means 15 min.
@@ -69,9 +72,12 @@
 	if cfg.MaxBytes == 0 {
 		cfg.MaxBytes = defaultMaxBytes
 	}
+	if cfg.Start.IsZero() {
+		cfg.Start = cfg.Now()
+	}
 	return &Ledger{
 		cfg:       cfg,
-		start:     cfg.Now(),
+		start:     cfg.Start,
 		entries:   make(map[Key]*entry),
 		finished:  list.New(),
 		sealed:    list.New(),
--- a/core/bwmodel/identifier.go
+++ b/core/bwmodel/identifier.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"fmt"
+	"time"
 )
 
 // TeamID names a team that shares the system.
@@ -41,6 +42,10 @@
 // Incarnation distinguishes two runs of the same member.
 type Incarnation uint64
 
+// NewIncarnation returns the incarnation of a process that starts now; a later
+// start of the same member gets a higher one unless its VM's clock went back.
+func NewIncarnation(now time.Time) Incarnation { return Incarnation(now.UnixNano()) }
+
 // RequestID is the random identifier of one request.
 type RequestID [16]byte
 
--- a/io/bwagent/reporter.go
+++ b/io/bwagent/reporter.go
@@ -14,9 +14,8 @@
 // Reporter serves Agent.Status: it polls the upstream for its load and cache
 // events and sends them, with the agent's own state, to every subscribed router.
 type Reporter struct {
-	cfg   ReporterConfig
-	start time.Time
-	own   *bwcontrol.Owner[reporterState, ReporterView]
+	cfg ReporterConfig
+	own *bwcontrol.Owner[reporterState, ReporterView]
 }
 
 // ReporterConfig configures a Reporter.
@@ -35,6 +34,8 @@
 	// Learn is told of a higher ticket number that a router stated; may be nil.
 	Learn func(bwmodel.TicketNumber, bwmodel.MemberID)
 	Now   func() time.Time
+	// Start is where the reported clock begins; the zero time means now.
+	Start time.Time
 	Log   *slog.Logger
 }
 
@@ -73,7 +74,10 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	rep := &Reporter{cfg: cfg, start: cfg.Now()}
+	if cfg.Start.IsZero() {
+		cfg.Start = cfg.Now()
+	}
+	rep := &Reporter{cfg: cfg}
 	rep.own = bwcontrol.New(bwcontrol.Config[reporterState, ReporterView]{
 		State:     &reporterState{changed: make(chan struct{})},
 		View:      (*reporterState).current,
@@ -97,7 +101,7 @@
 func (rep *Reporter) Snapshot() *ReporterView { return rep.own.Snapshot() }
 
 // Clock returns the agent's monotonic clock, counted from its start.
-func (rep *Reporter) Clock() time.Duration { return rep.cfg.Now().Sub(rep.start) }
+func (rep *Reporter) Clock() time.Duration { return rep.cfg.Now().Sub(rep.cfg.Start) }
 
 // SetLeaving tells every subscriber at once that the upstream takes no new work.
 func (rep *Reporter) SetLeaving(ctx context.Context, leaving bool) error {
--- /dev/null
+++ b/io/bwprocess/process.go
@@ -0,0 +1,228 @@
+package bwprocess
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwfleet"
+	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwobserve"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwstore"
+)
+
+// Process is the common part of a router and an agent.
+type Process struct {
+	Self bwmodel.Member
+	// Began is when the process started; its monotonic clock counts from it.
+	Began   time.Time
+	Log     *slog.Logger
+	Metrics *bwobserve.Metrics
+	// Server serves the system's other processes; methods are registered before Start.
+	Server *bwrpc.Server
+	Client *bwrpc.Client
+	Store  *bwstore.Client
+	Fleet  *bwfleet.Fleet
+
+	cfg    Config
+	port   net.Listener
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// Config configures a Process.
+type Config struct {
+	Role      bwmodel.Role
+	Identity  bwsettings.Identity
+	Peers     bwsettings.PeerListener
+	SeedPeers []netip.AddrPort
+	Platform  bwsettings.Platform
+	Log       bwsettings.Log
+	Version   string
+	// LogOutput receives the log, one JSON object a line.
+	LogOutput io.Writer
+	// Now reads a clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// New opens the listener for the other processes and returns a process that has
+// not started, or an error that names what could not be set up.
+func New(cfg Config) (*Process, error) {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	prc := &Process{
+		cfg:     cfg,
+		Began:   cfg.Now(),
+		Metrics: bwobserve.NewMetrics(),
+		ended:   make(chan struct{}),
+	}
+	lis, err := net.Listen("tcp", cfg.Peers.Address.String())
+	if err != nil {
+		return nil, fmt.Errorf("listen for other processes: %w", err)
+	}
+	prc.port = lis
+	prc.identify()
+	if err := prc.build(); err != nil {
+		return nil, errors.Join(err, lis.Close())
+	}
+	return prc, nil
+}
+
+// Start keeps the process current and serves other processes until the context
+// ends; it returns the context for the process's other parts and a channel with
+// the fleet's changes.
+func (prc *Process) Start(ctx context.Context) (context.Context, <-chan struct{}) {
+	ctx, prc.cancel = context.WithCancel(ctx)
+	changes := prc.Fleet.Changes()
+	prc.Fleet.Start(ctx)
+	go prc.run(ctx)
+	return ctx, changes
+}
+
+// Stop ends the process's parts and closes its connections.
+func (prc *Process) Stop() error {
+	prc.cancel()
+	err := prc.port.Close()
+	if errors.Is(err, net.ErrClosed) {
+		err = nil
+	}
+	<-prc.ended
+	prc.Store.Close()
+	return errors.Join(err, prc.Client.Close())
+}
+
+// Close closes the listener of a process that was never started.
+func (prc *Process) Close() error { return prc.port.Close() }
+
+// StateNumber returns the number of the ticket in force here.
+func (prc *Process) StateNumber() bwmodel.TicketNumber { return prc.Fleet.Snapshot().State.Number() }
+
+// Listen opens an HTTP listener within bounds, with TLS when files are given.
+func (prc *Process) Listen(lst Listener) (*bwhttp.Server, error) {
+	var conf *tls.Config
+	if lst.TLS != nil {
+		certs, err := bwsettings.NewCertificates(bwsettings.CertificatesConfig{Files: lst.TLS.Mutual(), Log: prc.Log})
+		if err != nil {
+			return nil, err
+		}
+		conf = certs.ServerTLS()
+	}
+	return bwhttp.Listen(bwhttp.ServerConfig{
+		Address: lst.Address,
+		Handler: lst.Handler,
+		TLS:     conf,
+		Bounds:  bwhttp.Bounds(lst.Bounds),
+		Fail:    lst.Fail,
+		Log:     prc.Log,
+	})
+}
+
+// Listener describes an HTTP listener.
+type Listener struct {
+	Address netip.AddrPort
+	TLS     *bwsettings.TLSFiles
+	Bounds  bwsettings.Bounds
+	Handler http.Handler
+	// Fail answers requests that break a bound; nil answers in plain text.
+	Fail func(http.ResponseWriter, *http.Request, error)
+}
+
+func (prc *Process) run(ctx context.Context) {
+	defer close(prc.ended)
+	if err := prc.Server.Serve(ctx, prc.port); err != nil && ctx.Err() == nil {
+		prc.Log.Error("serving other processes failed", "Error", err)
+	}
+}
+
+func (prc *Process) identify() {
+	address := prc.cfg.Peers.Advertise
+	if !address.IsValid() {
+		address = prc.port.Addr().(*net.TCPAddr).AddrPort()
+	}
+	prc.Self = bwmodel.Member{
+		ID:          prc.cfg.Identity.ID,
+		Incarnation: bwmodel.NewIncarnation(prc.Began),
+		Role:        prc.cfg.Role,
+		Region:      prc.cfg.Identity.Region,
+		Zone:        prc.cfg.Identity.Zone,
+		Address:     address,
+	}
+	prc.Log = bwobserve.NewLog(bwobserve.LogConfig{
+		Output:  prc.cfg.LogOutput,
+		Level:   prc.cfg.Log.SlogLevel(),
+		Member:  prc.Self,
+		Version: prc.cfg.Version,
+	})
+}
+
+func (prc *Process) build() error {
+	if err := prc.openTransport(); err != nil {
+		return err
+	}
+	if err := prc.openStore(); err != nil {
+		return err
+	}
+	var err error
+	prc.Fleet, err = bwfleet.New(bwfleet.Config{
+		Self:  prc.Self,
+		Seeds: prc.cfg.SeedPeers,
+		Store: bwfleet.NewStore(prc.Store),
+		Peers: bwfleet.NewPeers(prc.Client),
+		Now:   prc.cfg.Now,
+		Log:   prc.Log,
+	})
+	if err != nil {
+		return fmt.Errorf("fleet: %w", err)
+	}
+	prc.Fleet.Register(prc.Server)
+	return nil
+}
+
+func (prc *Process) openTransport() error {
+	var serverTLS, clientTLS *tls.Config
+	if files := prc.cfg.Peers.TLS; files != nil {
+		certs, err := bwsettings.NewCertificates(bwsettings.CertificatesConfig{Files: *files, Log: prc.Log})
+		if err != nil {
+			return fmt.Errorf("certificates for other processes: %w", err)
+		}
+		serverTLS, clientTLS = certs.ServerTLS(), certs.ClientTLS()
+	}
+	var err error
+	prc.Server, err = bwrpc.NewServer(bwrpc.ServerConfig{TLS: serverTLS, Log: prc.Log})
+	if err != nil {
+		return err
+	}
+	prc.Client, err = bwrpc.NewClient(bwrpc.ClientConfig{TLS: clientTLS})
+	return err
+}
+
+func (prc *Process) openStore() error {
+	set := prc.cfg.Platform
+	secret, err := set.Credentials.Secret()
+	if err != nil {
+		return err
+	}
+	prc.Store, err = bwstore.New(bwstore.Config{
+		Table:     set.Table.Address,
+		Objects:   set.Objects.Address,
+		List:      set.VMList.Address,
+		Region:    set.Table.SigningRegion,
+		AccessKey: set.Credentials.AccessKeyID,
+		SecretKey: secret,
+		TableName: set.Table.Name,
+		Bucket:    set.Objects.Bucket,
+		Timeout:   set.Timeout,
+	})
+	return err
+}
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -16,6 +16,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwrpc"
 )
 
@@ -86,7 +87,7 @@
 func (gns *Generations) Start(ctx context.Context) { gns.firsts.control.Start(ctx) }
 
 // Routes adds the callers' paths to a router; the team must be in the
-// request's context, as WithTeam puts it there.
+// request's context, as bwhttp.WithTeam puts it there.
 func (gns *Generations) Routes(rtr *mux.Router) {
 	rtr.HandleFunc("/v1/completions", gns.serveCompletion).Methods(http.MethodPost)
 	rtr.HandleFunc("/v1/chat/completions", gns.serveChat).Methods(http.MethodPost)
@@ -133,7 +134,7 @@
 
 // serveNew runs a new generation.
 func (gns *Generations) serveNew(wrt http.ResponseWriter, req *http.Request, chat bool) {
-	team, ok := TeamOf(req.Context())
+	team, ok := bwhttp.TeamFrom(req.Context())
 	if !ok {
 		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
 		return
@@ -193,22 +194,9 @@
 	return id
 }
 
-type teamKey struct{}
-
-// WithTeam returns a context that carries the authenticated team.
-func WithTeam(ctx context.Context, team bwmodel.Team) context.Context {
-	return context.WithValue(ctx, teamKey{}, team)
-}
-
-// TeamOf returns the team that WithTeam put into the context.
-func TeamOf(ctx context.Context) (bwmodel.Team, bool) {
-	team, ok := ctx.Value(teamKey{}).(bwmodel.Team)
-	return team, ok
-}
-
 // serveRest returns the rest of a generation whose connection broke.
 func (gns *Generations) serveRest(wrt http.ResponseWriter, req *http.Request) {
-	team, ok := TeamOf(req.Context())
+	team, ok := bwhttp.TeamFrom(req.Context())
 	if !ok {
 		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
 		return
--- /dev/null
+++ b/io/bwrouter/router.go
@@ -0,0 +1,284 @@
+package bwrouter
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"slices"
+	"time"
+
+	"bilberrywick/core/bwaction"
+	"bilberrywick/core/bwadmit"
+	"bilberrywick/core/bwmember"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
+	"bilberrywick/core/bwroute"
+	"bilberrywick/io/bwfleet"
+	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwobserve"
+	"bilberrywick/io/bwprocess"
+	"bilberrywick/io/bwsettings"
+)
+
+// Router is the router process: it serves callers, other routers and operators.
+type Router struct {
+	cfg         Config
+	proc        *bwprocess.Process
+	services    *Services
+	records     *Records
+	generations *Generations
+	actions     *Actions
+	calls       *Calls
+	batcher     *bwaction.Batcher
+	actionRows  *actionTable
+	callers     *bwhttp.Server
+	operators   *bwhttp.Server
+	keys        keyIndex
+	stopping    stopFlag
+}
+
+// Config configures a Router.
+type Config struct {
+	Settings bwsettings.Router
+	Version  string
+	// LogOutput receives the log, one JSON object a line.
+	LogOutput io.Writer
+	// Route, Order and Hedge are the policies of choice, admission and hedging;
+	// the zero values are the defaults.
+	Route bwroute.Policy
+	Order bwadmit.Policy
+	Hedge func(bwretry.Latencies) (time.Duration, bool)
+	// NoResume ends a generation whose engine fails, as a baseline.
+	NoResume bool
+	// Resumed is told of each resumed generation; may be nil.
+	Resumed func(cause string, took time.Duration, recomputed int)
+	// Now reads a clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// New opens the router's listeners and returns a router that has not started,
+// or an error that names what could not be set up.
+func New(cfg Config) (*Router, error) {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	set := cfg.Settings
+	proc, err := bwprocess.New(bwprocess.Config{
+		Role:      bwmodel.RouterRole,
+		Identity:  set.Identity,
+		Peers:     set.Peers,
+		SeedPeers: set.SeedPeers,
+		Platform:  set.Platform,
+		Log:       set.Log,
+		Version:   cfg.Version,
+		LogOutput: cfg.LogOutput,
+		Now:       cfg.Now,
+	})
+	if err != nil {
+		return nil, err
+	}
+	rtr := &Router{cfg: cfg, proc: proc}
+	if err := rtr.build(); err != nil {
+		return nil, errors.Join(err, proc.Close())
+	}
+	if err := rtr.listen(); err != nil {
+		return nil, errors.Join(err, proc.Close())
+	}
+	return rtr, nil
+}
+
+// CallerAddress returns where callers reach the router.
+func (rtr *Router) CallerAddress() netip.AddrPort { return rtr.callers.Address() }
+
+// OperatorAddress returns where operators reach the router.
+func (rtr *Router) OperatorAddress() netip.AddrPort { return rtr.operators.Address() }
+
+// Member returns the router's own member.
+func (rtr *Router) Member() bwmodel.Member { return rtr.proc.Self }
+
+// Fleet returns the router's view of tickets and members.
+func (rtr *Router) Fleet() *bwfleet.Fleet { return rtr.proc.Fleet }
+
+// Services returns the services that the router routes to.
+func (rtr *Router) Services() *Services { return rtr.services }
+
+// Metrics returns the router's metrics.
+func (rtr *Router) Metrics() *bwobserve.Metrics { return rtr.proc.Metrics }
+
+// Start runs the router until Stop or the end of the context.
+func (rtr *Router) Start(ctx context.Context) {
+	ctx, changes := rtr.proc.Start(ctx)
+	rtr.services.Start(ctx)
+	rtr.records.Start(ctx)
+	rtr.generations.Start(ctx)
+	rtr.batcher.Start(ctx)
+	flw := &follower{rtr: rtr, changes: changes}
+	go flw.loop(ctx)
+	rtr.operators.Start()
+	rtr.callers.Start()
+	rtr.proc.Log.Info("router started", "Callers", rtr.CallerAddress(), "Peers", rtr.proc.Self.Address, "Operators", rtr.OperatorAddress())
+}
+
+// Ready returns why the router takes no new work, and nil when it does.
+func (rtr *Router) Ready() error {
+	if rtr.stopping.isSet() {
+		return errStopping
+	}
+	if !rtr.proc.Fleet.Snapshot().Ready {
+		return errNotCurrent
+	}
+	return nil
+}
+
+// Stop takes no new work, lets the work in progress end within the drain time
+// and then ends the router.
+func (rtr *Router) Stop(ctx context.Context) error {
+	rtr.stopping.set(rtr.cfg.Now())
+	rtr.proc.Metrics.Draining.Set(1)
+	drain, cancel := context.WithTimeout(ctx, rtr.cfg.Settings.DrainTime)
+	defer cancel()
+	err := rtr.proc.Fleet.Leave(drain)
+	err = errors.Join(err, rtr.callers.Shutdown(drain))
+	err = errors.Join(err, rtr.proc.Stop(), rtr.operators.Close())
+	rtr.proc.Log.Info("router stopped", "Error", err)
+	return err
+}
+
+// Kill ends the router at once, as the death of its VM would.
+func (rtr *Router) Kill() error {
+	return errors.Join(rtr.callers.Close(), rtr.proc.Stop(), rtr.operators.Close())
+}
+
+var (
+	errStopping   = errors.New("the router is stopping")
+	errNotCurrent = errors.New("neither the store nor a peer has confirmed the state within 3 s")
+)
+
+// listen opens the listeners for callers and operators.
+func (rtr *Router) listen() error {
+	set := rtr.cfg.Settings
+	var err error
+	rtr.callers, err = rtr.proc.Listen(bwprocess.Listener{
+		Address: set.Callers.Address,
+		TLS:     set.Callers.TLS,
+		Bounds:  set.Callers.Bounds,
+		Handler: rtr.callerHandler(),
+		Fail:    failRequest,
+	})
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	rtr.operators, err = rtr.proc.Listen(bwprocess.Listener{
+		Address: set.Operators.Address,
+		TLS:     set.Operators.TLS,
+		Bounds:  set.Operators.Bounds,
+		Handler: rtr.operatorHandler(),
+	})
+	if err != nil {
+		return errors.Join(fmt.Errorf("listen for operators: %w", err), rtr.callers.Close())
+	}
+	return nil
+}
+
+// build creates the parts that decide, and those that serve other routers.
+func (rtr *Router) build() error {
+	rtr.services = NewServices(ServicesConfig{
+		Self:        rtr.proc.Self,
+		Client:      rtr.proc.Client,
+		Route:       rtr.cfg.Route,
+		Order:       rtr.cfg.Order,
+		Hedge:       bwretry.HedgeConfig{Now: rtr.cfg.Now, Policy: rtr.cfg.Hedge},
+		StateNumber: rtr.proc.StateNumber,
+		Observed:    rtr.heardAgent,
+		Metrics:     rtr.proc.Metrics,
+		Now:         rtr.cfg.Now,
+		Log:         rtr.proc.Log,
+	})
+	rtr.records = NewRecords(RecordsConfig{Client: rtr.proc.Client, Now: rtr.cfg.Now, Log: rtr.proc.Log})
+	rtr.records.Register(rtr.proc.Server)
+	return rtr.buildTraffic()
+}
+
+// heardAgent takes the evidence that an agent's report carries.
+func (rtr *Router) heardAgent(rep Report) {
+	rtr.proc.Fleet.Hear(rep.Event.Member)
+	rtr.proc.Fleet.Learn(rep.Event.StateNumber, rep.Upstream.Agent)
+}
+
+// holder returns the router that holds a request's copy.
+func (rtr *Router) holder(id bwmodel.RequestID, exclude []netip.AddrPort) (netip.AddrPort, bool) {
+	for _, mem := range bwmember.RecordHolders(rtr.proc.Self, rtr.proc.Fleet.Snapshot().Members, id) {
+		if !slices.Contains(exclude, mem.Address) {
+			return mem.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+// known reports whether an address belongs to a member or to an upstream's agent.
+func (rtr *Router) known(addr netip.AddrPort) bool {
+	snap := rtr.proc.Fleet.Snapshot()
+	for _, ent := range snap.Members {
+		if ent.Member.Address == addr {
+			return true
+		}
+	}
+	for _, ent := range snap.State.Upstreams() {
+		if ent.Object.Agent == addr {
+			return true
+		}
+	}
+	return addr == rtr.proc.Self.Address
+}
+
+// follower takes each change of the fleet's view into force.
+type follower struct {
+	rtr     *Router
+	changes <-chan struct{}
+}
+
+func (flw *follower) loop(ctx context.Context) {
+	for {
+		flw.apply(ctx)
+		select {
+		case <-flw.changes:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (flw *follower) apply(ctx context.Context) {
+	rtr := flw.rtr
+	snap := rtr.proc.Fleet.Snapshot()
+	routers := 1
+	for _, ent := range snap.Members {
+		if ent.Member.Role == bwmodel.RouterRole && ent.Status == bwmember.Live {
+			routers++
+		}
+	}
+	objects := Objects{Routers: routers}
+	for _, ent := range snap.State.Services() {
+		objects.Services = append(objects.Services, ent.Object)
+	}
+	for _, ent := range snap.State.Teams() {
+		objects.Teams = append(objects.Teams, ent.Object)
+	}
+	for _, ent := range snap.State.Upstreams() {
+		objects.Upstreams = append(objects.Upstreams, ent.Object)
+	}
+	rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
+	rtr.proc.Metrics.TicketNumber.Set(float64(snap.State.Number()))
+	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
+		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
+	}
+}
+
+func newRequestID() bwmodel.RequestID {
+	var id bwmodel.RequestID
+	_, _ = rand.Read(id[:])
+	return id
+}
--- /dev/null
+++ b/io/bwrouter/router_admin.go
@@ -0,0 +1,269 @@
+package bwrouter
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"runtime"
+	"time"
+
+	"bilberrywick/core/bwaction"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwticket"
+	"bilberrywick/io/bwadmin"
+	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwobserve"
+	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwstore"
+	"bilberrywick/io/bwwire"
+)
+
+// operatorHandler serves the administration API, metrics and profiles.
+func (rtr *Router) operatorHandler() http.Handler {
+	return bwadmin.NewHandler(bwadmin.Config{
+		Apply:     rtr.applyTicket,
+		Tickets:   rtr.listTickets,
+		Ticket:    rtr.showTicket,
+		State:     rtr.showState,
+		Members:   rtr.listMembers,
+		Upstreams: rtr.listUpstreams,
+		Action:    rtr.showAction,
+		Version:   bwadmin.VersionResponse{Version: rtr.cfg.Version, Go: runtime.Version()},
+		Ready:     rtr.Ready,
+		Metrics:   bwobserve.MetricsHandler(rtr.proc.Metrics),
+		Profiles:  bwobserve.ProfileHandler(),
+		Gate:      operatorGate(rtr.cfg.Settings.Operators.Keys, rtr.cfg.Now),
+	})
+}
+
+// operatorGate returns the check of operators' keys, or nil when none is set,
+// which the settings allow for loopback listeners only.
+func operatorGate(keys []bwsettings.OperatorKey, now func() time.Time) *bwhttp.OperatorGate {
+	if len(keys) == 0 {
+		return nil
+	}
+	gate := &bwhttp.OperatorGate{Now: now, Fail: failRequest}
+	for _, key := range keys {
+		// The settings were checked when they were loaded.
+		hash, err := key.Hash()
+		if err != nil {
+			continue
+		}
+		gate.Keys = append(gate.Keys, bwhttp.OperatorKey{Name: key.Name, Hash: hash, NotAfter: key.NotAfter})
+	}
+	return gate
+}
+
+func (rtr *Router) applyTicket(ctx context.Context, req *bwadmin.TicketRequest) (*bwadmin.TicketResult, error) {
+	before := rtr.proc.Fleet.Snapshot().State
+	ticket, faults := req.Ticket.Ticket()
+	if len(faults) > 0 {
+		return nil, ticketError(faults)
+	}
+	result := &bwadmin.TicketResult{
+		Number:  req.Ticket.Number,
+		Result:  bwadmin.Valid,
+		Head:    before.Number(),
+		Changes: ticketChanges(before, ticket),
+	}
+	if req.DryRun {
+		if faults := bwticket.Check(before, ticket); len(faults) > 0 {
+			return nil, ticketError(faults)
+		}
+		return result, nil
+	}
+	answer, err := rtr.proc.Fleet.Apply(ctx, req.Ticket)
+	if err != nil {
+		rtr.proc.Metrics.TicketSubmissions.With("Refused").Inc()
+		rtr.proc.Log.Warn("ticket refused", "Number", req.Ticket.Number, "Operator", bwhttp.OperatorName(ctx), "Error", err)
+		return nil, ticketError(err)
+	}
+	rtr.proc.Metrics.TicketSubmissions.With("Accepted").Inc()
+	rtr.proc.Log.Info("ticket accepted", "Number", answer.Number, "Operator", bwhttp.OperatorName(ctx))
+	result.Result = bwadmin.Accepted
+	result.Head = max(answer.Number, rtr.proc.StateNumber())
+	return result, nil
+}
+
+// ticketError turns an error of a submission into one of the API.
+func ticketError(err error) error {
+	var faults bwticket.Faults
+	var conflict *bwticket.ConflictError
+	switch {
+	case errors.As(err, &faults):
+		rep := &bwsettings.Report{}
+		for _, fault := range faults {
+			rep.Add(fault.Path, fault.Reason)
+		}
+		return rep.Err()
+	case errors.As(err, &conflict):
+		return &bwadmin.ConflictError{Head: conflict.Current.Number(), Reason: conflict.Error()}
+	case errors.Is(err, bwticket.ErrAway):
+		return errors.Join(bwadmin.ErrUnavailable, err)
+	case errors.Is(err, bwticket.ErrUnsure):
+		return errors.Join(bwadmin.ErrUnknown, err)
+	}
+	return err
+}
+
+// ticketChanges names what a ticket sets and removes against a state.
+func ticketChanges(before *bwticket.State, ticket bwticket.Ticket) []bwadmin.ObjectChange {
+	var changes []bwadmin.ObjectChange
+	add := func(kind, name string, exists bool) {
+		change := "Added"
+		if exists {
+			change = "Changed"
+		}
+		changes = append(changes, bwadmin.ObjectChange{Kind: kind, Name: name, Change: change})
+	}
+	for _, svc := range ticket.Services {
+		_, ok := before.Service(svc.Name)
+		add("Service", string(svc.Name), ok)
+	}
+	for _, team := range ticket.Teams {
+		_, ok := before.Team(team.Name)
+		add("Team", string(team.Name), ok)
+	}
+	for _, ups := range ticket.Upstreams {
+		_, ok := before.Upstream(ups.Name)
+		add("Upstream", string(ups.Name), ok)
+	}
+	remove := func(kind, name string) {
+		changes = append(changes, bwadmin.ObjectChange{Kind: kind, Name: name, Change: "Removed"})
+	}
+	for _, name := range ticket.Remove.Services {
+		remove("Service", string(name))
+	}
+	for _, name := range ticket.Remove.Teams {
+		remove("Team", string(name))
+	}
+	for _, name := range ticket.Remove.Upstreams {
+		remove("Upstream", string(name))
+	}
+	return changes
+}
+
+func (rtr *Router) tickets() *bwstore.Tickets { return bwstore.NewTickets(rtr.proc.Store.Table) }
+
+const maxListedTickets = 1000
+
+func (rtr *Router) listTickets(ctx context.Context, req *bwadmin.TicketListRequest) (*bwadmin.TicketList, error) {
+	accepted, err := rtr.tickets().After(ctx, req.After)
+	if err != nil {
+		return nil, ticketError(err)
+	}
+	list := &bwadmin.TicketList{Head: rtr.proc.StateNumber()}
+	limit := req.Limit
+	if limit <= 0 || limit > maxListedTickets {
+		limit = maxListedTickets
+	}
+	for _, acc := range accepted[:min(limit, len(accepted))] {
+		tk := acc.Ticket
+		list.Tickets = append(list.Tickets, bwadmin.TicketSummary{
+			Number:  tk.Number,
+			Comment: tk.Comment,
+			Objects: tk.Size(),
+		})
+	}
+	return list, nil
+}
+
+func (rtr *Router) showTicket(ctx context.Context, req *bwadmin.TicketNumberRequest) (*bwwire.TicketDocument, error) {
+	acc, err := rtr.tickets().Ticket(ctx, req.Number)
+	if err != nil {
+		return nil, ticketError(err)
+	}
+	if acc == nil {
+		return nil, bwadmin.ErrNotFound
+	}
+	doc := bwwire.NewTicketDocument(acc.Ticket)
+	return &doc, nil
+}
+
+func (rtr *Router) showState(context.Context, *struct{}) (*bwwire.StateDocument, error) {
+	doc := bwwire.NewStateDocument(rtr.proc.Fleet.Snapshot().State)
+	return &doc, nil
+}
+
+func (rtr *Router) listMembers(context.Context, *struct{}) (*bwadmin.MemberList, error) {
+	snap := rtr.proc.Fleet.Snapshot()
+	list := &bwadmin.MemberList{Self: rtr.proc.Self.ID, Head: snap.State.Number()}
+	now := rtr.cfg.Now()
+	for _, ent := range snap.Members {
+		mem := bwadmin.MemberStatus{
+			ID:          ent.Member.ID,
+			Incarnation: ent.Member.Incarnation,
+			Role:        ent.Member.Role.String(),
+			Region:      ent.Member.Region,
+			Zone:        ent.Member.Zone,
+			Address:     ent.Member.Address,
+			State:       ent.Status.String(),
+		}
+		if !ent.Heard.IsZero() {
+			mem.Age = bwwire.DurationText(now.Sub(ent.Heard))
+		}
+		list.Members = append(list.Members, mem)
+	}
+	return list, nil
+}
+
+func (rtr *Router) showAction(ctx context.Context, req *bwadmin.ActionRequest) (*bwadmin.ActionStatus, error) {
+	key := bwaction.Key{Team: req.Team, Name: req.Key}
+	row, found, err := rtr.actionRows.read(ctx, key)
+	if err != nil {
+		return nil, errors.Join(bwadmin.ErrUnavailable, err)
+	}
+	if !found {
+		return nil, bwadmin.ErrNotFound
+	}
+	status := &bwadmin.ActionStatus{
+		Team:     req.Team,
+		Key:      req.Key,
+		Service:  row.Service,
+		Outcome:  string(bwhttp.OutcomeUnknown),
+		Attempt:  row.Attempt,
+		Fence:    row.Fence,
+		Upstream: row.Upstream,
+		Created:  row.Updated,
+	}
+	switch row.State {
+	case bwaction.Finished:
+		status.Outcome = string(bwhttp.OutcomeDone)
+		status.Status = row.Response.Status
+	case bwaction.Released:
+		status.Outcome = string(bwhttp.OutcomeNotRun)
+	case bwaction.Reserved:
+		status.Detail = "reserved; the agent of the upstream knows whether it has started"
+	case bwaction.Broken:
+		status.Detail = "the upstream failed after it may have run the action"
+	}
+	return status, nil
+}
+
+func (rtr *Router) listUpstreams(context.Context, *struct{}) (*bwadmin.UpstreamList, error) {
+	list := &bwadmin.UpstreamList{}
+	for _, ent := range rtr.proc.Fleet.Snapshot().State.Upstreams() {
+		ups := ent.Object
+		list.Upstreams = append(list.Upstreams, rtr.upstreamStatus(ups))
+	}
+	return list, nil
+}
+
+func (rtr *Router) upstreamStatus(ups bwmodel.Upstream) bwadmin.UpstreamStatus {
+	status := bwadmin.UpstreamStatus{
+		Name:    ups.Name,
+		Service: ups.Service,
+		Region:  ups.Region,
+		Zone:    ups.Zone,
+		Agent:   ups.Agent,
+		Slots:   ups.Slots,
+		Health:  "Healthy",
+	}
+	switch _, _, reported := rtr.services.AgentClock(ups.Name); {
+	case ups.Draining:
+		status.Health, status.Reason = "Draining", "a ticket drains it"
+	case !reported:
+		status.Health, status.Reason = "Unreachable", "its agent has not reported"
+	}
+	return status
+}
--- /dev/null
+++ b/io/bwrouter/services.go
@@ -0,0 +1,424 @@
+package bwrouter
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"bilberrywick/core/bwadmit"
+	"bilberrywick/core/bwcontrol"
+	"bilberrywick/core/bwmember"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
+	"bilberrywick/core/bwroute"
+	"bilberrywick/io/bwobserve"
+	"bilberrywick/io/bwrpc"
+)
+
+// Services keeps a chooser and a queue for each service in force and a status
+// stream to each upstream that the router follows.
+type Services struct {
+	cfg ServicesConfig
+	own *bwcontrol.Owner[servicesState, servicesView]
+}
+
+// ServicesConfig configures Services.
+type ServicesConfig struct {
+	Self   bwmodel.Member
+	Client *bwrpc.Client
+	// Route and Order are the policies of choice and admission; the zero values
+	// are the defaults of bwroute and bwadmit.
+	Route bwroute.Policy
+	Order bwadmit.Policy
+	// Hedge configures the hedge of each plain service.
+	Hedge bwretry.HedgeConfig
+	// UpstreamsPerService bounds the upstreams that the router follows for one
+	// service; 0 means 32, which the chooser scans in full.
+	UpstreamsPerService int
+	StateNumber         func() bwmodel.TicketNumber
+	// Observed is told of each agent's report; it may be nil.
+	Observed func(Report)
+	Metrics  *bwobserve.Metrics
+	Now      func() time.Time
+	Log      *slog.Logger
+}
+
+const (
+	defaultUpstreamsPerService = 32
+	// refreshInterval is how often upstreams are compared with their peers.
+	refreshInterval = 250 * time.Millisecond
+)
+
+// ErrNoService says that no service of the name is in force.
+var ErrNoService = errors.New("service is not in force")
+
+// service is one service in force, with its decisions.
+type service struct {
+	spec    bwmodel.Service
+	chooser *bwroute.Chooser
+	queue   *bwadmit.Queue
+	hedge   *bwretry.Hedge
+	cancel  context.CancelFunc
+}
+
+// followed is one upstream with the last reading of its agent's clock.
+type followed struct {
+	upstream bwmodel.Upstream
+	reading  *atomic.Pointer[clockReading]
+}
+
+// clockReading is an agent's clock as its report carried it.
+type clockReading struct {
+	incarnation bwmodel.Incarnation
+	clock       time.Duration
+	arrived     time.Time
+}
+
+// servicesState is changed by the control goroutine only.
+type servicesState struct {
+	services  map[bwmodel.ServiceID]*service
+	upstreams map[bwmodel.UpstreamID]followed
+	watches   *Watches
+}
+
+// servicesView is what traffic goroutines read.
+type servicesView struct {
+	services  map[bwmodel.ServiceID]*service
+	upstreams map[bwmodel.UpstreamID]followed
+}
+
+// NewServices returns a Services without any service.
+func NewServices(cfg ServicesConfig) *Services {
+	if cfg.UpstreamsPerService == 0 {
+		cfg.UpstreamsPerService = defaultUpstreamsPerService
+	}
+	svs := &Services{cfg: cfg}
+	state := &servicesState{
+		services:  make(map[bwmodel.ServiceID]*service),
+		upstreams: make(map[bwmodel.UpstreamID]followed),
+		watches: NewWatches(WatchesConfig{
+			Self:        cfg.Self.ID,
+			Client:      cfg.Client,
+			StateNumber: cfg.StateNumber,
+			Observed:    svs.observe,
+			Lost:        svs.lose,
+			Now:         cfg.Now,
+			Log:         cfg.Log,
+		}),
+	}
+	svs.own = bwcontrol.New(bwcontrol.Config[servicesState, servicesView]{
+		State: state,
+		View:  (*servicesState).view,
+	})
+	return svs
+}
+
+// Start runs the control goroutine until the context ends.
+func (svs *Services) Start(ctx context.Context) {
+	svs.own.Start(ctx)
+	go svs.loop(ctx)
+}
+
+// Update takes in the services, teams and upstreams in force and the number of
+// routers that share the teams' limits.
+func (svs *Services) Update(ctx context.Context, objects Objects) error {
+	var failed error
+	err := svs.own.Do(ctx, func(st *servicesState) { failed = svs.update(ctx, st, objects) })
+	return errors.Join(err, failed)
+}
+
+// Objects is what a ticket state holds, as far as routing needs it.
+type Objects struct {
+	Services  []bwmodel.Service
+	Teams     []bwmodel.Team
+	Upstreams []bwmodel.Upstream
+	// Routers is the number of live routers, this one included.
+	Routers int
+}
+
+// Service returns a service in force.
+func (svs *Services) Service(name bwmodel.ServiceID) (bwmodel.Service, bool) {
+	svc := svs.own.Snapshot().services[name]
+	if svc == nil {
+		return bwmodel.Service{}, false
+	}
+	return svc.spec, true
+}
+
+// Upstream returns an upstream that the router follows.
+func (svs *Services) Upstream(name bwmodel.UpstreamID) (bwmodel.Upstream, bool) {
+	fol, ok := svs.own.Snapshot().upstreams[name]
+	return fol.upstream, ok
+}
+
+// Hedge returns the hedge of a plain service, or nil when it is not in force.
+func (svs *Services) Hedge(name bwmodel.ServiceID) *bwretry.Hedge {
+	svc := svs.own.Snapshot().services[name]
+	if svc == nil {
+		return nil
+	}
+	return svc.hedge
+}
+
+// AgentClock returns an agent's incarnation and the lowest value that its clock
+// can have now: its last report took no time at least to arrive.
+func (svs *Services) AgentClock(name bwmodel.UpstreamID) (bwmodel.Incarnation, time.Duration, bool) {
+	fol, ok := svs.own.Snapshot().upstreams[name]
+	if !ok {
+		return 0, 0, false
+	}
+	rdg := fol.reading.Load()
+	if rdg == nil {
+		return 0, 0, false
+	}
+	return rdg.incarnation, rdg.clock + svs.cfg.Now().Sub(rdg.arrived), true
+}
+
+// Unconnected lists the followed upstreams whose agent has not reported yet.
+func (svs *Services) Unconnected() []bwmodel.UpstreamID {
+	var names []bwmodel.UpstreamID
+	for name, fol := range svs.own.Snapshot().upstreams {
+		if fol.reading.Load() == nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Choose waits for an upstream and logs the decision.
+func (svs *Services) Choose(ctx context.Context, req bwroute.Request) (bwroute.Choice, error) {
+	svc := svs.own.Snapshot().services[req.Service]
+	if svc == nil {
+		return bwroute.Choice{}, fmt.Errorf("service %q: %w", req.Service, ErrNoService)
+	}
+	choice, dec, err := svc.chooser.Wait(ctx, req)
+	svs.logChoice(ctx, req, dec)
+	return choice, err
+}
+
+// Admit waits until the work may start.
+func (svs *Services) Admit(ctx context.Context, req bwadmit.Request) (bwadmit.Grant, error) {
+	svc := svs.own.Snapshot().services[req.Service]
+	if svc == nil {
+		return bwadmit.Grant{}, fmt.Errorf("service %q: %w", req.Service, ErrNoService)
+	}
+	grant, err := svc.queue.Admit(ctx, req)
+	var refused *bwadmit.RefusedError
+	if errors.As(err, &refused) {
+		svs.cfg.Metrics.Refusals.With(string(req.Service), string(refused.Reason)).Inc()
+		return grant, err
+	}
+	if err == nil {
+		svs.cfg.Metrics.QueueWait.With(string(req.Service), req.Class.String()).Update(grant.Waited.Seconds())
+	}
+	return grant, err
+}
+
+func (svs *Services) logChoice(ctx context.Context, req bwroute.Request, dec bwroute.Decision) {
+	svs.cfg.Metrics.UpstreamChoices.With(string(dec.Chosen), string(dec.Reason)).Inc()
+	if !svs.cfg.Log.Enabled(ctx, slog.LevelInfo) {
+		return
+	}
+	line := &bwobserve.Decision{
+		Kind:       "Route",
+		Request:    req.ID,
+		Team:       req.Team,
+		Service:    req.Service,
+		Choice:     dec.Chosen,
+		Reason:     string(dec.Reason),
+		Candidates: make([]bwobserve.Candidate, 0, len(dec.Candidates)),
+	}
+	for _, cnd := range dec.Candidates {
+		line.Candidates = append(line.Candidates, bwobserve.Candidate{Upstream: cnd.Upstream, Cost: cnd.Cost.Seconds()})
+	}
+	bwobserve.LogDecision(ctx, svs.cfg.Log, line)
+}
+
+func (svs *Services) loop(ctx context.Context) {
+	tick := time.NewTicker(refreshInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if svs.own.Post(ctx, (*servicesState).refresh) != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// update runs in the control goroutine.
+func (svs *Services) update(ctx context.Context, st *servicesState, objects Objects) error {
+	wanted := make(map[bwmodel.ServiceID]bool, len(objects.Services))
+	var failed error
+	for _, spec := range objects.Services {
+		wanted[spec.Name] = true
+		if st.services[spec.Name] == nil {
+			svc, err := svs.open(ctx, spec)
+			if err != nil {
+				failed = errors.Join(failed, err)
+				continue
+			}
+			st.services[spec.Name] = svc
+		}
+	}
+	for name, svc := range st.services {
+		if !wanted[name] {
+			svc.cancel()
+			delete(st.services, name)
+		}
+	}
+	teams := shareLimits(objects.Teams, objects.Routers)
+	var follow []bwmodel.Upstream
+	for _, spec := range objects.Services {
+		svc := st.services[spec.Name]
+		if svc == nil {
+			continue
+		}
+		ups := bwmember.Subset(svs.cfg.Self, upstreamsOf(objects.Upstreams, spec.Name), svs.cfg.UpstreamsPerService)
+		// A copy, since traffic goroutines read the published one.
+		next := *svc
+		next.spec = spec
+		st.services[spec.Name] = &next
+		next.chooser.Update(ups)
+		next.queue.Update(spec, teams)
+		follow = append(follow, ups...)
+	}
+	st.follow(ctx, follow)
+	return failed
+}
+
+// open starts the decisions of a service that has come into force.
+func (svs *Services) open(ctx context.Context, spec bwmodel.Service) (*service, error) {
+	chooser, err := bwroute.New(bwroute.Config{
+		Service: spec.Name,
+		Zone:    svs.cfg.Self.Zone,
+		Now:     svs.cfg.Now,
+		Policy:  svs.cfg.Route,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("chooser of service %q: %w", spec.Name, err)
+	}
+	queue, err := bwadmit.New(bwadmit.Config{
+		Service:  spec,
+		Now:      svs.cfg.Now,
+		Policy:   svs.cfg.Order,
+		Capacity: func() int { total, _ := chooser.Capacity(); return total },
+	})
+	if err != nil {
+		return nil, fmt.Errorf("queue of service %q: %w", spec.Name, err)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	queue.Start(ctx)
+	svc := &service{
+		spec:    spec,
+		chooser: chooser,
+		queue:   queue,
+		hedge:   bwretry.NewHedge(svs.cfg.Hedge),
+		cancel:  cancel,
+	}
+	return svc, nil
+}
+
+func (svs *Services) observe(ctx context.Context, rep Report) {
+	if svs.cfg.Observed != nil {
+		svs.cfg.Observed(rep)
+	}
+	// A failed post means that the router is stopping.
+	_ = svs.own.Post(ctx, func(st *servicesState) { st.observe(rep) })
+}
+
+func (svs *Services) lose(ctx context.Context, name bwmodel.UpstreamID) {
+	// A failed post means that the router is stopping.
+	_ = svs.own.Post(ctx, func(st *servicesState) { st.lose(name) })
+}
+
+func (st *servicesState) observe(rep Report) {
+	fol, ok := st.upstreams[rep.Upstream.Name]
+	svc := st.services[rep.Upstream.Service]
+	if !ok || svc == nil {
+		return
+	}
+	event := rep.Event
+	fol.reading.Store(&clockReading{
+		incarnation: event.Member.Incarnation,
+		clock:       event.Clock,
+		arrived:     rep.Arrived,
+	})
+	svc.chooser.Observe(bwroute.Status{
+		Upstream:    rep.Upstream.Name,
+		Incarnation: event.Member.Incarnation,
+		Connected:   true,
+		Leaving:     event.Member.Leaving,
+		Load:        event.Load,
+		Cache:       event.Cache,
+	})
+}
+
+func (st *servicesState) lose(name bwmodel.UpstreamID) {
+	fol, ok := st.upstreams[name]
+	if !ok {
+		return
+	}
+	if svc := st.services[fol.upstream.Service]; svc != nil {
+		svc.chooser.Observe(bwroute.Status{Upstream: name})
+	}
+}
+
+func (st *servicesState) refresh() {
+	for _, svc := range st.services {
+		svc.chooser.Refresh()
+	}
+}
+
+// follow replaces the upstreams that have a status stream.
+func (st *servicesState) follow(ctx context.Context, ups []bwmodel.Upstream) {
+	next := make(map[bwmodel.UpstreamID]followed, len(ups))
+	for _, up := range ups {
+		fol, ok := st.upstreams[up.Name]
+		if !ok {
+			fol.reading = new(atomic.Pointer[clockReading])
+		}
+		fol.upstream = up
+		next[up.Name] = fol
+	}
+	st.upstreams = next
+	st.watches.Set(ctx, ups)
+}
+
+func (st *servicesState) view() *servicesView {
+	return &servicesView{services: maps.Clone(st.services), upstreams: st.upstreams}
+}
+
+// shareLimits gives each router an equal part of the teams' limits, at least one request.
+func shareLimits(teams []bwmodel.Team, routers int) []bwmodel.Team {
+	if routers <= 1 {
+		return teams
+	}
+	shared := make([]bwmodel.Team, len(teams))
+	for ix, team := range teams {
+		if team.MaxInFlight > 0 {
+			team.MaxInFlight = (team.MaxInFlight + routers - 1) / routers
+		}
+		shared[ix] = team
+	}
+	return shared
+}
+
+func upstreamsOf(all []bwmodel.Upstream, name bwmodel.ServiceID) []bwmodel.Upstream {
+	var ups []bwmodel.Upstream
+	for _, up := range all {
+		if up.Service == name {
+			ups = append(ups, up)
+		}
+	}
+	return ups
+}
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -25,6 +25,7 @@
 	"bilberrywick/core/bwstream"
 	"bilberrywick/io/bwagent"
 	"bilberrywick/io/bwengine"
+	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwrouter"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/standin/bwfakeengine"
@@ -247,7 +248,7 @@
 func withTeam(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wrt http.ResponseWriter, req *http.Request) {
 		team := bwmodel.Team{Name: bwmodel.TeamID(req.Header.Get("Team"))}
-		next.ServeHTTP(wrt, req.WithContext(bwrouter.WithTeam(req.Context(), team)))
+		next.ServeHTTP(wrt, req.WithContext(bwhttp.WithTeam(req.Context(), team)))
 	})
 }
 
