Shorten the messages that are sent most

Cause: at full size a router follows 128 agents; a report of 293 bytes a second from each would take 37 KB/s of a control budget of 9 KB/s, and a token took 109 bytes to the router and 125 to its holder. Change: short integer keys for status, token and record messages; a report states the member and the load only when they change; cache events go as runs of consecutive numbers. Arrays without keys were ruled out: a process of the next version could not add a field.

--- a/bench/bwcapacity/message.go
+++ b/bench/bwcapacity/message.go
@@ -80,19 +80,19 @@
 	})
 }
 
+// statusEvent is a report whose load has changed, as most are under load.
 func statusEvent(count int) any {
-	event := &bwwire.AgentStatusEvent{
-		Member:      member(1),
-		Upstream:    "pisar-model-0001",
-		Service:     "pisar-model",
+	load := bwmodel.LoadReport{Age: time.Second, Running: 12, Waiting: 3, Slots: 16, TokenRate: 21.7, Models: []string{"pisar"}, QueuedTokens: 5000}
+	var events []bwmodel.CacheEvent
+	for ix := range count {
+		events = append(events, bwmodel.CacheEvent{Sequence: uint64(1_000_000 + ix), Block: uint64(ix+1) * 0x9e3779b97f4a7c15})
+	}
+	return &bwwire.AgentStatusEvent{
 		StateNumber: 123456,
 		Clock:       90 * time.Minute,
-		Load:        bwmodel.LoadReport{Age: time.Second, Running: 12, Waiting: 3, Slots: 16, TokenRate: 21.7, Models: []string{"pisar"}, QueuedTokens: 5000},
-	}
-	for ix := range count {
-		event.Cache = append(event.Cache, bwmodel.CacheEvent{Sequence: uint64(1_000_000 + ix), Block: uint64(ix) * 0x9e3779b97f4a7c15})
+		Load:        bwwire.NewLoadMessage(load),
+		Cache:       bwwire.NewCacheRuns(events),
 	}
-	return event
 }
 
 func exchange(count int) any {
--- a/io/bwagent/reporter.go
+++ b/io/bwagent/reporter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"bilberrywick/core/bwcontrol"
@@ -52,6 +53,8 @@
 	Load    bwmodel.LoadReport
 	// Measured is when the load was measured.
 	Measured time.Time
+	// revision rises whenever the load says something else.
+	revision uint64
 	cache    []bwmodel.CacheEvent
 	changed  chan struct{}
 	replaced chan struct{}
@@ -168,16 +171,12 @@
 	}
 	tick := time.NewTicker(rep.cfg.Interval)
 	defer tick.Stop()
-	var sent uint64
+	sub := &subscriber{rep: rep}
 	for {
 		view := rep.own.Snapshot()
-		event := rep.event(view, sent)
-		if err := stm.Send(event); err != nil {
+		if err := stm.Send(sub.event(view)); err != nil {
 			return err
 		}
-		if count := len(event.Cache); count > 0 {
-			sent = event.Cache[count-1].Sequence
-		}
 		select {
 		case <-tick.C:
 		case <-view.changed:
@@ -187,31 +186,55 @@
 	}
 }
 
-// event returns the report for a subscriber that has the cache events up to sent.
-func (rep *Reporter) event(view *ReporterView, sent uint64) *bwwire.AgentStatusEvent {
-	event := &bwwire.AgentStatusEvent{
-		Member:      rep.cfg.Member,
-		Upstream:    rep.cfg.Upstream,
-		Service:     rep.cfg.Service,
-		StateNumber: rep.cfg.StateNumber(),
-		Clock:       rep.Clock(),
-		Load:        view.Load,
-	}
-	event.Member.Leaving = view.Leaving
-	if !view.Measured.IsZero() {
-		event.Load.Age += rep.cfg.Now().Sub(view.Measured)
+// subscriber remembers what a router has been told on one stream.
+type subscriber struct {
+	rep *Reporter
+	// told is the view of the last event; nil before the first.
+	told *ReporterView
+	// cached is the sequence number of the last cache event sent.
+	cached uint64
+}
+
+// event returns what the subscriber has not been told yet.
+func (sub *subscriber) event(view *ReporterView) *bwwire.AgentStatusEvent {
+	rep := sub.rep
+	event := &bwwire.AgentStatusEvent{StateNumber: rep.cfg.StateNumber(), Clock: rep.Clock()}
+	if sub.told == nil || sub.told.Leaving != view.Leaving {
+		member := rep.cfg.Member
+		member.Leaving = view.Leaving
+		event.Member = &member
 	}
-	for ix, cev := range view.cache {
-		if cev.Sequence > sent {
-			event.Cache = view.cache[ix:]
-			break
+	if sub.told == nil || sub.told.revision != view.revision {
+		load := view.Load
+		if !view.Measured.IsZero() {
+			load.Age += rep.cfg.Now().Sub(view.Measured)
 		}
+		event.Load = bwwire.NewLoadMessage(load)
+	}
+	fresh := after(view.cache, sub.cached)
+	if len(fresh) > 0 {
+		event.Cache = bwwire.NewCacheRuns(fresh)
+		sub.cached = fresh[len(fresh)-1].Sequence
 	}
+	sub.told = view
 	return event
 }
 
+// after returns the events above a sequence number.
+func after(events []bwmodel.CacheEvent, sequence uint64) []bwmodel.CacheEvent {
+	for ix, event := range events {
+		if event.Sequence > sequence {
+			return events[ix:]
+		}
+	}
+	return nil
+}
+
 func (st *reporterState) observe(load bwmodel.LoadReport, events []bwmodel.CacheEvent, now time.Time) {
 	st.notify = st.notify || st.view.Load.UpstreamIsDown != load.UpstreamIsDown
+	if !sameLoad(st.view.Load, load) {
+		st.view.revision++
+	}
 	st.view.Load = load
 	st.view.Measured = now
 	if len(events) == 0 {
@@ -244,3 +267,15 @@
 		close(current.replaced)
 	}
 }
+
+// sameLoad reports whether two reports say the same, whatever their age: the
+// report is then not sent again.
+func sameLoad(one, two bwmodel.LoadReport) bool {
+	return one.Running == two.Running &&
+		one.Waiting == two.Waiting &&
+		one.Slots == two.Slots &&
+		one.TokenRate == two.TokenRate &&
+		one.QueuedTokens == two.QueuedTokens &&
+		one.UpstreamIsDown == two.UpstreamIsDown &&
+		slices.Equal(one.Models, two.Models)
+}
--- a/io/bwagent/reporter_test.go
+++ b/io/bwagent/reporter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -80,7 +81,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if first.Member.Leaving || first.StateNumber != 3 {
+	if first.Member == nil || first.Member.Leaving || first.StateNumber != 3 {
 		t.Errorf("first report is %+v, want not leaving and state number 3", first)
 	}
 	if err := rep.SetLeaving(t.Context(), true); err != nil {
@@ -90,10 +91,28 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if !second.Member.Leaving {
+	if second.Member == nil || !second.Member.Leaving {
 		t.Errorf("second report is %+v, want leaving", second)
 	}
 	if second.Clock < first.Clock {
 		t.Errorf("clock went back from %v to %v", first.Clock, second.Clock)
 	}
 }
+
+// Guards against a gap in cache events that is hidden by grouping them, and
+// against evictions that are taken for stored blocks.
+func TestCacheRunsKeepEveryEvent(t *testing.T) {
+	events := []bwmodel.CacheEvent{
+		{Sequence: 4, Block: 10},
+		{Sequence: 5, Block: 11, Evicted: true},
+		{Sequence: 9, Block: 12},
+		{Sequence: 10, Block: 10, Evicted: true},
+	}
+	runs := bwwire.NewCacheRuns(events)
+	if len(runs) != 2 {
+		t.Errorf("%d runs, want 2: the numbers have one gap", len(runs))
+	}
+	if got := bwwire.CacheEvents(runs); !slices.Equal(got, events) {
+		t.Errorf("got %+v, want %+v", got, events)
+	}
+}
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -204,8 +204,8 @@
 
 // heardAgent takes the evidence that an agent's report carries.
 func (rtr *Router) heardAgent(rep Report) {
-	rtr.proc.Fleet.Hear(rep.Event.Member)
-	rtr.proc.Fleet.Learn(rep.Event.StateNumber, rep.Upstream.Agent)
+	rtr.proc.Fleet.Hear(rep.Member)
+	rtr.proc.Fleet.Learn(rep.StateNumber, rep.Upstream.Agent)
 }
 
 // holder returns the router that holds a request's copy.
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -347,19 +347,18 @@
 	if !ok || svc == nil {
 		return
 	}
-	event := rep.Event
 	fol.reading.Store(&clockReading{
-		incarnation: event.Member.Incarnation,
-		clock:       event.Clock,
+		incarnation: rep.Member.Incarnation,
+		clock:       rep.Clock,
 		arrived:     rep.Arrived,
 	})
 	svc.chooser.Observe(bwroute.Status{
 		Upstream:    rep.Upstream.Name,
-		Incarnation: event.Member.Incarnation,
+		Incarnation: rep.Member.Incarnation,
 		Connected:   true,
-		Leaving:     event.Member.Leaving,
-		Load:        event.Load,
-		Cache:       event.Cache,
+		Leaving:     rep.Member.Leaving,
+		Load:        rep.Load,
+		Cache:       rep.Cache,
 	})
 }
 
--- a/io/bwrouter/watch.go
+++ b/io/bwrouter/watch.go
@@ -36,9 +36,15 @@
 
 // Report is an agent's status and when it arrived.
 type Report struct {
-	Upstream bwmodel.Upstream
-	Event    *bwwire.AgentStatusEvent
-	Arrived  time.Time
+	Upstream    bwmodel.Upstream
+	Member      bwmodel.Member
+	StateNumber bwmodel.TicketNumber
+	// Clock is the agent's monotonic clock when it sent the report.
+	Clock time.Duration
+	// Load is the last load that the agent reported, with the age that it had then.
+	Load    bwmodel.LoadReport
+	Cache   []bwmodel.CacheEvent
+	Arrived time.Time
 }
 
 const (
@@ -125,16 +131,50 @@
 	if err := stm.Send(req); err != nil {
 		return false, err
 	}
-	received := false
+	rdr := &reportReader{upstream: wtc.upstream}
 	for {
 		event, err := stm.Recv()
 		if err != nil {
-			return received, err
+			return rdr.complete, err
 		}
-		received = true
 		silence.Reset(wtc.cfg.Silence)
-		wtc.cfg.Observed(ctx, Report{Upstream: wtc.upstream, Event: event, Arrived: wtc.cfg.Now()})
+		if rep, ok := rdr.next(event, wtc.cfg.Now()); ok {
+			wtc.cfg.Observed(ctx, rep)
+		}
+	}
+}
+
+// reportReader joins the events of one stream into whole reports.
+type reportReader struct {
+	upstream bwmodel.Upstream
+	member   bwmodel.Member
+	// load stays as it is while the agent reads the same from its upstream.
+	load bwmodel.LoadReport
+	// complete is set once the member and the load are known.
+	complete bool
+}
+
+func (rdr *reportReader) next(event *bwwire.AgentStatusEvent, now time.Time) (Report, bool) {
+	if event.Member != nil {
+		rdr.member = *event.Member
+	}
+	if event.Load != nil {
+		rdr.load = event.Load.Report()
+	}
+	rdr.complete = rdr.complete || (event.Member != nil && event.Load != nil)
+	if !rdr.complete {
+		return Report{}, false
+	}
+	rep := Report{
+		Upstream:    rdr.upstream,
+		Member:      rdr.member,
+		StateNumber: event.StateNumber,
+		Clock:       event.Clock,
+		Load:        rdr.load,
+		Cache:       bwwire.CacheEvents(event.Cache),
+		Arrived:     now,
 	}
+	return rep, true
 }
 
 // sleep waits and reports false when the context ended first.
--- a/io/bwwire/control.go
+++ b/io/bwwire/control.go
@@ -12,18 +12,6 @@
 	StateNumber bwmodel.TicketNumber
 }
 
-// AgentStatusEvent is an agent's report, sent each second and on change.
-type AgentStatusEvent struct {
-	Member      bwmodel.Member
-	Upstream    bwmodel.UpstreamID
-	Service     bwmodel.ServiceID
-	StateNumber bwmodel.TicketNumber
-	// Clock is the agent's monotonic clock, counted from its start.
-	Clock time.Duration
-	Load  bwmodel.LoadReport
-	Cache []bwmodel.CacheEvent
-}
-
 // OrderRequest tells an engine to load or unload a model or to change role.
 type OrderRequest struct {
 	// Duty names the leased control duty under which the order is given.
--- a/io/bwwire/generation.go
+++ b/io/bwwire/generation.go
@@ -34,23 +34,24 @@
 	Holder netip.AddrPort
 }
 
-// GenerateEvent is one message of an attempt's output.
+// GenerateEvent is one message of an attempt's output. It has short keys, since
+// a router at peak reads 6,500 tokens a second.
 type GenerateEvent struct {
-	Attempt bwmodel.Attempt
+	Attempt bwmodel.Attempt `cbor:"1,keyasint,omitempty"`
 	// Position is the position of the first token.
-	Position bwmodel.Position
-	Tokens   []bwmodel.Token
+	Position bwmodel.Position `cbor:"2,keyasint,omitempty"`
+	Tokens   []bwmodel.Token  `cbor:"3,keyasint,omitempty"`
 	// PromptTokens is set in the first event of an attempt that tokenized the prompt.
-	PromptTokens []bwmodel.TokenID
+	PromptTokens []bwmodel.TokenID `cbor:"4,keyasint,omitempty"`
 	// CachedTokens is set in the first event: the prompt tokens that the engine
 	// had in its prefix cache.
-	CachedTokens int
+	CachedTokens int `cbor:"5,keyasint,omitempty"`
 	// Record is set in the first event after an attach.
-	Record *bwmodel.GenerationRecord
+	Record *bwmodel.GenerationRecord `cbor:"6,keyasint,omitempty"`
 	// Finish is set in the last event.
-	Finish bwmodel.FinishReason
+	Finish bwmodel.FinishReason `cbor:"7,keyasint,omitempty"`
 	// StateNumber is the agent's ticket number, so that a router that missed one learns of it.
-	StateNumber bwmodel.TicketNumber
+	StateNumber bwmodel.TicketNumber `cbor:"8,keyasint,omitempty"`
 }
 
 // CancelRequest ends the attempts of a request below an epoch, and the attempts
@@ -67,21 +68,22 @@
 // AppendBatch carries the appends of many generations to one holder.
 type AppendBatch struct{ Appends []RecordAppend }
 
-// RecordAppend extends, starts or drops one generation's record at its holder.
+// RecordAppend extends, starts or drops one generation's record at its holder;
+// like GenerateEvent it has short keys.
 type RecordAppend struct {
-	Request bwmodel.RequestID
-	Epoch   bwmodel.Epoch
+	Request bwmodel.RequestID `cbor:"1,keyasint,omitempty"`
+	Epoch   bwmodel.Epoch     `cbor:"2,keyasint,omitempty"`
 	// Record is set when the holder has no record yet; it replaces one of a lower epoch.
-	Record *bwmodel.GenerationRecord
+	Record *bwmodel.GenerationRecord `cbor:"3,keyasint,omitempty"`
 	// Position is the position of the first token.
-	Position     bwmodel.Position
-	Tokens       []bwmodel.Token
-	PromptTokens []bwmodel.TokenID
-	Attempt      bwmodel.Attempt
-	Agent        netip.AddrPort
-	Finish       bwmodel.FinishReason
+	Position     bwmodel.Position     `cbor:"4,keyasint,omitempty"`
+	Tokens       []bwmodel.Token      `cbor:"5,keyasint,omitempty"`
+	PromptTokens []bwmodel.TokenID    `cbor:"6,keyasint,omitempty"`
+	Attempt      bwmodel.Attempt      `cbor:"7,keyasint,omitempty"`
+	Agent        netip.AddrPort       `cbor:"8,keyasint,omitempty"`
+	Finish       bwmodel.FinishReason `cbor:"9,keyasint,omitempty"`
 	// Drop says that the caller has everything and the record is no longer needed.
-	Drop bool
+	Drop bool `cbor:"10,keyasint,omitempty"`
 }
 
 // AckBatch answers an AppendBatch, in any grouping.
@@ -89,13 +91,13 @@
 
 // RecordAck tells how far a holder's record reaches.
 type RecordAck struct {
-	Request bwmodel.RequestID
-	Epoch   bwmodel.Epoch
+	Request bwmodel.RequestID `cbor:"1,keyasint,omitempty"`
+	Epoch   bwmodel.Epoch     `cbor:"2,keyasint,omitempty"`
 	// Position is the number of tokens that the holder keeps.
-	Position bwmodel.Position
+	Position bwmodel.Position `cbor:"3,keyasint,omitempty"`
 	// Refused says that the holder has sealed the record under a higher epoch,
 	// or has no record to extend.
-	Refused bool
+	Refused bool `cbor:"4,keyasint,omitempty"`
 }
 
 // TakeOverRequest seals a record against lower epochs and asks for it.
