Measure the slopes of state and decisions

Cause: the capacity page needs the cost of each part at three sizes or more. Change: bwcapacity measures the memory of the state, choosers, queues and the directory, and the time of the decisions on them.

--- a/bench/bwcapacity/measure.go
+++ b/bench/bwcapacity/measure.go
@@ -10,12 +10,16 @@
 // RecordBytes is the slope of a generation record's memory.
 const RecordBytes = "RecordBytes"
 
-// MeasureAll measures every slope on this machine, which takes about a minute.
+// MeasureAll measures every slope on this machine, which takes a few minutes.
 func MeasureAll(now func() time.Time) (Measurement, error) {
 	slopes, err := messageSlopes()
 	if err != nil {
 		return Measurement{}, err
 	}
+	decisions, err := decisionSlopes()
+	if err != nil {
+		return Measurement{}, err
+	}
 	record, err := Measure(RecordBytes, "tokens", Bytes, []int{1 << 10, 1 << 12, 1 << 14}, func(count int) float64 {
 		return heapOf(func() any { return &bwmodel.GenerationRecord{Issued: tokens(count)} })
 	})
@@ -26,7 +30,7 @@
 		Measured:  now(),
 		GoVersion: runtime.Version(),
 		Cores:     runtime.NumCPU(),
-		Slopes:    append(slopes, record),
+		Slopes:    append(append(slopes, decisions...), record),
 	}
 	return mst, nil
 }
