Run control duties under lease and guard engines at their agents

Cause: leases could be taken and renewed, but no process used one, and agents did not serve Agent.Order.

After a restart it reads the lease row before a duty's first order. With the store down it takes the fence of that order: the order names the agent's incarnation, so its sender held the lease after the agent had started.

--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/gorilla/mux"
 
 	"bilberrywick/core/bwaction"
+	"bilberrywick/core/bwlease"
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwengine"
 	"bilberrywick/io/bwfleet"
@@ -19,6 +20,7 @@
 	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwprocess"
 	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwstore"
 )
 
 // Agent is the agent process beside one upstream.
@@ -26,8 +28,9 @@
 	cfg      Config
 	proc     *bwprocess.Process
 	reporter *Reporter
-	// generations is set beside a model engine, actions and calls beside a plain service.
+	// generations and orders are set beside a model engine, actions and calls beside a plain service.
 	generations *Generations
+	orders      *Orders
 	actions     *Actions
 	calls       *Calls
 	operators   *bwhttp.Server
@@ -96,6 +99,7 @@
 	ctx, changes := agt.proc.Start(ctx)
 	if agt.generations != nil {
 		agt.generations.Start(ctx)
+		agt.orders.Start(ctx)
 	}
 	if agt.actions != nil {
 		agt.actions.Start(ctx)
@@ -176,6 +180,13 @@
 			Log:         agt.proc.Log,
 		})
 		agt.generations.Register(agt.proc.Server)
+		agt.orders = NewOrders(OrdersConfig{
+			Incarnation: agt.proc.Self.Incarnation,
+			Order:       eng.Order,
+			ReadLease:   agt.readLease,
+			Log:         agt.proc.Log,
+		})
+		agt.orders.Register(agt.proc.Server)
 		agt.reporter = NewReporter(report)
 		return
 	}
@@ -197,6 +208,14 @@
 // notSent reports whether an error of an action says that nothing was sent.
 func notSent(err error) bool { return errors.Is(err, bwengine.ErrNotSent) }
 
+// readLease reads the lease row of a control duty.
+func (agt *Agent) readLease(ctx context.Context, duty string) (bwlease.Row, error) {
+	if agt.proc.Store.Table == nil {
+		return bwlease.Row{}, bwlease.ErrAway
+	}
+	return bwstore.NewLease(agt.proc.Store.Table, duty).Read(ctx)
+}
+
 // learn takes a ticket number that a router stated.
 func (agt *Agent) learn(num bwmodel.TicketNumber, from bwmodel.MemberID) {
 	for _, ent := range agt.proc.Fleet.Snapshot().Members {
--- a/io/bwwire/control.go
+++ b/io/bwwire/control.go
@@ -27,11 +27,13 @@
 // OrderRequest tells an engine to load or unload a model or to change role.
 type OrderRequest struct {
 	// Duty names the leased control duty under which the order is given.
-	Duty   string
-	Fence  bwmodel.Fence
-	Load   string
-	Unload string
-	Role   string
+	Duty  string
+	Fence bwmodel.Fence
+	// Incarnation is the agent's as the sender knew it before it checked its lease.
+	Incarnation bwmodel.Incarnation
+	Load        string
+	Unload      string
+	Role        string
 }
 
 // OrderResponse answers an OrderRequest that was carried out.
