--- a/core/bwmodel/object.go
+++ b/core/bwmodel/object.go
@@ -19,6 +19,32 @@
 	Deadline time.Duration
 	// Actions lists the path prefixes of a plain service whose calls are non-idempotent.
 	Actions []string
+	// Models lists what a model service serves; empty means one model with the
+	// service's name, which its engines always hold.
+	Models []ServedModel
+}
+
+// Model returns a model of the service by name.
+func (svc Service) Model(name string) (ServedModel, bool) {
+	if len(svc.Models) == 0 && name == string(svc.Name) {
+		return ServedModel{Name: name}, true
+	}
+	ix := slices.IndexFunc(svc.Models, func(mod ServedModel) bool { return mod.Name == name })
+	if ix < 0 {
+		return ServedModel{}, false
+	}
+	return svc.Models[ix], true
+}
+
+// ServedModel is a model or an adapter that callers may ask for.
+type ServedModel struct {
+	Name string
+	// Base names the model that an adapter extends; empty for a model of its own.
+	Base string
+	// Bytes is the size of the weights.
+	Bytes int64
+	// MinEngines is the number of engines of each region that hold it without any demand.
+	MinEngines int
 }
 
 // Team is a group of callers that shares limits and keys.
--- a/core/bwplace/input.go
+++ b/core/bwplace/input.go
@@ -18,6 +18,9 @@
 // Model is a model with the demand for it.
 type Model struct {
 	Name string
+	// Base names the model that an adapter extends; empty for a model of its
+	// own. An adapter is loaded only beside its base and takes no place.
+	Base string
 	// Demand is the tokens per second that callers ask for, refused work included.
 	Demand float64
 	// Bytes is the size of the weights.
--- a/core/bwplace/planner.go
+++ b/core/bwplace/planner.go
@@ -123,8 +123,10 @@
 
 // round is the work of one Plan.
 type round struct {
-	pl        *Planner
-	in        Input
+	pl *Planner
+	in Input
+	// bases maps each adapter to the model that it extends.
+	bases     map[string]string
 	models    []Model
 	engines   []*engine
 	orders    []Order
@@ -139,12 +141,17 @@
 }
 
 func newRound(pl *Planner, in Input) *round {
-	rnd := &round{pl: pl, in: in, models: slices.Clone(in.Models)}
+	rnd := &round{pl: pl, in: in, models: slices.Clone(in.Models), bases: make(map[string]string)}
+	for _, mod := range in.Models {
+		if mod.Base != "" {
+			rnd.bases[mod.Name] = mod.Base
+		}
+	}
 	for _, eng := range in.Engines {
 		if !eng.Usable {
 			continue
 		}
-		rnd.engines = append(rnd.engines, pl.expected(in.Now, eng))
+		rnd.engines = append(rnd.engines, rnd.expected(eng))
 	}
 	slices.SortFunc(rnd.engines, func(ea, eb *engine) int {
 		return strings.Compare(string(ea.Upstream), string(eb.Upstream))
@@ -157,21 +164,24 @@
 
 // expected applies the engine's last order to what it reports, until the
 // period in which the order must show has passed.
-func (pl *Planner) expected(now time.Time, eng Engine) *engine {
+func (rnd *round) expected(eng Engine) *engine {
 	exp := &engine{Engine: eng, holds: slices.Clone(eng.Loaded), free: true}
 	exp.Places = max(1, eng.Places)
-	his := pl.engines[eng.Upstream]
-	if his == nil || now.Sub(his.changed) >= pl.cfg.Period {
+	his := rnd.pl.engines[eng.Upstream]
+	if his == nil || rnd.in.Now.Sub(his.changed) >= rnd.pl.cfg.Period {
 		return exp
 	}
 	exp.free = false
-	exp.apply(his.order)
+	rnd.apply(exp, his.order)
 	return exp
 }
 
-func (eng *engine) apply(ord Order) {
+// apply changes an engine as an order does; adapters go with their base.
+func (rnd *round) apply(eng *engine, ord Order) {
 	if ord.Unload != "" {
-		eng.holds = slices.DeleteFunc(eng.holds, func(name string) bool { return name == ord.Unload })
+		eng.holds = slices.DeleteFunc(eng.holds, func(name string) bool {
+			return name == ord.Unload || rnd.bases[name] == ord.Unload
+		})
 	}
 	if ord.Load != "" && !slices.Contains(eng.holds, ord.Load) {
 		eng.holds = append(eng.holds, ord.Load)
@@ -267,7 +277,7 @@
 		if !eng.free || slices.Contains(eng.holds, mod.Name) {
 			continue
 		}
-		name, cost, ok := rnd.displace(eng)
+		name, cost, ok := rnd.displace(eng, mod)
 		if !ok {
 			continue
 		}
@@ -284,19 +294,50 @@
 
 // displace returns the model that an engine can give up, if it needs to, and
 // the tokens per second that this model would then miss.
-func (rnd *round) displace(eng *engine) (name string, loss float64, ok bool) {
-	if len(eng.holds) < eng.Places {
+func (rnd *round) displace(eng *engine, mod Model) (name string, loss float64, ok bool) {
+	if mod.Base != "" {
+		return "", 0, slices.Contains(eng.holds, mod.Base)
+	}
+	if rnd.placesUsed(eng) < eng.Places {
 		return "", 0, true
 	}
 	loss = math.Inf(1)
 	for _, held := range eng.holds {
-		if cost, allowed := rnd.giveAway(eng, held); allowed && cost < loss {
+		if rnd.bases[held] != "" {
+			continue
+		}
+		if cost, allowed := rnd.giveAwayAll(eng, held); allowed && cost < loss {
 			name, loss, ok = held, cost, true
 		}
 	}
 	return name, loss, ok
 }
 
+func (rnd *round) placesUsed(eng *engine) int {
+	used := 0
+	for _, held := range eng.holds {
+		if rnd.bases[held] == "" {
+			used++
+		}
+	}
+	return used
+}
+
+// giveAwayAll is giveAway of a model and of its adapters on the engine.
+func (rnd *round) giveAwayAll(eng *engine, held string) (loss float64, ok bool) {
+	for _, name := range eng.holds {
+		if name != held && rnd.bases[name] != held {
+			continue
+		}
+		cost, allowed := rnd.giveAway(eng, name)
+		if !allowed {
+			return 0, false
+		}
+		loss += cost
+	}
+	return loss, true
+}
+
 // giveAway reports whether a model keeps its minimum and a use below Low
 // without an engine, and what it would miss.
 func (rnd *round) giveAway(eng *engine, held string) (loss float64, ok bool) {
@@ -321,7 +362,7 @@
 }
 
 func (rnd *round) order(eng *engine, ord Order) {
-	eng.apply(ord)
+	rnd.apply(eng, ord)
 	eng.free = false
 	rnd.pl.engines[eng.Upstream] = &history{changed: rnd.in.Now, order: ord}
 	rnd.orders = append(rnd.orders, ord)
--- a/core/bwplace/planner_test.go
+++ b/core/bwplace/planner_test.go
@@ -27,7 +27,10 @@
 	for _, ord := range ords {
 		for idx := range engs {
 			if engs[idx].Upstream == ord.Upstream && ord.Load != "" {
-				engs[idx].Loaded = []string{ord.Load}
+				if ord.Unload != "" {
+					engs[idx].Loaded = nil
+				}
+				engs[idx].Loaded = append(engs[idx].Loaded, ord.Load)
 			}
 		}
 	}
--- a/core/bwticket/check.go
+++ b/core/bwticket/check.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"bilberrywick/core/bwmodel"
@@ -34,6 +35,8 @@
 const (
 	maxNameLength = 128
 	maxWeight     = 1_000_000
+	// maxModels keeps a report of demand, which has one number for each model, small.
+	maxModels = 64
 )
 
 // Check returns every fault of a ticket that would follow the state, or nil.
@@ -114,8 +117,58 @@
 			chk.fault(fmt.Sprintf("%s.Actions[%d]", path, ix), "%q does not start with a slash", prefix)
 		}
 	}
+	if svc.Kind != bwmodel.ModelService && len(svc.Models) > 0 {
+		chk.fault(path+".Models", "a plain service has no models")
+		return
+	}
+	if len(svc.Models) > maxModels {
+		chk.fault(path+".Models", "has %d models, at most %d are allowed", len(svc.Models), maxModels)
+	}
+	chk.models(path, svc)
+}
+
+// models checks each model of a service, and that no other service has it.
+func (chk *checker) models(path string, svc bwmodel.Service) {
+	for ix, mod := range svc.Models {
+		field := fmt.Sprintf("%s.Models[%d]", path, ix)
+		if mod.Bytes < 1 {
+			chk.fault(field+".Bytes", "is %d, must be at least 1", mod.Bytes)
+		}
+		if mod.MinEngines < 0 {
+			chk.fault(field+".MinEngines", "is %d, must not be negative", mod.MinEngines)
+		}
+		if base, ok := svc.Model(mod.Base); mod.Base != "" && (!ok || base.Base != "") {
+			chk.fault(field+".Base", "%q is not a model of the service that is no adapter", mod.Base)
+		}
+		if mod.Name == "" || len(mod.Name) > maxNameLength || strings.ContainsFunc(mod.Name, unsafeModelRune) {
+			chk.fault(field+".Name", "%q is empty, longer than %d bytes, or contains a space or a control character", mod.Name, maxNameLength)
+		}
+	}
+	for ix, name := range modelNames(svc) {
+		field := path + ".Name"
+		if len(svc.Models) > 0 {
+			field = fmt.Sprintf("%s.Models[%d].Name", path, ix)
+		}
+		chk.modelName(field, svc.Name, name)
+	}
+}
+
+func (chk *checker) modelName(field string, svc bwmodel.ServiceID, name string) {
+	if first, ok := chk.seen["model/"+name]; ok {
+		chk.fault(field, "model %q is named at %s already", name, first)
+		return
+	}
+	chk.seen["model/"+name] = field
+	for _, ent := range chk.after.services {
+		if ent.Object.Name != svc && slices.Contains(modelNames(ent.Object), name) && chk.touched(ent.Object.Name) == "" {
+			chk.fault(field, "model %q belongs to service %q", name, ent.Object.Name)
+		}
+	}
 }
 
+// touched returns the path at which the ticket names a service, if it does.
+func (chk *checker) touched(id bwmodel.ServiceID) string { return chk.seen["service/"+string(id)] }
+
 func (chk *checker) team(path string, tm bwmodel.Team) {
 	chk.name(path+".Name", "team", string(tm.Name))
 	if tm.Weight < 1 || tm.Weight > maxWeight {
@@ -231,4 +284,7 @@
 	return addr.IsValid() && addr.Port() != 0 && !addr.Addr().IsUnspecified()
 }
 
+// unsafeModelRune allows slashes, which are usual in names of models.
+func unsafeModelRune(chr rune) bool { return chr != '/' && unsafeRune(chr) }
+
 func unsafeRune(chr rune) bool { return chr <= ' ' || chr == '/' || chr == 0x7f }
--- a/core/bwticket/check_test.go
+++ b/core/bwticket/check_test.go
@@ -25,11 +25,30 @@
 	slow := service("review-desk")
 	slow.Deadline = -time.Second
 	slow.Actions = []string{"pay"}
+	several, plain := service("pisar"), service("objednavky-pult")
+	several.Models = []bwmodel.ServedModel{
+		{Name: "pisar/12b", Bytes: 1, MinEngines: 1},
+		{Name: "pisar 12b", Bytes: 0, MinEngines: -1},
+		{Name: "pisar/12b", Base: "pisar/70b", Bytes: 1},
+		{Name: "review-desk", Base: "pisar/12b", Bytes: 1},
+	}
+	plain.Kind, plain.Models = bwmodel.PlainService, several.Models
+	good := service("pisar")
+	good.Models = []bwmodel.ServedModel{{Name: "pisar/12b", Bytes: 1}, {Name: "pisar/12b-sk", Base: "pisar/12b", Bytes: 1}}
 	tests := []struct {
 		name string
 		tk   bwticket.Ticket
 		want []string
 	}{
+		{
+			"models",
+			bwticket.Ticket{Number: 5, Services: []bwmodel.Service{several, plain}},
+			[]string{
+				"Services[0].Models[1].Bytes", "Services[0].Models[1].MinEngines", "Services[0].Models[1].Name",
+				"Services[0].Models[2].Base", "Services[0].Models[2].Name", "Services[0].Models[3].Name", "Services[1].Models",
+			},
+		},
+		{"model and adapter", bwticket.Ticket{Number: 5, Services: []bwmodel.Service{good}}, nil},
 		{"empty", bwticket.Ticket{}, []string{"Number", "Number"}},
 		{
 			"upstream",
--- a/core/bwticket/state.go
+++ b/core/bwticket/state.go
@@ -33,6 +33,7 @@
 	upstreams map[bwmodel.UpstreamID]Entry[bwmodel.Upstream]
 	keys      map[[32]byte]keyOwner
 	served    map[bwmodel.ServiceID][]bwmodel.Upstream
+	models    map[string]bwmodel.ServiceID
 }
 
 // StateConfig lists the content of a State.
@@ -99,6 +100,15 @@
 // change the slice.
 func (st *State) UpstreamsOf(id bwmodel.ServiceID) []bwmodel.Upstream { return st.served[id] }
 
+// ServiceByModel returns the service that serves a model or adapter.
+func (st *State) ServiceByModel(name string) (bwmodel.Service, bool) {
+	id, ok := st.models[name]
+	if !ok {
+		return bwmodel.Service{}, false
+	}
+	return st.Service(id)
+}
+
 // Services returns all services with the tickets that set them, by name.
 func (st *State) Services() []Entry[bwmodel.Service] {
 	return sorted(st.services, func(svc bwmodel.Service) bwmodel.ServiceID { return svc.Name })
@@ -169,6 +179,12 @@
 			st.keys[key.Hash] = keyOwner{team: ent.Object.Name, notAfter: key.NotAfter}
 		}
 	}
+	st.models = make(map[string]bwmodel.ServiceID, len(st.services))
+	for id, ent := range st.services {
+		for _, name := range modelNames(ent.Object) {
+			st.models[name] = id
+		}
+	}
 	st.served = make(map[bwmodel.ServiceID][]bwmodel.Upstream, len(st.services))
 	for _, ent := range st.Upstreams() {
 		ups := ent.Object
@@ -176,6 +192,21 @@
 	}
 }
 
+// modelNames lists the names by which callers ask for a service's models.
+func modelNames(svc bwmodel.Service) []string {
+	if svc.Kind != bwmodel.ModelService {
+		return nil
+	}
+	if len(svc.Models) == 0 {
+		return []string{string(svc.Name)}
+	}
+	names := make([]string, 0, len(svc.Models))
+	for _, mod := range svc.Models {
+		names = append(names, mod.Name)
+	}
+	return names
+}
+
 type keyOwner struct {
 	team     bwmodel.TeamID
 	notAfter time.Time
--- a/core/bwticket/ticket.go
+++ b/core/bwticket/ticket.go
@@ -52,6 +52,7 @@
 	out.Services = slices.Clone(tk.Services)
 	for ix := range out.Services {
 		out.Services[ix].Actions = slices.Clone(out.Services[ix].Actions)
+		out.Services[ix].Models = slices.Clone(out.Services[ix].Models)
 	}
 	out.Teams = slices.Clone(tk.Teams)
 	for ix := range out.Teams {
--- a/io/bwwire/ticket.go
+++ b/io/bwwire/ticket.go
@@ -35,7 +35,16 @@
 	Class      string `oneof:"Prompt,Deferrable"`
 	QueueLimit int
 	Deadline   DurationText
-	Actions    []string `json:",omitempty"`
+	Actions    []string              `json:",omitempty"`
+	Models     []ServedModelDocument `json:",omitempty"`
+}
+
+// ServedModelDocument is the written form of bwmodel.ServedModel.
+type ServedModelDocument struct {
+	Name       string
+	Base       string `json:",omitempty"`
+	Bytes      int64
+	MinEngines int `json:",omitempty"`
 }
 
 // TeamDocument is the written form of bwmodel.Team.
@@ -126,12 +135,15 @@
 		Deadline:   time.Duration(doc.Deadline),
 		Actions:    doc.Actions,
 	}
+	for _, mod := range doc.Models {
+		svc.Models = append(svc.Models, bwmodel.ServedModel(mod))
+	}
 	return svc, nil
 }
 
 // NewServiceDocument returns the written form of a service.
 func NewServiceDocument(svc bwmodel.Service) ServiceDocument {
-	return ServiceDocument{
+	doc := ServiceDocument{
 		Name:       svc.Name,
 		Kind:       svc.Kind.String(),
 		Class:      svc.Class.String(),
@@ -139,6 +151,10 @@
 		Deadline:   DurationText(svc.Deadline),
 		Actions:    svc.Actions,
 	}
+	for _, mod := range svc.Models {
+		doc.Models = append(doc.Models, ServedModelDocument(mod))
+	}
+	return doc
 }
 
 // Team converts the document, or returns an error that names the field.
