Let a router end a generation instead of resuming it

Config.NoResume was read nowhere, so the baseline "restart from the beginning" measured the same resumes as the default.

GenerationsConfig.Resume decides, after a loss that follows the first token, whether another attempt is made; NoResume answers no. Callers of this baseline in bwbench do not reconnect through a handle either.

--- a/bench/bwbench/experiment.go
+++ b/bench/bwbench/experiment.go
@@ -109,11 +109,15 @@
 	if vrt.Direct != nil {
 		entries = func() []netip.AddrPort { return vrt.Direct(flt) }
 	}
+	reconnect := reconnectTime
+	if vrt.Restart {
+		reconnect = 0
+	}
 	for _, team := range flt.Teams() {
 		ses.callers[team.Name] = bwcaller.New(bwcaller.Config{
 			Routers:   entries,
 			Key:       team.Key,
-			Reconnect: reconnectTime,
+			Reconnect: reconnect,
 			Now:       cfg.Now,
 		})
 	}
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -54,6 +54,9 @@
 	Client  *bwrpc.Client
 	// Pace configures the detection of stalled streams.
 	Pace bwstream.PaceConfig
+	// Resume reports whether a generation that lost an attempt after its first
+	// token goes on with another one; nil means always.
+	Resume func(cause string) bool
 	// MaxAttempts bounds the attempts in a row that produce no token; 0 means 8.
 	MaxAttempts int
 	// ResumeTime bounds the time without a token after a loss; 0 means 30 s.
@@ -104,6 +107,9 @@
 	if cfg.Resumed == nil {
 		cfg.Resumed = func(string, time.Duration, int) {}
 	}
+	if cfg.Resume == nil {
+		cfg.Resume = func(string) bool { return true }
+	}
 	if cfg.MaxAttempts == 0 {
 		cfg.MaxAttempts = defaultMaxAttempts
 	}
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -44,6 +44,9 @@
 	}
 	refused := code == bwwire.Leaving || code == bwwire.Overloaded
 	ses.release(bwroute.Outcome{Refused: refused, Failed: !refused && !noEngine})
+	if ses.rec.Position() > 0 && !ses.gns.cfg.Resume(cause) {
+		return errNotResumed
+	}
 	ses.failures++
 	if ses.failures >= ses.gns.cfg.MaxAttempts {
 		return errGaveUp
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -58,6 +58,9 @@
 // errGaveUp says that the attempts or the time for a resume are used up.
 var errGaveUp = errors.New("no engine could continue the generation")
 
+// errNotResumed says that the configuration ends a generation with its attempt.
+var errNotResumed = errors.New("the attempt was lost and is not resumed")
+
 // errNoHolder says that no other router acknowledges the generation's record.
 var errNoHolder = errors.New("no other router keeps a copy of the generation")
 
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -36,6 +36,7 @@
 		Known:        rtr.known,
 		StateNumber:  rtr.proc.StateNumber,
 		Resumed:      rtr.resumed,
+		Resume:       func(string) bool { return !rtr.cfg.NoResume },
 		Address:      rtr.proc.Self.Address,
 		Records:      rtr.records,
 		Client:       rtr.proc.Client,
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -39,6 +39,14 @@
 	nodes   []*engineNode
 	routers []*routerNode
 	resumed atomic.Int64
+	edit    func(*bwrouter.GenerationsConfig)
+}
+
+type clusterConfig struct {
+	engines, routers int
+	engine           bwfakeengine.Config
+	// edit changes each router's configuration; nil changes nothing.
+	edit func(*bwrouter.GenerationsConfig)
 }
 
 type engineNode struct {
@@ -63,11 +71,16 @@
 
 func newCluster(t *testing.T, engines, routers int, cfg bwfakeengine.Config) *cluster {
 	t.Helper()
-	cl := &cluster{t: t}
-	for range engines {
-		cl.addEngine(cfg)
+	return newClusterWith(t, clusterConfig{engines: engines, routers: routers, engine: cfg})
+}
+
+func newClusterWith(t *testing.T, cfg clusterConfig) *cluster {
+	t.Helper()
+	cl := &cluster{t: t, edit: cfg.edit}
+	for range cfg.engines {
+		cl.addEngine(cfg.engine)
 	}
-	for range routers {
+	for range cfg.routers {
 		cl.addRouter()
 	}
 	return cl
@@ -106,7 +119,7 @@
 	must(cl.t, err)
 	log := slog.New(slog.NewTextHandler(testWriter{cl.t}, nil))
 	rt.records = bwrouter.NewRecords(bwrouter.RecordsConfig{Client: clt, Log: log})
-	gns, err := bwrouter.NewGenerations(bwrouter.GenerationsConfig{
+	cfg := bwrouter.GenerationsConfig{
 		Choose:  rt.chooser(cl),
 		Admit:   admitAll,
 		Service: oneService,
@@ -117,7 +130,11 @@
 		Records: rt.records,
 		Client:  clt,
 		Log:     log,
-	})
+	}
+	if cl.edit != nil {
+		cl.edit(&cfg)
+	}
+	gns, err := bwrouter.NewGenerations(cfg)
 	must(cl.t, err)
 	srv, err := bwrpc.NewServer(bwrpc.ServerConfig{})
 	must(cl.t, err)
@@ -282,6 +299,7 @@
 	last   string
 	finish string
 	events int
+	failed bool
 	body   *bufio.Scanner
 	rsp    *http.Response
 }
@@ -348,6 +366,7 @@
 		must(cal.t, json.Unmarshal([]byte(data), &msg))
 		if len(msg.Choices) == 0 {
 			cal.t.Logf("event %s", data)
+			cal.failed = true
 			return
 		}
 		cal.events++
--- a/standin/bwfakeengine/fault_test.go
+++ b/standin/bwfakeengine/fault_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwrouter"
 )
 
 // Guards against a frozen engine that stops its callers, and against its late
@@ -25,6 +26,22 @@
 	}
 }
 
+// Guards against a baseline that resumes though it is told to end the
+// generation, or that leaves its caller without an error.
+func TestNoResume(t *testing.T) {
+	cl := newClusterWith(t, clusterConfig{engines: 2, routers: 2, engine: fastEngine, edit: func(cfg *bwrouter.GenerationsConfig) {
+		cfg.Resume = func(string) bool { return false }
+	}})
+	cal := cl.post(cl.routers[0], "od začiatku", 100)
+	cal.read(10)
+	must(t, cl.nodes[0].engine.Die(t.Context()))
+	cal.read(all)
+	if cal.finish != "" || len(cal.ids) >= 100 || !cal.failed || cl.resumed.Load() != 0 {
+		t.Errorf("got %d tokens, finish %q, failed %v and %d resumes, want an error and no resume",
+			len(cal.ids), cal.finish, cal.failed, cl.resumed.Load())
+	}
+}
+
 // Guards against two deaths of three that lose the answer: holder with agent,
 // and router with holder.
 func TestDoubleDeath(t *testing.T) {
