--- a/cmd/bwdev/demo.go
+++ b/cmd/bwdev/demo.go
@@ -133,7 +133,8 @@
 }
 
 // CheckAnswer compares a streamed answer with what the stand-in engine's model
-// says to a prompt, and returns an error when a byte or a token differs.
+// says to a prompt, and returns an error when a byte or a token differs. U+FFFD
+// stands for a character that the last token leaves unfinished.
 func CheckAnswer(prompt string, tokens int, ans bwcaller.Answer) error {
 	var want []byte
 	for _, tok := range bwfakeengine.Continue(bwfakeengine.Tokenize(prompt), tokens) {
@@ -144,7 +145,7 @@
 		return fmt.Errorf("received %d tokens, want %d", ans.Tokens, tokens)
 	case ans.Finish != bwmodel.FinishLength:
 		return fmt.Errorf("finished for %q, want %q", ans.Finish, bwmodel.FinishLength)
-	case !bytes.Equal([]byte(ans.Text), want):
+	case ans.Text != string(bytes.ToValidUTF8(want, []byte("\ufffd"))):
 		return fmt.Errorf("text differs from the model's: got %q, want %q", ans.Text, want)
 	}
 	return nil
--- a/io/bwrouter/generations_output.go
+++ b/io/bwrouter/generations_output.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"bilberrywick/core/bwmodel"
@@ -57,9 +58,10 @@
 	return out.add(txt)
 }
 
-// end delivers the rest and why the generation ended.
+// end delivers the rest and why the generation ended. JSON can't carry a
+// character whose last bytes were never generated; U+FFFD stands for it.
 func (out *output) end(why bwmodel.FinishReason) error {
-	txt := out.asm.Flush()
+	txt := strings.ToValidUTF8(out.asm.Flush(), "\ufffd")
 	if !out.stream {
 		out.text += txt
 		return out.writeWhole(why)
--- a/standin/bwfakeengine/serve.go
+++ b/standin/bwfakeengine/serve.go
@@ -184,7 +184,8 @@
 	}
 }
 
-// takeText returns the whole characters, and at the end whatever remains.
+// takeText returns the whole characters, and at the end whatever remains, with
+// U+FFFD for an unfinished one.
 func (ans *answer) takeText(last bool) string {
 	size := len(ans.text)
 	for back := 1; !last && back < utf8.UTFMax && back <= len(ans.text); back++ {
@@ -197,7 +198,7 @@
 	}
 	txt := string(ans.text[:size])
 	ans.text = ans.text[size:]
-	return txt
+	return strings.ToValidUTF8(txt, "\ufffd")
 }
 
 func (ans *answer) usage() *usage {
