Notice silence within a second, allow slow engines, and budget resumes

Silence after the first token waited 1 s until the stream had shown a pace, silence before it 1 s at least and 10 s without samples, and the figures did not show it: the resume latency began when the loss was noticed. A stream at 46 ms a token, whose engine slowed down 10 times, counted as stalled at once. Lost attempts were only spread by backoff, and a resumed generation could be used to probe an engine that had just failed.

The patience is now 12 gaps and 4 deviations, limited to 700 ms (4 gaps for slower streams); a stream without a pace uses that of its service; first tokens wait 500 ms at least. A router that was late itself excuses the stream. Resumes take a place in a budget (bwretry, 32 at once, given back with the first token; failed ones are earned back by new requests); without one a suspected stall waits, and a closed stream waits 1.5 s at most. NoProbe keeps resumes away from suspended engines. After a stall the latency counts from the last token. TestPace states its factor, since the default has changed.

--- a/bench/bwbench/catalog.go
+++ b/bench/bwbench/catalog.go
@@ -112,6 +112,8 @@
 		}
 	}
 	kill, revive := (*bwfakeengine.Engine).Die, (*bwfakeengine.Engine).Revive
+	slow := func(eng *bwfakeengine.Engine, ctx context.Context) error { return eng.Slow(ctx, slowFactor) }
+	restore := func(eng *bwfakeengine.Engine, ctx context.Context) error { return eng.Slow(ctx, 1) }
 	freeze, thaw := (*bwfakeengine.Engine).Freeze, (*bwfakeengine.Engine).Thaw
 	return Experiment{
 		Name: "EngineDeath",
@@ -119,6 +121,8 @@
 		Variants: []Variant{
 			variant(defaultPolicy+".Close", false, kill, revive),
 			variant(defaultPolicy+".Silence", false, freeze, thaw),
+			// A slowed engine is no dead one; its resumes are false alarms.
+			variant(defaultPolicy+".Slow", false, slow, restore),
 			variant(restart+".Close", true, kill, revive),
 			variant(restart+".Silence", true, freeze, thaw),
 		},
--- a/core/bwroute/request.go
+++ b/core/bwroute/request.go
@@ -19,6 +19,9 @@
 	Prefix []uint64
 	// Exclude names upstreams that have failed or refused this request.
 	Exclude []bwmodel.UpstreamID
+	// NoProbe keeps the request from upstreams that have been slow or failing
+	// while another is usable, because it has lost one already.
+	NoProbe bool
 }
 
 // Choice is the upstream chosen for a request.
--- a/core/bwroute/selection.go
+++ b/core/bwroute/selection.go
@@ -131,7 +131,7 @@
 // takeProbe claims a due probe of a suspended upstream, or returns nil.
 func (sel *selection) takeProbe() *node {
 	nd := sel.probe
-	if nd == nil || len(sel.cands) == 0 || !nd.work.health.begin(sel.turn) {
+	if nd == nil || sel.req.NoProbe || len(sel.cands) == 0 || !nd.work.health.begin(sel.turn) {
 		return nil
 	}
 	if !nd.work.acquire(sel.req.Tokens, sel.limit(nd)) {
--- a/core/bwstream/pace.go
+++ b/core/bwstream/pace.go
@@ -1,6 +1,9 @@
 package bwstream
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Pace tells when a stream of tokens has stalled, from the gaps between its own tokens.
 type Pace struct {
@@ -10,45 +13,56 @@
 	gap       time.Duration
 	deviation time.Duration
 	tokens    int
+	// excused is the end of a pause of the observer itself.
+	excused time.Time
 }
 
 // PaceConfig configures a Pace; zero values mean the defaults.
 type PaceConfig struct {
 	// Floor is the shortest silence that counts as a stall; 0 means 250 ms.
 	Floor time.Duration
-	// Factor multiplies the smoothed gap; 0 means 4.
+	// Factor multiplies the smoothed gap; 0 means 12.
 	Factor float64
+	// Ceiling bounds the silence that Factor allows, but not below LeastFactor
+	// gaps; 0 means 700 ms.
+	Ceiling time.Duration
+	// LeastFactor multiplies the smoothed gap of a stream that is slower than
+	// the ceiling allows for; 0 means 4.
+	LeastFactor float64
 	// Deviations is the number of mean deviations added; 0 means 4.
 	Deviations float64
 	// FirstToken is the longest wait for the first token; 0 means 10 s.
 	FirstToken time.Duration
+	// Gap is the expected time between tokens, used until the stream has shown
+	// its own; 0 means unknown.
+	Gap time.Duration
 }
 
 const (
 	// defaultFloor keeps a pause of the Go runtime or a lost packet (200 ms
 	// until TCP sends it again) from counting as a stall.
-	defaultFloor      = 250 * time.Millisecond
-	defaultFactor     = 4
-	defaultDeviations = 4
-	defaultFirstToken = 10 * time.Second
-	gapWeight         = 8
-	deviationWeight   = 4
+	defaultFloor = 250 * time.Millisecond
+	// defaultFactor lets an engine slow down 10 times without a stall.
+	defaultFactor = 12
+	// defaultCeiling leaves time for the resume within 1 s of the last token.
+	defaultCeiling     = 700 * time.Millisecond
+	defaultLeastFactor = 4
+	defaultDeviations  = 4
+	defaultFirstToken  = 10 * time.Second
+	// defaultUnknown is the patience with a stream of unknown pace.
+	defaultUnknown  = time.Second
+	gapWeight       = 8
+	deviationWeight = 4
 )
 
 // NewPace returns the pace of a stream that was started at a time.
 func NewPace(cfg PaceConfig, start time.Time) *Pace {
-	if cfg.Floor == 0 {
-		cfg.Floor = defaultFloor
-	}
-	if cfg.Factor == 0 {
-		cfg.Factor = defaultFactor
-	}
-	if cfg.Deviations == 0 {
-		cfg.Deviations = defaultDeviations
-	}
-	if cfg.FirstToken == 0 {
-		cfg.FirstToken = defaultFirstToken
-	}
+	cfg.Floor = cmp.Or(cfg.Floor, defaultFloor)
+	cfg.Factor = cmp.Or(cfg.Factor, defaultFactor)
+	cfg.Ceiling = cmp.Or(cfg.Ceiling, defaultCeiling)
+	cfg.LeastFactor = cmp.Or(cfg.LeastFactor, defaultLeastFactor)
+	cfg.Deviations = cmp.Or(cfg.Deviations, defaultDeviations)
+	cfg.FirstToken = cmp.Or(cfg.FirstToken, defaultFirstToken)
 	return &Pace{cfg: cfg, since: start}
 }
 
@@ -75,20 +89,71 @@
 
 // Deadline returns when the stream counts as stalled if nothing arrives before.
 func (pc *Pace) Deadline() time.Time {
-	return pc.since.Add(pc.Patience())
+	end := pc.since.Add(pc.Patience())
+	if grace := pc.excused.Add(pc.cfg.Floor); !pc.excused.IsZero() && grace.After(end) {
+		return grace
+	}
+	return end
 }
 
+// Excuse puts the deadline off, because the observer itself was paused until
+// now and tokens that have arrived meanwhile may not have been read yet.
+func (pc *Pace) Excuse(now time.Time) { pc.excused = now }
+
+// Last returns when the last token arrived, or the start before the first.
+func (pc *Pace) Last() time.Time { return pc.since }
+
+// Gap returns the smoothed time between tokens; 0 before it is known.
+func (pc *Pace) Gap() time.Duration { return pc.gap }
+
 // Patience returns the longest silence that does not count as a stall.
 func (pc *Pace) Patience() time.Duration {
-	if pc.tokens == 0 {
+	switch {
+	case pc.tokens == 0:
 		return pc.cfg.FirstToken
+	case pc.gap > 0:
+		return pc.allow(pc.gap, pc.deviation)
+	case pc.cfg.Gap > 0:
+		return pc.allow(pc.cfg.Gap, pc.cfg.Gap/2)
 	}
-	if pc.gap == 0 {
-		// One gap is needed before the stream has a pace.
-		return min(pc.cfg.FirstToken, max(pc.cfg.Floor, time.Second))
+	return min(pc.cfg.FirstToken, max(pc.cfg.Floor, defaultUnknown))
+}
+
+// allow returns the patience with a stream of a pace.
+func (pc *Pace) allow(gap, deviation time.Duration) time.Duration {
+	least := time.Duration(pc.cfg.LeastFactor * float64(gap))
+	silence := time.Duration(pc.cfg.Factor * float64(gap))
+	silence = min(silence, max(pc.cfg.Ceiling, least))
+	return max(pc.cfg.Floor, silence+time.Duration(pc.cfg.Deviations*float64(deviation)))
+}
+
+// ServicePace learns the pace of a service's streams for those that have not
+// shown their own yet.
+type ServicePace struct {
+	first FirstTokens
+	gap   time.Duration
+}
+
+// ObserveFirst notes the time one attempt took to its first token.
+func (sp *ServicePace) ObserveFirst(took time.Duration) { sp.first.Observe(took) }
+
+// ObserveGap notes the smoothed gap of one stream; 0 is ignored.
+func (sp *ServicePace) ObserveGap(gap time.Duration) {
+	switch {
+	case gap <= 0:
+	case sp.gap == 0:
+		sp.gap = gap
+	default:
+		sp.gap += (gap - sp.gap) / gapWeight
 	}
-	silence := time.Duration(pc.cfg.Factor*float64(pc.gap) + pc.cfg.Deviations*float64(pc.deviation))
-	return max(pc.cfg.Floor, silence)
+}
+
+// Apply returns a configuration with what was learned; values that were not
+// learned yet stay as they are.
+func (sp ServicePace) Apply(cfg PaceConfig) PaceConfig {
+	cfg.FirstToken = cmp.Or(sp.first.Patience(), cfg.FirstToken)
+	cfg.Gap = cmp.Or(sp.gap, cfg.Gap)
+	return cfg
 }
 
 // FirstTokens learns a service's time to the first token.
@@ -100,8 +165,13 @@
 
 const (
 	minFirstTokenSamples = 8
-	firstTokenFactor     = 4
-	minFirstTokenWait    = time.Second
+	// minFirstTokenWait covers the prompt of one more request on an idle engine.
+	minFirstTokenWait = 500 * time.Millisecond
+	// maxFirstTokenWait leaves a second for the resume within the goal of 3 s,
+	// unless the service's usual times are longer.
+	maxFirstTokenWait = 2 * time.Second
+	// leastFirstTokenFactor multiplies the mean of a service slower than that.
+	leastFirstTokenFactor = 3
 )
 
 // Observe notes the time one attempt took to its first token.
@@ -123,5 +193,6 @@
 	if ft.count < minFirstTokenSamples {
 		return 0
 	}
-	return max(minFirstTokenWait, firstTokenFactor*(ft.mean+defaultDeviations*ft.deviation))
+	wait := min(defaultFactor*ft.mean, max(maxFirstTokenWait, leastFirstTokenFactor*ft.mean))
+	return max(minFirstTokenWait, wait+defaultDeviations*ft.deviation)
 }
--- a/core/bwstream/record_test.go
+++ b/core/bwstream/record_test.go
@@ -143,7 +143,7 @@
 // Guards against a stall that is noticed too late, or seen in a steady stream.
 func TestPace(t *testing.T) {
 	start := time.Unix(0, 0)
-	cfg := bwstream.PaceConfig{Floor: 100 * time.Millisecond, FirstToken: 5 * time.Second}
+	cfg := bwstream.PaceConfig{Floor: 100 * time.Millisecond, FirstToken: 5 * time.Second, Factor: 4}
 	pc := bwstream.NewPace(cfg, start)
 	if got := pc.Deadline().Sub(start); got != cfg.FirstToken {
 		t.Errorf("before the first token waits %v, want %v", got, cfg.FirstToken)
@@ -157,3 +157,61 @@
 		t.Errorf("at 50 ms a token waits %v, want four gaps", got)
 	}
 }
+
+// Guards against a slowed engine whose streams all count as stalled at once,
+// and against a silence that is noticed too late for a resume within a second.
+func TestPaceAllowsTenfoldSlowing(t *testing.T) {
+	for _, gap := range []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 46 * time.Millisecond, 60 * time.Millisecond} {
+		now := time.Unix(0, 0)
+		pc := bwstream.NewPace(bwstream.PaceConfig{}, now)
+		for range 20 {
+			now = now.Add(gap)
+			pc.Observe(now, 1)
+		}
+		if got := pc.Patience(); got <= 10*gap || got > 750*time.Millisecond {
+			t.Errorf("at %v a token waits %v, want more than ten gaps and at most 750 ms", gap, got)
+		}
+		for step := range 20 {
+			now = now.Add(10 * gap)
+			if !now.Before(pc.Deadline()) {
+				t.Fatalf("token %d after the slowing from %v comes %v after the deadline", step, gap, now.Sub(pc.Deadline()))
+			}
+			pc.Observe(now, 1)
+		}
+	}
+}
+
+// Guards against a silence after the first token that is judged without the
+// pace that the service's other streams have shown.
+func TestServicePace(t *testing.T) {
+	var sp bwstream.ServicePace
+	for range 20 {
+		sp.ObserveFirst(40 * time.Millisecond)
+		sp.ObserveGap(20 * time.Millisecond)
+	}
+	start := time.Unix(0, 0)
+	pc := bwstream.NewPace(sp.Apply(bwstream.PaceConfig{}), start)
+	if got := pc.Patience(); got < 400*time.Millisecond || got > 700*time.Millisecond {
+		t.Errorf("before the first token waits %v, want ten times the usual 40 ms, at least 500 ms", got)
+	}
+	pc.Observe(start, 1)
+	if got := pc.Patience(); got <= 200*time.Millisecond || got > 400*time.Millisecond {
+		t.Errorf("before the second token waits %v, want a little more than ten gaps", got)
+	}
+}
+
+// Guards against a router that was paused itself and takes its own silence for
+// that of all its engines.
+func TestPaceExcusesItsObserver(t *testing.T) {
+	now := time.Unix(0, 0)
+	pc := bwstream.NewPace(bwstream.PaceConfig{Floor: 100 * time.Millisecond}, now)
+	for range 10 {
+		now = now.Add(time.Millisecond)
+		pc.Observe(now, 1)
+	}
+	now = now.Add(time.Minute)
+	pc.Excuse(now)
+	if got := pc.Deadline().Sub(now); got != 100*time.Millisecond {
+		t.Errorf("deadline %v after the pause, want the floor", got)
+	}
+}
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -14,6 +14,7 @@
 
 	"bilberrywick/core/bwadmit"
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwstream"
 	"bilberrywick/io/bwhttp"
@@ -24,8 +25,9 @@
 // when one fails, and takes over those of a router that died.
 type Generations struct {
 	cfg GenerationsConfig
-	// firsts learns the time to the first token of each service.
-	firsts *firstTokens
+	// paces learns the time to the first token and between tokens of each service.
+	paces  *paces
+	budget *bwretry.Budget
 }
 
 // GenerationsConfig configures a Generations.
@@ -45,8 +47,9 @@
 	// SawState is told the ticket numbers of agents; it may be nil.
 	SawState func(bwmodel.TicketNumber)
 	// Resumed is told of each attempt after the first once it produced a token:
-	// why it was needed, the time since the loss was noticed, and the tokens
-	// that the engine computed again. It may be nil.
+	// why it was needed, the time since the connection closed or, after a stall,
+	// since the last token, and the tokens that the engine computed again. It
+	// may be nil.
 	Resumed func(cause string, took time.Duration, recomputed int)
 	// Address is where other routers reach this one.
 	Address netip.AddrPort
@@ -57,6 +60,9 @@
 	// Resume reports whether a generation that lost an attempt after its first
 	// token goes on with another one; nil means always.
 	Resume func(cause string) bool
+	// ResumeBudget bounds the resumes under way at once and, as a share of new
+	// requests, those that fail; a Burst of 0 means 32.
+	ResumeBudget bwretry.BudgetConfig
 	// MaxAttempts bounds the attempts in a row that produce no token; 0 means 8.
 	MaxAttempts int
 	// ResumeTime bounds the time without a token after a loss; 0 means 30 s.
@@ -83,11 +89,11 @@
 		return nil, errors.New("generations: records or client are unset")
 	}
 	cfg.setDefaults()
-	return &Generations{cfg: cfg, firsts: newFirstTokens()}, nil
+	return &Generations{cfg: cfg, paces: newPaces(), budget: newResumeBudget(cfg.ResumeBudget)}, nil
 }
 
 // Start runs the control goroutine until the context ends.
-func (gns *Generations) Start(ctx context.Context) { gns.firsts.control.Start(ctx) }
+func (gns *Generations) Start(ctx context.Context) { gns.paces.control.Start(ctx) }
 
 // Routes adds the callers' paths to a router; the team must be in the
 // request's context, as bwhttp.WithTeam puts it there.
@@ -180,6 +186,7 @@
 	out := newOutput(wrt, gns.cfg.Now(), body.Stream, body.ReturnTokenIDs, rec, bwstream.Mark{})
 	ses := newSession(gns, rec, out)
 	defer func() { grant.Finish(ses.produced) }()
+	gns.budget.Request()
 	ses.serve(req.Context())
 }
 
--- a/io/bwrouter/generations_attempt.go
+++ b/io/bwrouter/generations_attempt.go
@@ -5,10 +5,8 @@
 	"net/netip"
 	"time"
 
-	"bilberrywick/core/bwcontrol"
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwroute"
-	"bilberrywick/core/bwstream"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
 )
@@ -119,45 +117,8 @@
 // chooseError says that no engine was found for an attempt.
 type chooseError struct{ err error }
 
+// Error returns the reason.
 func (err *chooseError) Error() string { return "no engine: " + err.err.Error() }
 
+// Unwrap returns the reason.
 func (err *chooseError) Unwrap() error { return err.err }
-
-// firstTokens learns the time to the first token of each service.
-type firstTokens struct {
-	control *bwcontrol.Owner[firstTokenTimes, firstTokenView]
-}
-
-type (
-	firstTokenTimes map[bwmodel.ServiceID]*bwstream.FirstTokens
-	firstTokenView  map[bwmodel.ServiceID]time.Duration
-)
-
-func newFirstTokens() *firstTokens {
-	state := make(firstTokenTimes)
-	return &firstTokens{control: bwcontrol.New(bwcontrol.Config[firstTokenTimes, firstTokenView]{
-		State: &state,
-		View:  (*firstTokenTimes).view,
-	})}
-}
-
-func (ftt *firstTokens) observe(ctx context.Context, svc bwmodel.ServiceID, took time.Duration) {
-	_ = ftt.control.Post(ctx, func(tms *firstTokenTimes) {
-		if (*tms)[svc] == nil {
-			(*tms)[svc] = new(bwstream.FirstTokens)
-		}
-		(*tms)[svc].Observe(took)
-	})
-}
-
-func (ftt *firstTokens) patience(svc bwmodel.ServiceID) time.Duration {
-	return (*ftt.control.Snapshot())[svc]
-}
-
-func (tms *firstTokenTimes) view() *firstTokenView {
-	vw := make(firstTokenView, len(*tms))
-	for svc, fts := range *tms {
-		vw[svc] = fts.Patience()
-	}
-	return &vw
-}
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -1,11 +1,13 @@
 package bwrouter
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
 	"time"
 
+	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
@@ -31,6 +33,9 @@
 	}
 	if ses.loss == nil {
 		ses.loss = &loss{cause: cause, since: now}
+		if err == nil && ses.pace != nil {
+			ses.loss.since = ses.pace.Last()
+		}
 	}
 	ses.gns.cfg.Log.Warn("attempt lost", "Request", ses.rec.Request(), "Cause", cause, "Agent", ses.rec.Agent(),
 		"Attempt", uint32(ses.rec.Attempt()), "Position", uint64(ses.rec.Position()), "Error", err)
@@ -43,6 +48,10 @@
 		ses.exclude = nil
 	}
 	refused := code == bwwire.Leaving || code == bwwire.Overloaded
+	if noEngine || refused {
+		ses.refund()
+	}
+	ses.spent = false
 	ses.release(bwroute.Outcome{Refused: refused, Failed: !refused && !noEngine})
 	if ses.rec.Position() > 0 && !ses.gns.cfg.Resume(cause) {
 		return errNotResumed
@@ -55,6 +64,51 @@
 	return nil
 }
 
+// Resumes are taken from a budget, which they get back with their first token.
+// So it bounds the resumes that are under way at once, and those that fail use
+// it up until new requests fill it.
+const (
+	// resumeBurst is about the streams that a router has on one engine.
+	resumeBurst = 32
+	// budgetPause is how long a loss waits before it asks the budget again; a
+	// resume takes about as long.
+	budgetPause = 60 * time.Millisecond
+	// budgetTime is how long a loss waits for the budget at most. After that it
+	// is slowed down by retryDelay only, so that an empty budget ends no answer.
+	budgetTime = 1500 * time.Millisecond
+)
+
+// newResumeBudget returns a full budget.
+func newResumeBudget(cfg bwretry.BudgetConfig) *bwretry.Budget {
+	cfg.Burst = cmp.Or(cfg.Burst, resumeBurst)
+	bud := bwretry.NewBudget(cfg)
+	for range cfg.Burst {
+		bud.Give()
+	}
+	return bud
+}
+
+// pay takes the next attempt from the budget and reports whether it has room.
+func (ses *session) pay() bool {
+	ses.paid = ses.paid || ses.gns.budget.Take()
+	return ses.paid
+}
+
+// refund gives back what an attempt has taken that has succeeded or was not made.
+func (ses *session) refund() {
+	for _, taken := range []*bool{&ses.paid, &ses.spent} {
+		if *taken {
+			ses.gns.budget.Give()
+			*taken = false
+		}
+	}
+}
+
+// overdue reports whether a loss has waited for the budget long enough.
+func (ses *session) overdue() bool {
+	return ses.gns.cfg.Now().Sub(ses.loss.since) >= budgetTime
+}
+
 // release ends the current attempt's stream and reports how the engine did.
 func (ses *session) release(oc bwroute.Outcome) {
 	if ses.att == nil {
@@ -65,6 +119,9 @@
 		oc.Elapsed = ses.gns.cfg.Now().Sub(ses.started)
 		oc.Tokens = ses.tokens
 	}
+	if ses.pace != nil {
+		ses.gns.paces.observeGap(ses.att.ctx, ses.rec.Spec().Service, ses.pace.Gap())
+	}
 	ses.att.outcome <- oc
 	ses.att.cancel()
 	ses.att, ses.choice, ses.pace = nil, nil, nil
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -32,6 +33,9 @@
 	retryAt  time.Time
 	exclude  []bwmodel.UpstreamID
 	loss     *loss
+	// paid says that the next attempt has been taken from the budget, spent that
+	// the running one was.
+	paid, spent bool
 
 	cpy *Copy
 	// held says that a holder has been looked for.
@@ -74,6 +78,7 @@
 	defer cancel()
 	err := ses.run(ctx)
 	ses.release(bwroute.Outcome{Canceled: true})
+	ses.refund()
 	if ses.cpy != nil {
 		_ = ses.cpy.Close(ctx)
 	}
@@ -203,10 +208,31 @@
 	if !ses.askedAt.IsZero() && now.Sub(ses.askedAt) >= ses.gns.cfg.HolderTime {
 		return ses.replaceHolder(ctx, "no acknowledgement")
 	}
-	if ses.pace != nil && !now.Before(ses.pace.Deadline()) {
-		return ses.lose(ctx, "stall", nil)
+	return ses.checkPace(ctx, now)
+}
+
+// latePace is how late a check may be before the router itself counts as
+// paused; a busy machine delays goroutines by a few tens of milliseconds.
+const latePace = 100 * time.Millisecond
+
+// checkPace ends an attempt that has stalled.
+func (ses *session) checkPace(ctx context.Context, now time.Time) error {
+	if ses.pace == nil {
+		return nil
 	}
-	return nil
+	late := now.Sub(ses.pace.Deadline())
+	switch {
+	case late < 0:
+		return nil
+	case late > latePace:
+		ses.pace.Excuse(now)
+		return nil
+	case !ses.pay():
+		// A stall may be a false alarm, so it waits for its part of the budget.
+		ses.pace.Excuse(now)
+		return nil
+	}
+	return ses.lose(ctx, "stall", nil)
 }
 
 // take handles an event of the current attempt.
@@ -216,11 +242,7 @@
 		ses.choice = evt.Choice
 		ses.started = evt.At
 		ses.rec.Begin(evt.Choice.Upstream.Agent)
-		cfg := ses.gns.cfg.Pace
-		if wait := ses.gns.firsts.patience(ses.rec.Spec().Service); wait > 0 {
-			cfg.FirstToken = wait
-		}
-		ses.pace = bwstream.NewPace(cfg, evt.At)
+		ses.pace = bwstream.NewPace(ses.gns.paces.config(ses.rec.Spec().Service, ses.gns.cfg.Pace), evt.At)
 		return nil
 	case evt.Err != nil:
 		return ses.lose(ctx, causeOf(evt.Err), evt.Err)
@@ -251,8 +273,9 @@
 	ses.exclude = nil
 	if ses.first == 0 {
 		ses.first = max(evt.At.Sub(ses.started), 1)
-		ses.gns.firsts.observe(ctx, ses.rec.Spec().Service, ses.first)
+		ses.gns.paces.observeFirst(ctx, ses.rec.Spec().Service, ses.first)
 	}
+	ses.refund()
 	if ses.loss == nil {
 		return
 	}
@@ -274,6 +297,11 @@
 		ses.rec.Finish(bwmodel.FinishLength)
 		return
 	}
+	if ses.loss != nil && !ses.pay() && !ses.overdue() {
+		ses.retryAt = ses.gns.cfg.Now().Add(budgetPause/2 + rand.N(budgetPause/2))
+		return
+	}
+	ses.spent, ses.paid = ses.paid, false
 	att := newAttempt(ctx, ses.gns)
 	att.number = ses.rec.Attempt() + 1
 	att.choose = bwroute.Request{
@@ -283,6 +311,7 @@
 		Model:   spec.Model,
 		Tokens:  left,
 		Exclude: ses.exclude,
+		NoProbe: ses.loss != nil,
 	}
 	att.start = bwwire.GenerateRequest{
 		Request:      ses.rec.Request(),
--- a/io/bwrouter/generations_takeover.go
+++ b/io/bwrouter/generations_takeover.go
@@ -191,7 +191,7 @@
 	now := ses.gns.cfg.Now()
 	ses.att = tko.att
 	ses.started = now
-	ses.pace = bwstream.NewPace(ses.gns.cfg.Pace, now)
+	ses.pace = bwstream.NewPace(ses.gns.paces.config(ses.rec.Spec().Service, ses.gns.cfg.Pace), now)
 }
 
 // short reports whether a record ends before a point that the caller has.
