Carry a fleet's connections over a network with faults

Cause: no test could pause a process, delay a message or partition processes. Change: function fields Dial and Listen run through bwprocess, bwhttp, bwstore and bwengine; standin/bwfakenet holds or cuts the ways between named members, each direction on its own. bwdev can replace routers and agents on the same settings. bwcaller asks for token ids when it reconnects, which it did not before, breaks silent connections, and can use each connection once, since net/http repeats requests on kept ones.

--- a/bench/bwcaller/caller.go
+++ b/bench/bwcaller/caller.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -32,7 +33,15 @@
 	// Reconnect is how long a caller tries to get the rest of an answer after its
 	// connection broke; 0 means not at all.
 	Reconnect time.Duration
-	Now       func() time.Time
+	// Silence breaks the connection of a generation that sends no event for so
+	// long; 0 means never.
+	Silence time.Duration
+	// SingleUse opens a connection for each request: on kept connections net/http
+	// repeats a request by itself, which a check of outcomes can't account for.
+	SingleUse bool
+	// Dial replaces TCP, for tests that break connections; nil means TCP.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Now  func() time.Time
 }
 
 // reconnectPause lies between two tries to reconnect.
@@ -50,19 +59,34 @@
 		MaxIdleConns:        maxConns,
 		MaxIdleConnsPerHost: maxConns,
 		DisableCompression:  true,
+		DisableKeepAlives:   cfg.SingleUse,
+	}
+	if cfg.Dial != nil {
+		transport.DialContext = cfg.dial
 	}
 	return &Caller{cfg: cfg, web: &http.Client{Transport: transport}}
 }
 
+// dial connects to a router, whose address is always an IP address and a port.
+func (cfg Config) dial(ctx context.Context, _, txt string) (net.Conn, error) {
+	addr, err := netip.ParseAddrPort(txt)
+	if err != nil {
+		return nil, err
+	}
+	return cfg.Dial(ctx, addr)
+}
+
 // Close closes the idle connections.
 func (cal *Caller) Close() { cal.web.CloseIdleConnections() }
 
 // RefusedError is an answer that says what became of the request.
 type RefusedError struct {
-	Status     int
-	Outcome    bwhttp.Outcome
-	Detail     string
-	RetryAfter time.Duration
+	Status  int
+	Outcome bwhttp.Outcome
+	// RequestOutcome is NotRun when only an earlier request may have run the action.
+	RequestOutcome bwhttp.Outcome
+	Detail         string
+	RetryAfter     time.Duration
 }
 
 // Error returns the status, the outcome and the detail.
@@ -147,7 +171,7 @@
 	if err := json.NewDecoder(rsp.Body).Decode(&prb); err != nil {
 		return fmt.Errorf("status %d without a problem: %w", rsp.StatusCode, err)
 	}
-	refused.Outcome, refused.Detail = prb.Outcome, prb.Detail
+	refused.Outcome, refused.RequestOutcome, refused.Detail = prb.Outcome, prb.RequestOutcome, prb.Detail
 	if secs, err := strconv.Atoi(rsp.Header.Get("Retry-After")); err == nil {
 		refused.RetryAfter = time.Duration(secs) * time.Second
 	}
--- a/bench/bwcaller/generation.go
+++ b/bench/bwcaller/generation.go
@@ -29,7 +29,9 @@
 type Answer struct {
 	Text   string
 	Tokens int
-	Finish bwmodel.FinishReason
+	// TokenIDs are the tokens in the order of arrival.
+	TokenIDs []bwmodel.TokenID
+	Finish   bwmodel.FinishReason
 	// FirstToken is the time from the start of the call to the first token.
 	FirstToken time.Duration
 	// LongestGap is the longest time between two events with tokens.
@@ -111,7 +113,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cal.cfg.Reconnect)
 	defer cancel()
 	for {
-		req, err := cal.request(ctx, http.MethodGet, "/v1/generations/"+rcv.id, nil)
+		req, err := cal.request(ctx, http.MethodGet, "/v1/generations/"+rcv.id+"?return_token_ids=true", nil)
 		if err != nil {
 			return err
 		}
@@ -140,10 +142,20 @@
 	id     string
 	text   strings.Builder
 	answer Answer
+	// heard is told of each event; may be nil.
+	heard func()
 }
 
 // receive reads one response to its end.
 func (cal *Caller) receive(req *http.Request, rcv *reception) error {
+	ctx, cancel := context.WithCancel(req.Context())
+	defer cancel()
+	req = req.WithContext(ctx)
+	if cal.cfg.Silence > 0 {
+		silence := time.AfterFunc(cal.cfg.Silence, cancel)
+		defer silence.Stop()
+		rcv.heard = func() { silence.Reset(cal.cfg.Silence) }
+	}
 	rsp, err := cal.web.Do(req)
 	if err != nil {
 		return err
@@ -164,6 +176,9 @@
 		if err != nil {
 			return err
 		}
+		if rcv.heard != nil {
+			rcv.heard()
+		}
 		if err := rcv.take(event); err != nil {
 			return err
 		}
@@ -186,6 +201,7 @@
 	}
 	for _, choice := range chk.Choices {
 		rcv.text.WriteString(choice.Text)
+		rcv.answer.TokenIDs = append(rcv.answer.TokenIDs, choice.TokenIDs...)
 		rcv.count(len(choice.TokenIDs))
 		if choice.FinishReason != nil {
 			rcv.answer.Finish = *choice.FinishReason
--- /dev/null
+++ b/bench/bwsoak/doc.go
@@ -0,0 +1,1 @@
+package bwsoak
--- a/cmd/bwdev/fleet.go
+++ b/cmd/bwdev/fleet.go
@@ -7,8 +7,8 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -22,21 +22,27 @@
 	"bilberrywick/io/bwwire"
 	"bilberrywick/standin/bwfakeapp"
 	"bilberrywick/standin/bwfakeengine"
+	"bilberrywick/standin/bwfakenet"
 	"bilberrywick/standin/bwfakestore"
 )
 
-// Fleet is a whole system on loopback: stand-ins, agents and routers.
+// Fleet is a whole system on loopback: stand-ins, agents and routers. After a
+// restart its routers and agents are read through Router and Agents.
 type Fleet struct {
 	Platform *bwfakestore.Server
 	Engines  []*Engine
 	Apps     []*App
 	Routers  []*bwrouter.Router
 
-	cfg    Config
-	ctx    context.Context
-	cancel context.CancelFunc
+	cfg Config
+	// settings are the routers', with the ports that they were given.
+	settings []bwsettings.Router
+	ctx      context.Context
+	cancel   context.CancelFunc
 	// lost is the zone that LoseZone ended.
 	lost atomic.Pointer[bwmodel.ZoneID]
+	// mu guards the routers and agents, which a restart replaces.
+	mu sync.RWMutex
 }
 
 // Engine is a model engine with its agent.
@@ -45,6 +51,8 @@
 	Fake  *bwfakeengine.Engine
 	Agent *bwagent.Agent
 	Zone  bwmodel.ZoneID
+
+	settings bwsettings.Agent
 }
 
 // App is an instance of a plain service with its agent.
@@ -53,6 +61,8 @@
 	Fake  *bwfakeapp.App
 	Agent *bwagent.Agent
 	Zone  bwmodel.ZoneID
+
+	settings bwsettings.Agent
 }
 
 // Config configures a Fleet.
@@ -80,6 +90,8 @@
 	NoResume bool
 	// Resumed is told of each resumed generation; may be nil.
 	Resumed func(cause string, took time.Duration, recomputed int)
+	// Network carries all connections, so that a test can break them; nil means TCP.
+	Network *bwfakenet.Network
 	// Route, Order and Hedge are the routers' policies.
 	Route bwroute.Policy
 	Order bwadmit.Policy
@@ -150,6 +162,8 @@
 // platform's load balancer does.
 func (flt *Fleet) Callers() []netip.AddrPort {
 	lost := flt.lost.Load()
+	flt.mu.RLock()
+	defer flt.mu.RUnlock()
 	var addrs []netip.AddrPort
 	for ix, rtr := range flt.Routers {
 		if lost != nil && flt.zone(ix) == *lost {
@@ -252,6 +266,7 @@
 	if err := flt.Platform.Start(flt.ctx); err != nil {
 		return fmt.Errorf("start platform stand-in: %w", err)
 	}
+	flt.place(PlatformName, flt.Platform.Table(), flt.Platform.Objects(), flt.Platform.List())
 	for ix := range flt.cfg.Routers {
 		if err := flt.startRouter(ix); err != nil {
 			return err
@@ -304,161 +319,6 @@
 	return nil
 }
 
-func (flt *Fleet) startRouter(index int) error {
-	set := bwsettings.Router{
-		Identity:  flt.identity("router", index),
-		Callers:   bwsettings.CallerListener{Address: loopback},
-		Peers:     bwsettings.PeerListener{Address: loopback},
-		Operators: flt.operatorListener(),
-		SeedPeers: flt.seeds(),
-		Platform:  flt.platform(),
-		DrainTime: flt.cfg.DrainTime,
-		Log:       bwsettings.Log{Level: flt.cfg.LogLevel},
-	}
-	rtr, err := bwrouter.New(bwrouter.Config{
-		Settings:  set,
-		LogOutput: flt.cfg.LogOutput,
-		Route:     flt.cfg.Route,
-		Order:     flt.cfg.Order,
-		Hedge:     flt.cfg.Hedge,
-		NoResume:  flt.cfg.NoResume,
-		Resumed:   flt.cfg.Resumed,
-	})
-	if err != nil {
-		return fmt.Errorf("start router %d: %w", index, err)
-	}
-	rtr.Start(flt.ctx)
-	flt.Routers = append(flt.Routers, rtr)
-	return nil
-}
-
-func (flt *Fleet) startEngine(index int) error {
-	cfg := flt.cfg.Engine
-	cfg.Address = loopback
-	fake, err := bwfakeengine.New(cfg)
-	if err != nil {
-		return fmt.Errorf("start engine %d: %w", index, err)
-	}
-	if err := fake.Start(flt.ctx); err != nil {
-		return fmt.Errorf("start engine %d: %w", index, err)
-	}
-	eng := &Engine{
-		Name: bwmodel.UpstreamID(fmt.Sprintf("%s-%d", flt.cfg.ModelService, index+1)),
-		Fake: fake,
-		Zone: flt.zone(index),
-	}
-	eng.Agent, err = flt.startAgent(index, bwsettings.UpstreamSettings{
-		Name:    eng.Name,
-		Service: flt.cfg.ModelService,
-		Kind:    bwmodel.ModelService.String(),
-		Address: fake.Address(),
-		Slots:   max(cfg.Slots, 1),
-	})
-	if err != nil {
-		return err
-	}
-	flt.Engines = append(flt.Engines, eng)
-	return nil
-}
-
-func (flt *Fleet) startApp(index int) error {
-	app := &App{
-		Name: bwmodel.UpstreamID(fmt.Sprintf("%s-%d", flt.cfg.PlainService, index+1)),
-		Zone: flt.zone(index),
-	}
-	cfg := flt.cfg.App
-	cfg.Name = string(app.Name)
-	app.Fake = bwfakeapp.New(cfg)
-	app.Fake.Start(flt.ctx)
-	lis, err := net.Listen("tcp", loopback.String())
-	if err != nil {
-		return fmt.Errorf("start app %d: %w", index, err)
-	}
-	serving := &appServing{app: app.Fake, lis: lis}
-	go serving.run(flt.ctx)
-	app.Agent, err = flt.startAgent(index, bwsettings.UpstreamSettings{
-		Name:    app.Name,
-		Service: flt.cfg.PlainService,
-		Kind:    bwmodel.PlainService.String(),
-		Address: lis.Addr().(*net.TCPAddr).AddrPort(),
-		Slots:   flt.cfg.AppSlots,
-	})
-	if err != nil {
-		return err
-	}
-	flt.Apps = append(flt.Apps, app)
-	return nil
-}
-
-func (flt *Fleet) startAgent(index int, ups bwsettings.UpstreamSettings) (*bwagent.Agent, error) {
-	agt, err := bwagent.New(bwagent.Config{
-		Settings: bwsettings.Agent{
-			Identity:  flt.identity("agent-"+string(ups.Service), index),
-			Peers:     bwsettings.PeerListener{Address: loopback},
-			Operators: flt.operatorListener(),
-			Upstream:  ups,
-			SeedPeers: flt.seeds(),
-			Platform:  flt.platform(),
-			DrainTime: flt.cfg.DrainTime,
-			Log:       bwsettings.Log{Level: flt.cfg.LogLevel},
-		},
-		LogOutput: flt.cfg.LogOutput,
-	})
-	if err != nil {
-		return nil, fmt.Errorf("start agent of %s: %w", ups.Name, err)
-	}
-	agt.Start(flt.ctx)
-	return agt, nil
-}
-
-func (flt *Fleet) identity(kind string, index int) bwsettings.Identity {
-	return bwsettings.Identity{
-		ID:     bwmodel.MemberID(fmt.Sprintf("%s-%d", kind, index+1)),
-		Region: flt.cfg.Region,
-		Zone:   flt.zone(index),
-	}
-}
-
-func (flt *Fleet) zone(index int) bwmodel.ZoneID { return flt.cfg.Zones[index%len(flt.cfg.Zones)] }
-
-func (flt *Fleet) seeds() []netip.AddrPort {
-	var addrs []netip.AddrPort
-	for _, rtr := range flt.Routers {
-		addrs = append(addrs, rtr.Member().Address)
-	}
-	return addrs
-}
-
-func (flt *Fleet) operatorListener() bwsettings.OperatorListener {
-	hash := sha256.Sum256([]byte(OperatorKey))
-	return bwsettings.OperatorListener{
-		Address: loopback,
-		Keys:    []bwsettings.OperatorKey{{Name: "dev", SHA256: hex.EncodeToString(hash[:])}},
-	}
-}
-
-func (flt *Fleet) platform() bwsettings.Platform {
-	return bwsettings.Platform{
-		Table:       bwsettings.Table{Address: flt.Platform.Table(), Name: "bilberrywick", SigningRegion: "local"},
-		Objects:     bwsettings.ObjectStore{Address: flt.Platform.Objects(), Bucket: "bilberrywick", SigningRegion: "local"},
-		VMList:      bwsettings.VMList{Address: flt.Platform.List()},
-		Credentials: bwsettings.Credentials{AccessKeyID: "dev", SecretKey: "dev"},
-		Timeout:     2 * time.Second,
-	}
-}
-
-// appServing serves a plain service's stand-in until the fleet ends.
-type appServing struct {
-	app *bwfakeapp.App
-	lis net.Listener
-}
-
-func (asv *appServing) run(ctx context.Context) {
-	if err := asv.app.Serve(ctx, asv.lis); err != nil && !errors.Is(err, net.ErrClosed) {
-		_ = asv.lis.Close()
-	}
-}
-
 func withDefaults(cfg Config) Config {
 	if len(cfg.Zones) == 0 {
 		cfg.Zones = []bwmodel.ZoneID{"brezno", "zvolen", "polomka"}
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -39,6 +40,9 @@
 	Version  string
 	// LogOutput receives the log, one JSON object a line.
 	LogOutput io.Writer
+	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
+	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -62,6 +66,8 @@
 		Log:       set.Log,
 		Version:   cfg.Version,
 		LogOutput: cfg.LogOutput,
+		Dial:      cfg.Dial,
+		Listen:    cfg.Listen,
 		Now:       cfg.Now,
 	})
 	if err != nil {
@@ -165,7 +171,7 @@
 		Log:         agt.proc.Log,
 	}
 	if ups.ServiceKind() == bwmodel.ModelService {
-		eng := bwengine.NewEngine(bwengine.EngineConfig{Address: ups.Address})
+		eng := bwengine.NewEngine(bwengine.EngineConfig{Address: ups.Address, Dial: agt.cfg.Dial})
 		report.Load, report.CacheEvents = eng.Load, eng.CacheEvents
 		agt.generations = NewGenerations(GenerationsConfig{
 			Generate:    eng.Generate,
@@ -179,7 +185,7 @@
 		agt.reporter = NewReporter(report)
 		return
 	}
-	svc := bwengine.NewService(bwengine.ServiceConfig{Address: ups.Address})
+	svc := bwengine.NewService(bwengine.ServiceConfig{Address: ups.Address, Dial: agt.cfg.Dial})
 	agt.reporter = NewReporter(report)
 	agt.actions = NewActions(ActionsConfig{
 		Ledger:      bwaction.LedgerConfig{Incarnation: agt.proc.Self.Incarnation, Now: agt.cfg.Now, Start: agt.proc.Began},
--- a/io/bwengine/engine.go
+++ b/io/bwengine/engine.go
@@ -26,6 +26,8 @@
 	Address netip.AddrPort
 	// Client makes the HTTP calls; nil means one with its own connections.
 	Client *http.Client
+	// Dial replaces TCP when Client is nil, for tests; nil means TCP.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	// ReportTimeout bounds reading a load report or cache events; 0 means 1 s.
 	ReportTimeout time.Duration
 	// OrderTimeout bounds an order, such as loading a model; 0 means 5 min.
@@ -109,6 +111,9 @@
 func NewEngine(cfg EngineConfig) *Engine {
 	if cfg.Client == nil {
 		tsp := &http.Transport{MaxIdleConnsPerHost: idleConns, DisableCompression: true}
+		if cfg.Dial != nil {
+			tsp.DialContext = cfg.dial
+		}
 		cfg.Client = &http.Client{Transport: tsp}
 	}
 	if cfg.ReportTimeout == 0 {
@@ -120,6 +125,10 @@
 	return &Engine{cfg: cfg}
 }
 
+func (cfg EngineConfig) dial(ctx context.Context, _, _ string) (net.Conn, error) {
+	return cfg.Dial(ctx, cfg.Address)
+}
+
 // Generate starts a generation, or returns an *Error; it ends when the context
 // does or on Close.
 func (eng *Engine) Generate(ctx context.Context, cmp Completion) (*Generation, error) {
--- a/io/bwhttp/server.go
+++ b/io/bwhttp/server.go
@@ -27,6 +27,8 @@
 	// TLS secures the listener when set.
 	TLS    *tls.Config
 	Bounds Bounds
+	// Listen replaces TCP, for tests that break connections; nil means TCP.
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// Fail answers requests that break a bound; nil answers with the status and plain text.
 	Fail func(http.ResponseWriter, *http.Request, error)
 	// Log receives the faults of connections; nil discards them.
@@ -42,7 +44,10 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	lis, err := net.Listen("tcp", cfg.Address.String())
+	if cfg.Listen == nil {
+		cfg.Listen = ListenTCP
+	}
+	lis, err := cfg.Listen(context.Background(), cfg.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %v: %w", cfg.Address, err)
 	}
@@ -109,6 +114,12 @@
 	}
 }
 
+// ListenTCP opens a TCP listener.
+func ListenTCP(ctx context.Context, addr netip.AddrPort) (net.Listener, error) {
+	var cfg net.ListenConfig
+	return cfg.Listen(ctx, "tcp", addr.String())
+}
+
 // FailText answers with an error's status and text; errors other than
 // *RequestError are answered with 500.
 func FailText(rw http.ResponseWriter, _ *http.Request, err error) {
--- a/io/bwprocess/process.go
+++ b/io/bwprocess/process.go
@@ -51,6 +51,9 @@
 	Version   string
 	// LogOutput receives the log, one JSON object a line.
 	LogOutput io.Writer
+	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
+	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -61,13 +64,16 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Listen == nil {
+		cfg.Listen = bwhttp.ListenTCP
+	}
 	prc := &Process{
 		cfg:     cfg,
 		Began:   cfg.Now(),
 		Metrics: bwobserve.NewMetrics(),
 		ended:   make(chan struct{}),
 	}
-	lis, err := net.Listen("tcp", cfg.Peers.Address.String())
+	lis, err := cfg.Listen(context.Background(), cfg.Peers.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for other processes: %w", err)
 	}
@@ -123,6 +129,7 @@
 		Handler: lst.Handler,
 		TLS:     conf,
 		Bounds:  bwhttp.Bounds(lst.Bounds),
+		Listen:  prc.cfg.Listen,
 		Fail:    lst.Fail,
 		Log:     prc.Log,
 	})
@@ -203,7 +210,7 @@
 	if err != nil {
 		return err
 	}
-	prc.Client, err = bwrpc.NewClient(bwrpc.ClientConfig{TLS: clientTLS})
+	prc.Client, err = bwrpc.NewClient(bwrpc.ClientConfig{TLS: clientTLS, Dial: prc.cfg.Dial})
 	return err
 }
 
@@ -223,6 +230,7 @@
 		TableName: set.Table.Name,
 		Bucket:    set.Objects.Bucket,
 		Timeout:   set.Timeout,
+		Dial:      prc.cfg.Dial,
 	})
 	return err
 }
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -55,6 +56,9 @@
 	NoResume bool
 	// Resumed is told of each resumed generation; may be nil.
 	Resumed func(cause string, took time.Duration, recomputed int)
+	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
+	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -75,6 +79,8 @@
 		Log:       set.Log,
 		Version:   cfg.Version,
 		LogOutput: cfg.LogOutput,
+		Dial:      cfg.Dial,
+		Listen:    cfg.Listen,
 		Now:       cfg.Now,
 	})
 	if err != nil {
--- a/io/bwstore/client.go
+++ b/io/bwstore/client.go
@@ -1,7 +1,9 @@
 package bwstore
 
 import (
+	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -35,6 +37,8 @@
 	Bucket    string
 	// Timeout bounds one request; 0 means 2 s.
 	Timeout time.Duration
+	// Dial replaces TCP, for tests that break connections; nil means TCP.
+	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 }
 
 const (
@@ -53,10 +57,11 @@
 	if cfg.Objects.IsValid() && cfg.Bucket == "" {
 		return nil, errors.New("field Bucket is required with Objects")
 	}
-	cl := &Client{web: &http.Client{
-		Timeout:   cfg.Timeout,
-		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute},
-	}}
+	transport := &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute}
+	if cfg.Dial != nil {
+		transport.DialContext = cfg.dial
+	}
+	cl := &Client{web: &http.Client{Timeout: cfg.Timeout, Transport: transport}}
 	creds := credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, "")
 	if cfg.Table.IsValid() {
 		cl.Table = &Table{name: cfg.TableName, api: dynamodb.New(dynamodb.Options{
@@ -88,4 +93,13 @@
 // Close closes the idle connections.
 func (cl *Client) Close() { cl.web.CloseIdleConnections() }
 
+// dial connects to an address that is always an IP address and a port.
+func (cfg Config) dial(ctx context.Context, _, txt string) (net.Conn, error) {
+	addr, err := netip.ParseAddrPort(txt)
+	if err != nil {
+		return nil, err
+	}
+	return cfg.Dial(ctx, addr)
+}
+
 func base(addr netip.AddrPort) string { return "http://" + addr.String() }
