Judge each experiment's goals and add one with slow engines

The bench printed latencies without saying whether a goal is met, and had several faults: the first token's latency included the check of the answer's text, unanswered requests were missing from quantiles, an arrival hastened the next token of all sequences of the stand-in engine, and late timers lowered the engine's capacity.

--- a/bench/bwbench/catalog.go
+++ b/bench/bwbench/catalog.go
@@ -1,14 +1,11 @@
 package bwbench
 
 import (
-	"context"
-	"net/netip"
 	"time"
 
 	"bilberrywick/cmd/bwdev"
 	"bilberrywick/core/bwadmit"
 	"bilberrywick/core/bwmodel"
-	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/standin/bwfakeapp"
 	"bilberrywick/standin/bwfakeengine"
@@ -95,66 +92,6 @@
 	longMax  = 1500
 )
 
-func engineDeath(siz Size) Experiment {
-	streams := []Stream{siz.generations(ShortGeneration, largeTeam, 0.5, draftMin, draftMax)}
-	variant := func(policy string, restarting bool, fault, heal engineOrder) Variant {
-		flt := siz.fleet()
-		flt.NoResume = restarting
-		return Variant{
-			Policy:  policy,
-			Fleet:   flt,
-			Streams: streams,
-			Length:  siz.Length,
-			Restart: restarting,
-			Script: func(ctx context.Context, ses *Session) error {
-				return failInTurn(ctx, ses, siz.Length, fault, heal)
-			},
-		}
-	}
-	kill, revive := (*bwfakeengine.Engine).Die, (*bwfakeengine.Engine).Revive
-	freeze, thaw := (*bwfakeengine.Engine).Freeze, (*bwfakeengine.Engine).Thaw
-	return Experiment{
-		Name: "EngineDeath",
-		Goal: "resume p99 150 ms after a closed connection and 1 s after silence, 5 times better than restarting; under 2% of tokens computed again at one death a minute",
-		Variants: []Variant{
-			variant(defaultPolicy+".Close", false, kill, revive),
-			variant(defaultPolicy+".Silence", false, freeze, thaw),
-			variant(restart+".Close", true, kill, revive),
-			variant(restart+".Silence", true, freeze, thaw),
-		},
-	}
-}
-
-const (
-	faultInterval = 2 * time.Second
-	faultLength   = 1500 * time.Millisecond
-)
-
-// engineOrder is a method of the stand-in engine that injects or ends a fault.
-type engineOrder func(*bwfakeengine.Engine, context.Context) error
-
-// failInTurn lets one engine after the other fail and heal while the load runs.
-func failInTurn(ctx context.Context, ses *Session, length time.Duration, fault, heal engineOrder) error {
-	for turn := 1; time.Duration(turn)*faultInterval+faultLength < length; turn++ {
-		eng := ses.Fleet.Engines[turn%len(ses.Fleet.Engines)]
-		at := time.Duration(turn) * faultInterval
-		if err := ses.Wait(ctx, at); err != nil {
-			return err
-		}
-		if err := fault(eng.Fake, ctx); err != nil {
-			return err
-		}
-		ses.Rec.Add("EngineFaults", 1)
-		if err := ses.Wait(ctx, at+faultLength); err != nil {
-			return err
-		}
-		if err := heal(eng.Fake, ctx); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // Shares of the engines' capacity at the crest: three times in all.
 const (
 	crestPrompt     = 1.2
@@ -183,10 +120,18 @@
 		flt := siz.fleet()
 		flt.Route, flt.Order = route, order
 		flt.Deadline, flt.QueueLimit = crestDeadline, crestQueue
-		return Variant{Policy: policy, Fleet: flt, Streams: streams, Length: siz.Length}
+		return Variant{
+			Policy: policy, Fleet: flt, Streams: streams, Length: siz.Length,
+			Window: Window{Begin: begin + crestRamp, End: end}, StartDelay: siz.FirstToken,
+		}
 	}
 	return Experiment{
 		Name: "Crest",
+		Goals: []Goal{
+			{Measure: "prompt work in time / what capacity allows", Bound: 0.95, Least: true, Value: shareOfCapacity(defaultPolicy, "Window.InTime", string(ShortGeneration), 1)},
+			{Measure: "prompt requests refused while deferrable work starts", Bound: 0, Value: countOf(defaultPolicy, promptRefusedBeside)},
+			{Measure: "prompt work in time / what capacity allows, first come and least connections", Informal: true, Value: shareOfCapacity(firstCome+"."+leastConnections, "Window.InTime", string(ShortGeneration), 1)},
+		},
 		Goal: "prompt work answered in time is at least 95% of what capacity allows; no prompt request is refused while deferrable work starts",
 		Variants: []Variant{
 			variant(defaultPolicy, bwroute.LeastCost(), bwadmit.FairShares()),
@@ -218,6 +163,10 @@
 	}
 	return Experiment{
 		Name: "LongBesideShort",
+		Goals: []Goal{
+			{Measure: "p99 of first token of short work, beside long / alone", Bound: 1.3, Value: quantileRatio(defaultPolicy, defaultPolicy+".ShortAlone", "FirstToken", string(ShortGeneration), 99)},
+			{Measure: "the same, first come and least connections beside long / alone", Informal: true, Value: quantileRatio(firstCome+"."+leastConnections, defaultPolicy+".ShortAlone", "FirstToken", string(ShortGeneration), 99)},
+		},
 		Goal: "p99 of the first token of short work beside long is at most 1.3 times that of short work alone",
 		Variants: []Variant{
 			variant(defaultPolicy+".ShortAlone", bwroute.LeastCost(), bwadmit.FairShares(), short),
@@ -228,53 +177,8 @@
 	}
 }
 
-const (
-	slowFactor   = 10
-	slowBegin    = 3 * time.Second
-	lookupLoad   = 0.15
-	lookupMinGap = time.Millisecond
-)
-
-func slowUpstream(siz Size) Experiment {
-	perSecond := lookupLoad * float64(siz.Apps*siz.Slots*appSlotFactor) / siz.LookupTime.Seconds()
-	perSecond = min(perSecond, float64(time.Second/lookupMinGap)/4)
-	lookups := Stream{
-		Kind: Lookup, Service: plainService, Team: largeTeam, Class: bwmodel.Prompt,
-		Rate: Constant(perSecond), PeakRate: perSecond,
-	}
-	variant := func(policy string, slowed int, route bwroute.Policy, hedge func(bwretry.Latencies) (time.Duration, bool)) Variant {
-		flt := siz.fleet()
-		flt.Engines = 0
-		flt.Route, flt.Hedge = route, hedge
-		return Variant{
-			Policy: policy, Fleet: flt, Streams: []Stream{lookups}, Length: siz.Length,
-			Script: func(ctx context.Context, ses *Session) error { return slowApps(ctx, ses, slowed) },
-		}
-	}
-	return Experiment{
-		Name: "SlowUpstream",
-		Goal: "p99 of lookups with one of three upstreams slowed 10 times is at most 1.5 times that with none, with at most 5% extra requests",
-		Variants: []Variant{
-			variant(defaultPolicy+".NoneSlow", 0, bwroute.LeastCost(), nil),
-			variant(defaultPolicy+".OneSlow", 1, bwroute.LeastCost(), nil),
-			variant(defaultPolicy+".TwoSlow", 2, bwroute.LeastCost(), nil),
-			variant(leastConnections+".OneSlow", 1, bwroute.LeastConnections(), bwretry.Never),
-			variant(roundRobin+".OneSlow", 1, bwroute.RoundRobin(), bwretry.Never),
-		},
-	}
-}
-
-func slowApps(ctx context.Context, ses *Session, count int) error {
-	if err := ses.Wait(ctx, slowBegin); err != nil {
-		return err
-	}
-	for _, app := range ses.Fleet.Apps[:count] {
-		if err := app.Fake.SetFaults(ctx, bwfakeapp.Faults{SlowFactor: slowFactor}); err != nil {
-			return err
-		}
-	}
-	return nil
-}
+// burstSettle is the time in which a flood fills the queues.
+const burstSettle = 2 * time.Second
 
 func teamBurst(siz Size) Experiment {
 	const smallDemand, largeDemand = 0.45, 3.0
@@ -286,9 +190,17 @@
 		flt := siz.fleet()
 		flt.Order = order
 		flt.Deadline, flt.QueueLimit = crestDeadline, crestQueue
-		return Variant{Policy: policy, Fleet: flt, Streams: []Stream{small, large}, Length: siz.Length}
+		return Variant{
+			Policy: policy, Fleet: flt, Streams: []Stream{small, large}, Length: siz.Length,
+			Window: Window{Begin: burstSettle, End: siz.Length},
+		}
 	}
+	smallLabel := string(ShortGeneration) + "." + string(smallTeam)
 	return Experiment{
+		Goals: []Goal{
+			{Measure: "work done for the small team / its fair share", Bound: 0.9, Least: true, Value: shareOfCapacity(defaultPolicy, "Window.Done", smallLabel, 0.5)},
+			{Measure: "the same, first come first served", Informal: true, Value: shareOfCapacity(firstCome, "Window.Done", smallLabel, 0.5)},
+		},
 		Name: "TeamBurst",
 		Goal: "a small team gets at least 90% of its fair share while a large one floods",
 		Variants: []Variant{
@@ -297,44 +209,3 @@
 		},
 	}
 }
-
-func zoneLoss(siz Size) Experiment {
-	streams := []Stream{siz.generations(ShortGeneration, largeTeam, 0.4, draftMin, draftMax)}
-	variant := func(policy string, restarting bool) Variant {
-		flt := siz.fleet()
-		flt.NoResume = restarting
-		return Variant{
-			Policy: policy, Fleet: flt, Streams: streams, Length: siz.Length, Restart: restarting,
-			Script: func(ctx context.Context, ses *Session) error {
-				if err := ses.Wait(ctx, siz.Length/2); err != nil {
-					return err
-				}
-				return ses.Fleet.LoseZone(ctx, 1)
-			},
-		}
-	}
-	return Experiment{
-		Name:     "ZoneLoss",
-		Goal:     "every answer arrives whole and output resumes within 3 s when an availability zone with a router and a third of the engines is lost",
-		Variants: []Variant{variant(defaultPolicy, false), variant(restart, true)},
-	}
-}
-
-func routerCost(siz Size) Experiment {
-	stm := siz.generations(ShortGeneration, largeTeam, 0.3, shortMin, shortMax)
-	through := Variant{Policy: "ThroughRouter", Fleet: siz.fleet(), Streams: []Stream{stm}, Length: siz.Length}
-	direct := through
-	direct.Policy = "DirectToEngine"
-	direct.Direct = func(flt *bwdev.Fleet) []netip.AddrPort {
-		var addrs []netip.AddrPort
-		for _, eng := range flt.Engines {
-			addrs = append(addrs, eng.Fake.Address())
-		}
-		return addrs
-	}
-	return Experiment{
-		Name:     "RouterCost",
-		Goal:     "the router, agent and holder add under 1 ms at p99 to the first token",
-		Variants: []Variant{direct, through},
-	}
-}
--- /dev/null
+++ b/bench/bwbench/catalog_cost.go
@@ -0,0 +1,58 @@
+package bwbench
+
+import (
+	"net/netip"
+
+	"bilberrywick/cmd/bwdev"
+)
+
+func routerCost(siz Size) Experiment {
+	stm := siz.generations(ShortGeneration, largeTeam, 0.3, shortMin, shortMax)
+	through := Variant{Policy: throughRouter, Fleet: siz.fleet(), Streams: []Stream{stm}, Length: siz.Length}
+	direct := through
+	direct.Policy = directToEngine
+	direct.Direct = func(flt *bwdev.Fleet) []netip.AddrPort {
+		var addrs []netip.AddrPort
+		for _, eng := range flt.Engines {
+			addrs = append(addrs, eng.Fake.Address())
+		}
+		return addrs
+	}
+	return Experiment{
+		Name: "RouterCost",
+		Goal: "the router, agent and holder add under 1 ms at p99 to the first token",
+		Goals: []Goal{
+			{Measure: "p99 of first token, through the router - direct", Bound: 0.001, Unit: " s", Value: addedFirstToken(99)},
+			{Measure: "median of first token, through the router - direct", Informal: true, Value: addedFirstToken(50)},
+			{Measure: "CPU seconds per request of router, agent and holder", Bound: 50e-6, Unit: " s", Value: added(cpuMicros, "Done", 1e-6)},
+			{Measure: "allocations per token of router, agent and holder", Informal: true, Value: added(allocations, "TokensDelivered", 1)},
+		},
+		Variants: []Variant{direct, through},
+	}
+}
+
+const (
+	throughRouter  = "ThroughRouter"
+	directToEngine = "DirectToEngine"
+)
+
+// addedFirstToken is what the path through the router adds to a quantile.
+func addedFirstToken(quantile float64) func(Runs) (float64, bool) {
+	return func(rns Runs) (float64, bool) {
+		through, ok := rns.Quantile(throughRouter, "FirstToken", string(ShortGeneration), quantile)
+		direct, known := rns.Quantile(directToEngine, "FirstToken", string(ShortGeneration), quantile)
+		return through - direct, ok && known
+	}
+}
+
+// added is what the path through the router adds to a count of the process,
+// for each of another count. The process holds callers and engines too, whose
+// part the direct run takes away.
+func added(name, per string, unit float64) func(Runs) (float64, bool) {
+	through, direct := countRatio(throughRouter, name, per), countRatio(directToEngine, name, per)
+	return func(rns Runs) (float64, bool) {
+		high, ok := through(rns)
+		low, known := direct(rns)
+		return (high - low) * unit, ok && known
+	}
+}
--- /dev/null
+++ b/bench/bwbench/catalog_fault.go
@@ -0,0 +1,136 @@
+package bwbench
+
+import (
+	"context"
+	"time"
+
+	"bilberrywick/standin/bwfakeengine"
+)
+
+func engineDeath(siz Size) Experiment {
+	streams := []Stream{siz.generations(ShortGeneration, largeTeam, 0.5, draftMin, draftMax)}
+	variant := func(policy string, restarting bool, fault, heal engineOrder) Variant {
+		flt := siz.fleet()
+		flt.NoResume = restarting
+		return Variant{
+			Policy:  policy,
+			Fleet:   flt,
+			Streams: streams,
+			Length:  siz.Length,
+			Restart: restarting,
+			Script: func(ctx context.Context, ses *Session) error {
+				return failInTurn(ctx, ses, siz.Length, fault, heal)
+			},
+		}
+	}
+	kill, revive := (*bwfakeengine.Engine).Die, (*bwfakeengine.Engine).Revive
+	freeze, thaw := (*bwfakeengine.Engine).Freeze, (*bwfakeengine.Engine).Thaw
+	return Experiment{
+		Name:  "EngineDeath",
+		Goal:  "resume p99 150 ms after a closed connection and 1 s after silence, 5 times better than restarting; under 2% of tokens computed again at one death a minute",
+		Goals: engineDeathGoals(siz),
+		Variants: []Variant{
+			variant(defaultPolicy+".Close", false, kill, revive),
+			variant(defaultPolicy+".Silence", false, freeze, thaw),
+			variant(restart+".Close", true, kill, revive),
+			variant(restart+".Silence", true, freeze, thaw),
+		},
+	}
+}
+
+const (
+	faultInterval = 2 * time.Second
+	faultLength   = 1500 * time.Millisecond
+)
+
+// engineOrder is a method of the stand-in engine that injects or ends a fault.
+type engineOrder func(*bwfakeengine.Engine, context.Context) error
+
+// failInTurn lets one engine after the other fail and heal while the load runs.
+func failInTurn(ctx context.Context, ses *Session, length time.Duration, fault, heal engineOrder) error {
+	for turn := 1; time.Duration(turn)*faultInterval+faultLength < length; turn++ {
+		eng := ses.Fleet.Engines[turn%len(ses.Fleet.Engines)]
+		at := time.Duration(turn) * faultInterval
+		if err := ses.Wait(ctx, at); err != nil {
+			return err
+		}
+		if err := fault(eng.Fake, ctx); err != nil {
+			return err
+		}
+		ses.Rec.Add("EngineFaults", 1)
+		if err := ses.Wait(ctx, at+faultLength); err != nil {
+			return err
+		}
+		if err := heal(eng.Fake, ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// engineDeathGoals are those of section 1.3; the tokens computed again are
+// scaled from the deaths of the run to one a minute for 20 engines.
+func engineDeathGoals(siz Size) []Goal {
+	closed, silent := defaultPolicy+".Close", defaultPolicy+".Silence"
+	return []Goal{
+		{Measure: "resume after a closed connection, p99", Bound: 0.150, Unit: " s", Value: latencyOf(closed, "Resume", 99)},
+		{Measure: "resume after a closed connection, median", Bound: 0.075, Unit: " s", Value: latencyOf(closed, "Resume", 50)},
+		{Measure: "resume after a closed connection, worst", Bound: 0.750, Unit: " s", Value: latencyOf(closed, "Resume", 100)},
+		{Measure: "resume after silence, p99", Bound: 1, Unit: " s", Value: latencyOf(silent, "Resume", 99)},
+		{Measure: "resume after silence, worst", Bound: 3, Unit: " s", Value: latencyOf(silent, "Resume", 100)},
+		{Measure: "restart / resume after a closed connection, p99", Bound: 5, Least: true, Value: restartRatio(restart+".Close", closed)},
+		{Measure: "restart / resume after silence, p99", Bound: 5, Least: true, Value: restartRatio(restart+".Silence", silent)},
+		{Measure: "tokens computed again / delivered, one death a minute for 20 engines", Bound: 0.02, Value: recomputed(closed, siz)},
+	}
+}
+
+func restartRatio(baseline, policy string) func(Runs) (float64, bool) {
+	restarted := latencyOf(baseline, "Recovery."+string(ShortGeneration), 99)
+	resumed := latencyOf(policy, "Resume", 99)
+	return func(rns Runs) (float64, bool) {
+		num, ok := restarted(rns)
+		den, known := resumed(rns)
+		return num / den, ok && known
+	}
+}
+
+func recomputed(policy string, siz Size) func(Runs) (float64, bool) {
+	const deathsPerEngineSecond = 1.0 / (20 * 60)
+	share := countRatio(policy, "TokensRecomputed", "TokensDelivered")
+	return func(rns Runs) (float64, bool) {
+		val, ok := share(rns)
+		deaths, _ := rns.Count(policy, "EngineFaults")
+		measured := deaths / (float64(siz.Engines) * siz.Length.Seconds())
+		return val * deathsPerEngineSecond / measured, ok && deaths > 0
+	}
+}
+
+func zoneLoss(siz Size) Experiment {
+	streams := []Stream{siz.generations(ShortGeneration, largeTeam, 0.4, draftMin, draftMax)}
+	variant := func(policy string, restarting bool) Variant {
+		flt := siz.fleet()
+		flt.NoResume = restarting
+		return Variant{
+			Policy: policy, Fleet: flt, Streams: streams, Length: siz.Length, Restart: restarting,
+			Script: func(ctx context.Context, ses *Session) error {
+				if err := ses.Wait(ctx, siz.Length/2); err != nil {
+					return err
+				}
+				return ses.Fleet.LoseZone(ctx, 1)
+			},
+		}
+	}
+	return Experiment{
+		Name: "ZoneLoss",
+		Goal: "every answer arrives whole and output resumes within 3 s when an availability zone with a router and a third of the engines is lost",
+		Goals: []Goal{
+			{Measure: "resume after the loss of a zone, worst", Bound: 3, Unit: " s", Value: latencyOf(defaultPolicy, "Resume", 100)},
+			{Measure: "generations without an answer", Bound: 0, Value: countOf(defaultPolicy, "Unanswered."+string(ShortGeneration))},
+		},
+		Variants: []Variant{variant(defaultPolicy, false), variant(restart, true)},
+	}
+}
+
+func countOf(policy, name string) func(Runs) (float64, bool) {
+	return func(rns Runs) (float64, bool) { return rns.Count(policy, name) }
+}
--- a/bench/bwbench/experiment.go
+++ b/bench/bwbench/experiment.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/netip"
@@ -20,6 +19,8 @@
 	Name     string
 	Goal     string
 	Variants []Variant
+	// Goals are judged from the finished runs.
+	Goals []Goal
 }
 
 // Variant is one policy with its fleet, load and faults.
@@ -28,6 +29,10 @@
 	Fleet   bwdev.Config
 	Streams []Stream
 	Length  time.Duration
+	// Window is the part of the load that is counted apart; the zero value is none.
+	Window Window
+	// StartDelay is the time from the start of a generation to its first token.
+	StartDelay time.Duration
 	// Script injects faults while the load runs; may be nil.
 	Script func(context.Context, *Session) error
 	// Restart makes callers repeat a failed generation from the beginning.
@@ -37,6 +42,15 @@
 	Direct func(*bwdev.Fleet) []netip.AddrPort
 }
 
+// Window is a part of a run, counted from the start of the load.
+type Window struct {
+	Begin time.Duration
+	End   time.Duration
+}
+
+// holds reports whether a time since the start lies in the window.
+func (win Window) holds(since time.Duration) bool { return since >= win.Begin && since < win.End }
+
 // Config configures the runs of experiments.
 type Config struct {
 	Seed uint64
@@ -60,6 +74,8 @@
 
 	mu         sync.Mutex
 	violations []string
+	refusals   []span
+	starts     []time.Time
 }
 
 // maxViolations bounds the violations that are kept; one is enough to fail.
@@ -118,10 +134,15 @@
 		})
 	}
 	defer ses.close()
+	cost, err := beginCost()
+	if err != nil {
+		return Run{}, err
+	}
 	if err := ses.play(ctx, name); err != nil {
 		return Run{}, err
 	}
 	elapsed := cfg.Now().Sub(ses.began)
+	cost.record(ses.Rec)
 	ses.collect()
 	res := newResult(name, vrt.Policy, cfg.Seed, ses.began, elapsed, ses.Rec)
 	res.Violations = ses.violations
@@ -131,6 +152,7 @@
 // resumed records a resume that a router reported.
 func (ses *Session) resumed(cause string, took time.Duration, recomputed int) {
 	ses.Rec.Observe("Resume."+cause, took)
+	ses.Rec.Observe("Resume", took)
 	ses.Rec.Add("TokensRecomputed", int64(recomputed))
 }
 
@@ -171,6 +193,8 @@
 	} else {
 		ended <- nil
 	}
+	smp := &windowSampler{ses: ses, ended: make(chan struct{})}
+	go smp.run(ctx)
 	prg := &progress{ses: ses, name: name, plan: len(plan)}
 	go prg.loop(ctx)
 	for _, arr := range plan {
@@ -185,6 +209,7 @@
 	late := time.AfterFunc(drainTime, cancel)
 	defer late.Stop()
 	ses.pending.Wait()
+	<-smp.ended
 	return <-ended
 }
 
@@ -196,6 +221,7 @@
 
 // collect adds what the stand-ins counted to the recorder.
 func (ses *Session) collect() {
+	ses.Rec.Add(promptRefusedBeside, ses.refusedBeside())
 	for _, eng := range ses.Fleet.Engines {
 		counts := eng.Fake.Counts()
 		ses.Rec.Add("Engine.PromptTokensComputed", int64(counts.PromptTokensComputed))
@@ -245,132 +271,3 @@
 		}
 	}
 }
-
-// job is one request of the load.
-type job struct {
-	ses *Session
-	arr Arrival
-	stm Stream
-}
-
-func (jb *job) run(ctx context.Context) {
-	defer jb.ses.pending.Done()
-	defer jb.ses.open.Add(-1)
-	switch jb.stm.Kind {
-	case Lookup:
-		jb.look(ctx)
-	case Action:
-		jb.act(ctx)
-	default:
-		jb.generate(ctx)
-	}
-}
-
-func (jb *job) name(measure string) string { return measure + "." + jb.stm.label() }
-
-// label names the stream in the results.
-func (stm Stream) label() string {
-	label := string(stm.Kind)
-	if stm.Class == bwmodel.Deferrable {
-		label += "." + stm.Class.String()
-	}
-	if stm.Labeled {
-		label += "." + string(stm.Team)
-	}
-	return label
-}
-
-func (jb *job) generate(ctx context.Context) {
-	ses := jb.ses
-	cal := ses.callers[jb.stm.Team]
-	prompt := fmt.Sprintf("Napíš venovanie číslo %d pre dom %s. ", jb.arr.Ordinal, jb.stm.Team)
-	gen := bwcaller.Generation{Model: string(jb.stm.Service), Prompt: prompt, MaxTokens: jb.arr.Tokens, Class: jb.stm.Class}
-	due := ses.began.Add(jb.arr.At)
-	ans, err := cal.Generate(ctx, gen)
-	if err != nil && ses.variant.Restart && ans.Tokens > 0 {
-		jb.restart(ctx, gen, ans)
-		return
-	}
-	if jb.failed(err) {
-		return
-	}
-	if err := bwdev.CheckAnswer(prompt, jb.arr.Tokens, ans); err != nil {
-		ses.Violate("generation %d: %v", jb.arr.Ordinal, err)
-	}
-	late := ses.began.Add(ses.Elapsed()).Sub(due) - ans.Elapsed
-	ses.Rec.Observe(jb.name("FirstToken"), late+ans.FirstToken)
-	if jb.stm.Deadline > 0 && late+ans.FirstToken <= jb.stm.Deadline {
-		ses.Rec.Add(jb.name("InTime"), 1)
-	}
-	ses.Rec.Observe(jb.name("Elapsed"), late+ans.Elapsed)
-	ses.Rec.Observe(jb.name("LongestGap"), ans.LongestGap)
-	ses.Rec.Add("TokensDelivered", int64(ans.Tokens))
-	ses.Rec.Add("Reconnects", int64(ans.Reconnects))
-	ses.Rec.Add(jb.name("Done"), 1)
-	ses.Rec.Add("Done", 1)
-}
-
-// restart repeats a generation that broke and measures the time until the
-// caller has again as many tokens as before.
-func (jb *job) restart(ctx context.Context, gen bwcaller.Generation, broken bwcaller.Answer) {
-	ses := jb.ses
-	began := ses.cfg.Now()
-	total := 0
-	recovered := false
-	gen.Received = func(tokens int, at time.Time) {
-		total += tokens
-		if total > broken.Tokens && !recovered {
-			recovered = true
-			ses.Rec.Observe(jb.name("Recovery"), at.Sub(began))
-		}
-	}
-	ses.Rec.Add("TokensRepeated", int64(broken.Tokens))
-	ans, err := ses.callers[jb.stm.Team].Generate(ctx, gen)
-	if jb.failed(err) {
-		return
-	}
-	ses.Rec.Add("TokensDelivered", int64(ans.Tokens))
-	ses.Rec.Add(jb.name("Done"), 1)
-	ses.Rec.Add("Done", 1)
-}
-
-func (jb *job) look(ctx context.Context) {
-	ses := jb.ses
-	due := ses.began.Add(jb.arr.At)
-	path := fmt.Sprintf("status/%d", jb.arr.Ordinal)
-	_, err := ses.callers[jb.stm.Team].Look(ctx, string(jb.stm.Service), path)
-	if jb.failed(err) {
-		return
-	}
-	ses.Rec.Observe(jb.name("Elapsed"), ses.cfg.Now().Sub(due))
-	ses.Rec.Add(jb.name("Done"), 1)
-	ses.Rec.Add("Done", 1)
-}
-
-func (jb *job) act(ctx context.Context) {
-	ses := jb.ses
-	due := ses.began.Add(jb.arr.At)
-	key := fmt.Sprintf("action-%d", jb.arr.Ordinal)
-	_, err := ses.callers[jb.stm.Team].Act(ctx, string(jb.stm.Service), "orders", key, []byte(key))
-	if jb.failed(err) {
-		return
-	}
-	ses.Rec.Observe(jb.name("Elapsed"), ses.cfg.Now().Sub(due))
-	ses.Rec.Add(jb.name("Done"), 1)
-	ses.Rec.Add("Done", 1)
-}
-
-// failed counts an error by the outcome that it stated.
-func (jb *job) failed(err error) bool {
-	if err == nil {
-		return false
-	}
-	var refused *bwcaller.RefusedError
-	if errors.As(err, &refused) {
-		jb.ses.Rec.Add(jb.name("Refused")+"."+string(refused.Outcome), 1)
-		return true
-	}
-	jb.ses.Rec.Add(jb.name("Failed"), 1)
-	jb.ses.Rec.Sample(jb.name("Failed"), err)
-	return true
-}
--- a/bench/bwbench/result.go
+++ b/bench/bwbench/result.go
@@ -66,9 +66,16 @@
 	return tab.Flush()
 }
 
-// WriteJSON writes the results to a file.
-func WriteJSON(path string, results []Result) error {
-	doc, err := json.MarshalIndent(results, "", "  ")
+// Report is the JSON form of a bench command's output.
+type Report struct {
+	Size     Size
+	Verdicts []Verdict
+	Results  []Result
+}
+
+// WriteJSON writes a report to a file.
+func WriteJSON(path string, rep Report) error {
+	doc, err := json.MarshalIndent(rep, "", "  ")
 	if err != nil {
 		return fmt.Errorf("encode results: %w", err)
 	}
--- a/bench/bwbench/size.go
+++ b/bench/bwbench/size.go
@@ -53,6 +53,7 @@
 	{"Crest", crest},
 	{"LongBesideShort", longBesideShort},
 	{"SlowUpstream", slowUpstream},
+	{"SlowEngine", slowEngine},
 	{"TeamBurst", teamBurst},
 	{"ZoneLoss", zoneLoss},
 	{"RouterCost", routerCost},
--- a/cmd/bwlauncher/bench.go
+++ b/cmd/bwlauncher/bench.go
@@ -53,6 +53,7 @@
 		run.LogOutput = cfg.Logs
 	}
 	var results []bwbench.Result
+	var verdicts []bwbench.Verdict
 	violations := 0
 	for _, exp := range exps {
 		runs, err := bwbench.RunAll(cmd.Context(), exp, run)
@@ -63,6 +64,7 @@
 			results = append(results, done.Result)
 			violations += len(done.Result.Violations)
 		}
+		verdicts = append(verdicts, bwbench.Judge(exp, runs)...)
 		if fls.plots != "" {
 			if err := plotAll(fls.plots, exp.Name, runs); err != nil {
 				return err
@@ -72,8 +74,11 @@
 	if err := bwbench.WriteTable(cmd.OutOrStdout(), results); err != nil {
 		return err
 	}
+	if err := bwbench.WriteVerdicts(cmd.OutOrStdout(), verdicts); err != nil {
+		return err
+	}
 	if fls.output != "" {
-		if err := bwbench.WriteJSON(fls.output, results); err != nil {
+		if err := bwbench.WriteJSON(fls.output, bwbench.Report{Size: size, Verdicts: verdicts, Results: results}); err != nil {
 			return err
 		}
 	}
--- a/core/bwroute/chooser.go
+++ b/core/bwroute/chooser.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,6 +22,8 @@
 	turn    atomic.Uint64
 	freed   signal
 	holders *holderIndex
+	// selections holds the memory of ended choices.
+	selections sync.Pool
 	// meanTokens is the smoothed expected work of a request.
 	meanTokens number
 
@@ -160,28 +163,28 @@
 // choice's Finish. It returns a *NoFreeError when every usable upstream is at
 // its limit and a *NoUpstreamError when none is usable.
 func (chs *Chooser) Choose(req Request) (Choice, Decision, error) {
-	sel := selection{
-		chs: chs, req: &req, now: chs.cfg.Now(), turn: chs.turn.Add(1), snap: chs.current.Load(),
-	}
+	sel := chs.selection(&req)
+	defer sel.end()
 	sel.collect()
 	if nd := sel.takeProbe(); nd != nil {
 		chc := chs.choice(&lease{nd: nd, tokens: req.Tokens, probe: true, claimed: true})
 		return chc, sel.decision(nd, ReasonProbe), nil
 	}
 	reason := ReasonPolicy
+	cands := sel.cands
 	if sel.slow == sel.seen {
-		sel.cands, reason = sel.suspended, ReasonAllSlow
+		cands, reason = sel.suspended, ReasonAllSlow
 	}
-	sel.record()
-	for len(sel.cands) > 0 {
-		idx := chs.cfg.Policy.Pick(sel.cands, sel.turn)
-		nd := sel.cands[idx].node
+	sel.record(cands)
+	for len(cands) > 0 {
+		idx := chs.cfg.Policy.Pick(cands, sel.turn)
+		nd := cands[idx].node
 		if nd.work.acquire(req.Tokens, sel.limit(nd)) {
 			chc := chs.choice(&lease{nd: nd, tokens: req.Tokens, probe: reason == ReasonAllSlow})
 			return chc, sel.decision(nd, reason), nil
 		}
 		sel.busy++
-		sel.cands = slices.Delete(sel.cands, idx, idx+1)
+		cands = slices.Delete(cands, idx, idx+1)
 	}
 	return Choice{}, sel.decision(nil, sel.failureReason()), sel.failure()
 }
--- a/core/bwroute/health.go
+++ b/core/bwroute/health.go
@@ -29,7 +29,7 @@
 	slowThreshold = 3
 	// latencyFloor keeps differences of network latency between zones from
 	// counting when answers take only milliseconds.
-	latencyFloor = 0.010
+	latencyFloor = 10 * time.Millisecond
 	// failureThreshold is the number of failures in a row that suspend.
 	failureThreshold = 2
 	// goodProbes is the number of probes in a row that must be answered in time.
@@ -50,12 +50,12 @@
 	rampLimit = 2
 )
 
-// relative compares a latency with the median, both in seconds.
-func relative(latency, median float64) float64 {
+// relative compares a latency with the median.
+func relative(latency, median time.Duration) float64 {
 	if latency <= 0 || median <= 0 {
 		return 1
 	}
-	return max(1, (latency+latencyFloor)/(median+latencyFloor))
+	return max(1, float64(latency+latencyFloor)/float64(median+latencyFloor))
 }
 
 // faded weakens a slow factor by the age of the evidence.
--- a/core/bwroute/lease.go
+++ b/core/bwroute/lease.go
@@ -87,7 +87,7 @@
 	now := ls.since()
 	median := ls.chs.current.Load().medianLatency
 	if ls.probe {
-		if relative(sec, median) >= slowThreshold {
+		if relative(first, median) >= slowThreshold {
 			wk.health.suspend(now)
 			return
 		}
@@ -102,7 +102,7 @@
 	wk.latency.blend(sec, smoothing)
 	wk.sampled.Store(int64(now))
 	wk.limit.learn(sec, wk.latency.load(), int(wk.inFlight.Load()), ls.chs.maxLimit(ls.nd.up))
-	if relative(wk.latency.load(), median) >= slowThreshold {
+	if relative(fromSeconds(wk.latency.load()), median) >= slowThreshold {
 		wk.health.suspend(now)
 	}
 }
--- a/core/bwroute/selection.go
+++ b/core/bwroute/selection.go
@@ -39,16 +39,38 @@
 	costNoise = 0.1
 )
 
+// selection returns a selection that reuses the memory of an ended one: the
+// candidates took most of the bytes that a choice allocated.
+func (chs *Chooser) selection(req *Request) *selection {
+	sel, ok := chs.selections.Get().(*selection)
+	if !ok {
+		sel = &selection{
+			cands: make([]Candidate, 0, scanLimit), suspended: make([]Candidate, 0, scanLimit),
+		}
+	}
+	*sel = selection{
+		chs: chs, req: req, now: chs.cfg.Now(), turn: chs.turn.Add(1), snap: chs.current.Load(),
+		cands: sel.cands[:0], suspended: sel.suspended[:0],
+	}
+	return sel
+}
+
+// end gives the memory back; nothing of it may be in use.
+func (sel *selection) end() {
+	clear(sel.cands[:cap(sel.cands)])
+	clear(sel.suspended[:cap(sel.suspended)])
+	sel.req, sel.snap, sel.log, sel.probe = nil, nil, nil, nil
+	sel.chs.selections.Put(sel)
+}
+
 func (sel *selection) collect() {
 	nodes := sel.snap.serving(sel.req.Model)
 	if len(nodes) <= scanLimit {
-		sel.cands = make([]Candidate, 0, len(nodes))
 		for _, nd := range nodes {
 			sel.consider(nd)
 		}
 		return
 	}
-	sel.cands = make([]Candidate, 0, sampleSize+cachedHolders)
 	sel.considerHolders()
 	sel.sample(nodes)
 }
@@ -138,7 +160,7 @@
 		nd.work.health.probing.Store(false)
 		return nil
 	}
-	sel.record()
+	sel.record(sel.cands)
 	return nd
 }
 
@@ -163,7 +185,7 @@
 	if nd.up.Zone != sel.chs.cfg.Zone {
 		sec += sel.chs.cfg.ZonePenalty.Seconds()
 	}
-	slow := faded(relative(nd.work.latency.load(), sel.snap.medianLatency), age)
+	slow := faded(relative(fromSeconds(nd.work.latency.load()), sel.snap.medianLatency), age)
 	noise := 1 + costNoise*float64(mix(sel.chs.cfg.Seed^mix(sel.turn^uint64(nd.slot)<<40))>>40)/(1<<24)
 	return Candidate{
 		Upstream: nd.up.Name, Cost: time.Duration(sec * slow * noise * float64(time.Second)),
@@ -173,12 +195,12 @@
 }
 
 // record keeps a copy of the cheapest candidates for the decision.
-func (sel *selection) record() {
+func (sel *selection) record(cands []Candidate) {
 	var order [loggedCandidates + 1]int
 	kept := 0
-	for idx := range sel.cands {
+	for idx := range cands {
 		place := kept
-		for place > 0 && sel.cands[order[place-1]].Cost > sel.cands[idx].Cost {
+		for place > 0 && cands[order[place-1]].Cost > cands[idx].Cost {
 			order[place] = order[place-1]
 			place--
 		}
@@ -187,7 +209,7 @@
 	}
 	sel.log = make([]Candidate, kept)
 	for place, idx := range order[:kept] {
-		sel.log[place] = sel.cands[idx]
+		sel.log[place] = cands[idx]
 	}
 }
 
--- a/core/bwroute/snapshot.go
+++ b/core/bwroute/snapshot.go
@@ -1,6 +1,9 @@
 package bwroute
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // snapshot is immutable; the control goroutine replaces it.
 type snapshot struct {
@@ -8,8 +11,8 @@
 	// byModel lists the nodes that reported a model when the snapshot was made.
 	byModel map[string][]*node
 	bySlot  map[uint16]*node
-	// medianLatency and medianRate describe the peers, in seconds and in tokens per second.
-	medianLatency float64
+	// medianLatency and medianRate describe the peers; the rate is in tokens per second.
+	medianLatency time.Duration
 	medianRate    float64
 	// peers is the number of routers that share the upstreams, by the reports.
 	peers float64
@@ -46,15 +49,15 @@
 	if queued > 0 {
 		snap.peers = min(maxPeers, max(1, queued/max(own, 1)))
 	}
-	snap.medianLatency, snap.medianRate = lowerMedian(lats), lowerMedian(rates)
+	snap.medianLatency, snap.medianRate = fromSeconds(lowerMedian(lats)), lowerMedian(rates)
 	return snap
 }
 
-func (snap *snapshot) serving(model string) []*node {
+func (sns *snapshot) serving(model string) []*node {
 	if model == "" {
-		return snap.nodes
+		return sns.nodes
 	}
-	return snap.byModel[model]
+	return sns.byModel[model]
 }
 
 func lowerMedian(vals []float64) float64 {
@@ -64,3 +67,5 @@
 	slices.Sort(vals)
 	return vals[(len(vals)-1)/2]
 }
+
+func fromSeconds(sec float64) time.Duration { return time.Duration(sec * float64(time.Second)) }
--- a/standin/bwfakeengine/engine.go
+++ b/standin/bwfakeengine/engine.go
@@ -191,10 +191,13 @@
 	return nil
 }
 
-// loop steps the batch while there is work, and sleeps otherwise.
+// loop steps the batch while there is work, and sleeps otherwise. An arrival
+// does not hasten the next step of a batch that runs, and a late timer does not
+// delay those after it.
 func (eng *Engine) loop(ctx context.Context) {
 	timer := time.NewTimer(eng.cfg.TokenTime)
 	defer timer.Stop()
+	var due time.Time
 	for {
 		select {
 		case <-timer.C:
@@ -202,13 +205,32 @@
 		case <-ctx.Done():
 			return
 		}
+		now := eng.cfg.Now()
+		if now.Before(due) {
+			timer.Reset(due.Sub(now))
+			continue
+		}
 		if err := eng.control.Do(ctx, eng.step); err != nil {
 			return
 		}
-		if vw := eng.control.Snapshot(); vw.busy && !vw.frozen {
-			timer.Reset(time.Duration(float64(eng.cfg.TokenTime) * vw.slow))
+		vw := eng.control.Snapshot()
+		if !vw.busy || vw.frozen {
+			due = time.Time{}
+			continue
 		}
+		period := time.Duration(float64(eng.cfg.TokenTime) * vw.slow)
+		due = nextStep(due, now, period)
+		timer.Reset(due.Sub(now))
+	}
+}
+
+// nextStep returns when the step after one that was due and begun is due; a step
+// that began more than a period late starts a new sequence.
+func nextStep(due, began time.Time, period time.Duration) time.Time {
+	if next := due.Add(period); next.After(began) {
+		return next
 	}
+	return began.Add(period)
 }
 
 func (eng *Engine) step(sch *scheduler) { sch.step(eng.cfg.Now()) }
