Check tickets against a state and answer repeated ones as Repeated

Cause: in a trial of router, agents and stand-ins as separate processes every generation was refused, because the engine stand-in had no model loaded; check called a ticket valid although it named a service that does not exist; and the second submission of a ticket was answered Accepted. Registry test: the repeat's answer is compared with Repeated set, which is stricter than before.

--- a/cmd/bilberrywick/main.go
+++ b/cmd/bilberrywick/main.go
@@ -19,11 +19,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	cfg := bwcommand.Config{
-		Version:  version,
-		Output:   os.Stdout,
-		Errors:   os.Stderr,
-		Getenv:   os.Getenv,
-		Commands: bwlauncher.Commands(bwlauncher.Config{Version: version, Logs: os.Stderr}),
+		Version:     version,
+		Output:      os.Stdout,
+		Errors:      os.Stderr,
+		Getenv:      os.Getenv,
+		CheckTicket: bwlauncher.CheckTicket,
+		Commands:    bwlauncher.Commands(bwlauncher.Config{Version: version, Logs: os.Stderr}),
 	}
 	return bwcommand.Run(ctx, cfg, os.Args[1:])
 }
--- a/cmd/bwcommand/check.go
+++ b/cmd/bwcommand/check.go
@@ -10,6 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwwire"
 )
 
 // Kinds of file that check knows.
@@ -20,27 +21,60 @@
 )
 
 func newCheckCommand(cfg *Config) *cobra.Command {
-	pr, kind := &printer{}, ""
+	pr, chk := &printer{}, &checkFlags{}
 	cmd := &cobra.Command{
 		Use:   "check FILE",
 		Short: "Report every fault of a settings file or a ticket",
 		Long: "Report every fault of a settings file or a ticket. The kind of the file follows from its\n" +
-			"fields (Callers: router, Upstream: agent, Number: ticket) unless --kind names it.",
-		Example: "  bilberrywick check router.json\n  bilberrywick check --kind agent agent.json --output json",
+			"fields (Callers: router, Upstream: agent, Number: ticket) unless --kind names it.\n" +
+			"A ticket is checked as the first one, unless --state gives the state that it would follow.",
+		Example: "  bilberrywick check router.json\n  bilberrywick check --kind agent agent.json --output json\n" + stateExample,
 		Args:    exactArgs("FILE"),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return cfg.validate(cmd.OutOrStdout(), pr, args[0], kind)
+			return cfg.validate(cmd.OutOrStdout(), pr, args[0], chk)
 		},
 	}
 	pr.addFlags(cmd)
-	cmd.Flags().StringVar(&kind, "kind", "", "kind of the file: router, agent or ticket")
+	chk.addStateFlag(cmd)
+	cmd.Flags().StringVar(&chk.kind, "kind", "", "kind of the file: router, agent or ticket")
 	kinds := []string{routerKind, agentKind, ticketKind}
 	_ = cmd.RegisterFlagCompletionFunc("kind", cobra.FixedCompletions(kinds, cobra.ShellCompDirectiveNoFileComp))
 	return cmd
 }
 
+const stateExample = "  bilberrywick ticket show --output json > state.json && bilberrywick check ticket-2.json --state state.json"
+
+// checkFlags say what a file is checked as.
+type checkFlags struct {
+	// kind is empty when the file's fields tell it.
+	kind string
+	// state names a file with the state in force; empty means the empty state.
+	state string
+}
+
+func (chk *checkFlags) addStateFlag(cmd *cobra.Command) {
+	const usage = "file with the state that a ticket would follow, as ticket show --output json prints it; the empty state when not set"
+	cmd.Flags().StringVar(&chk.state, "state", "", usage)
+}
+
+// stateDocument returns the state to check against, or nil for the empty one.
+func (chk *checkFlags) stateDocument() (*bwwire.StateDocument, error) {
+	if chk.state == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(chk.state)
+	if err != nil {
+		return nil, fmt.Errorf("read state: %w", err)
+	}
+	doc := &bwwire.StateDocument{}
+	if err := json.Unmarshal(data, doc); err != nil {
+		return nil, fmt.Errorf("read state %s: %w", chk.state, err)
+	}
+	return doc, nil
+}
+
 // validate prints the faults of a file, and returns them as the command's error.
-func (cfg *Config) validate(out io.Writer, pr *printer, file, kind string) error {
+func (cfg *Config) validate(out io.Writer, pr *printer, file string, chk *checkFlags) error {
 	if err := pr.check(); err != nil {
 		return err
 	}
@@ -48,10 +82,11 @@
 	if err != nil {
 		return fmt.Errorf("read file: %w", err)
 	}
+	kind := chk.kind
 	if kind == "" {
 		kind = kindOf(data)
 	}
-	err = cfg.decode(kind, data)
+	err = cfg.decode(kind, data, chk)
 	var faults *bwsettings.Error
 	if err != nil && !errors.As(err, &faults) {
 		return err
@@ -59,6 +94,9 @@
 	res := &validateResult{File: file, Kind: kind, Valid: err == nil}
 	if faults != nil {
 		res.Faults = faults.Faults
+		if kind == ticketKind && chk.state == "" {
+			res.Note = "checked as the first ticket; --state gives another state that it would follow"
+		}
 	}
 	if err := pr.print(out, res, res.write); err != nil {
 		return err
@@ -69,7 +107,7 @@
 	return nil
 }
 
-func (cfg *Config) decode(kind string, data []byte) error {
+func (cfg *Config) decode(kind string, data []byte, chk *checkFlags) error {
 	switch kind {
 	case routerKind:
 		_, err := bwsettings.DecodeRouter(data)
@@ -79,10 +117,14 @@
 		return err
 	case ticketKind:
 		doc, err := bwsettings.DecodeTicket(data)
-		if err == nil && cfg.CheckTicket != nil {
-			err = cfg.CheckTicket(doc)
+		if err != nil || cfg.CheckTicket == nil {
+			return err
 		}
-		return err
+		st, err := chk.stateDocument()
+		if err != nil {
+			return err
+		}
+		return cfg.CheckTicket(doc, st)
 	case "":
 		return &UsageError{Err: errors.New("the kind of the file can't be told from its fields; name it with --kind")}
 	}
@@ -111,6 +153,9 @@
 	for _, ft := range res.Faults {
 		writeLine(out, "%s: %v", res.File, ft)
 	}
+	if res.Note != "" {
+		writeLine(out, "%s: %s", res.File, res.Note)
+	}
 }
 
 // faultsPrintedError carries faults that the output lists already.
@@ -120,6 +165,9 @@
 }
 
 func (err *faultsPrintedError) Error() string {
+	if len(err.faults.Faults) == 1 {
+		return err.file + ": 1 fault"
+	}
 	return fmt.Sprintf("%s: %d faults", err.file, len(err.faults.Faults))
 }
 
--- a/cmd/bwcommand/command.go
+++ b/cmd/bwcommand/command.go
@@ -22,9 +22,10 @@
 	Now func() time.Time
 	// Getenv reads the environment; nil means an empty one.
 	Getenv func(string) string
-	// CheckTicket reports the faults of a ticket beyond its single fields as a
-	// *bwsettings.Error; nil leaves that check to the process that accepts it.
-	CheckTicket func(*bwwire.TicketDocument) error
+	// CheckTicket reports the faults of a ticket that would follow a state as a
+	// *bwsettings.Error; a nil state is empty. Nil leaves that check to the process
+	// that accepts the ticket.
+	CheckTicket func(*bwwire.TicketDocument, *bwwire.StateDocument) error
 	// Commands are added to those of this package: the processes, the stand-ins
 	// and the bench, which only the program itself links. They must not set
 	// PersistentPreRun, which Run uses.
--- a/cmd/bwcommand/ticket.go
+++ b/cmd/bwcommand/ticket.go
@@ -31,20 +31,25 @@
 	Kind   string
 	Valid  bool
 	Faults []bwsettings.Fault `json:",omitempty"`
+	// Note says how the file was checked, when that may explain its faults.
+	Note string `json:",omitempty"`
 }
 
 func newValidateCommand(cfg *Config) *cobra.Command {
-	pr := &printer{}
+	pr, chk := &printer{}, &checkFlags{kind: ticketKind}
 	cmd := &cobra.Command{
-		Use:     "validate FILE",
-		Short:   "Report every fault of a ticket without a connection",
-		Example: "  bilberrywick ticket validate change.json",
+		Use:   "validate FILE",
+		Short: "Report every fault of a ticket without a connection",
+		Long: "Report every fault of a ticket without a connection. The ticket is checked as the first\n" +
+			"one, unless --state gives the state that it would follow.",
+		Example: "  bilberrywick ticket validate change.json\n  bilberrywick ticket validate change.json --state state.json",
 		Args:    exactArgs("FILE"),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return cfg.validate(cmd.OutOrStdout(), pr, args[0], ticketKind)
+			return cfg.validate(cmd.OutOrStdout(), pr, args[0], chk)
 		},
 	}
 	pr.addFlags(cmd)
+	chk.addStateFlag(cmd)
 	return cmd
 }
 
--- a/cmd/bwlauncher/standin.go
+++ b/cmd/bwlauncher/standin.go
@@ -13,6 +13,9 @@
 	"bilberrywick/standin/bwfakestore"
 )
 
+// standinModel is the model of the workshop and of examples/loopback.
+const standinModel = "pisar-model"
+
 func newStandinCommand() *cobra.Command {
 	cmd := &cobra.Command{
 		Use:     "standin",
@@ -74,11 +77,11 @@
 }
 
 func newStandinEngine() *cobra.Command {
-	cfg := bwfakeengine.Config{Address: loopbackPort(8000), CacheBlocks: 4096}
+	cfg := bwfakeengine.Config{Address: loopbackPort(8000), Models: []string{standinModel}, CacheBlocks: 4096}
 	cmd := &cobra.Command{
 		Use:     "engine",
 		Short:   "Run a model engine that speaks the completions protocol",
-		Example: "  bilberrywick standin engine --address 127.0.0.1:8000 --token-time 40ms",
+		Example: "  bilberrywick standin engine --address 127.0.0.1:8000 --model pisar-model --token-time 40ms",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			eng, err := bwfakeengine.New(cfg)
@@ -97,6 +100,7 @@
 	}
 	flags := cmd.Flags()
 	flags.Var(addressFlag{&cfg.Address}, "address", "where the engine listens")
+	flags.StringSliceVar(&cfg.Models, "model", cfg.Models, "models that the engine has loaded")
 	flags.DurationVar(&cfg.TokenTime, "token-time", devTokenTime, "time between the tokens of a sequence")
 	flags.DurationVar(&cfg.FirstToken, "first-token", devFirstToken, "time to the first token")
 	flags.IntVar(&cfg.Slots, "slots", devSlots, "sequences in the batch")
--- a/core/bwticket/registry.go
+++ b/core/bwticket/registry.go
@@ -41,6 +41,8 @@
 	Digest Digest
 	// Previous is the number of the ticket before it.
 	Previous bwmodel.TicketNumber
+	// Repeated says that the ticket was part of the history before this submission.
+	Repeated bool
 }
 
 // ConflictError says that the ticket's number is taken by other content, or is
@@ -62,7 +64,7 @@
 }
 
 // Submit makes the ticket part of the history and returns its answer, which is
-// the same for each submission of the same content. It returns Faults, a
+// the same for each submission of the same content but for Repeated. It returns Faults, a
 // *ConflictError, ErrAway, ErrUnsure or the context's error otherwise.
 func (reg *Registry) Submit(ctx context.Context, tk Ticket) (Answer, error) {
 	dig, err := reg.Digest(tk)
@@ -142,7 +144,10 @@
 // compare answers from the row that has the ticket's number.
 func (sub *submission) compare(ctx context.Context, row *Accepted) (Answer, error) {
 	if row.Digest == sub.digest {
-		return answer(row), nil
+		ans := answer(row)
+		// After an unsure write the row is most likely that of this submission.
+		ans.Repeated = !sub.unsure
+		return ans, nil
 	}
 	// The state is read again, since the row may be newer than the first read.
 	st, err := sub.reg.ReadState(ctx)
--- a/core/bwticket/registry_test.go
+++ b/core/bwticket/registry_test.go
@@ -32,8 +32,10 @@
 				t.Errorf("%d delayed writes took effect after the ticket was accepted", took)
 			}
 			again, err := mem.registry().Submit(t.Context(), ticket(3, 1))
-			if err != nil || again != ans {
-				t.Errorf("repeat: got %+v, %v, want the same answer %+v", again, err, ans)
+			want := ans
+			want.Repeated = true
+			if err != nil || again != want || ans.Repeated {
+				t.Errorf("repeat of %+v: got %+v, %v, want the same answer as a repeat", ans, again, err)
 			}
 		})
 	}
--- a/io/bwadmin/error.go
+++ b/io/bwadmin/error.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwticket"
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwsettings"
 )
@@ -32,6 +33,16 @@
 // Error returns the reason.
 func (err *ConflictError) Error() string { return err.Reason }
 
+// FaultsError returns a ticket's faults as a *bwsettings.Error, or nil when
+// there are none.
+func FaultsError(faults bwticket.Faults) error {
+	rep := &bwsettings.Report{}
+	for _, ft := range faults {
+		rep.Add(ft.Path, ft.Reason)
+	}
+	return rep.Err()
+}
+
 // problem is an answer in the form of RFC 9457 with our extension members.
 type problem struct {
 	Type   string               `json:"type"`
--- a/io/bwobserve/metrics.go
+++ b/io/bwobserve/metrics.go
@@ -248,7 +248,7 @@
 		"Time from a ticket's acceptance to its effect in this process, by source (Store, Push, Exchange, Traffic).",
 		latencyBuckets, "source")
 	mx.TicketSubmissions = dc.counters("ticket_submissions_total",
-		"Tickets submitted to this process by result (Accepted, Repeated, Conflict, Invalid, Unknown).", "result")
+		"Tickets submitted to this process by result (Accepted, Repeated, Conflict, Invalid, Unavailable, Unknown).", "result")
 	mx.Members = dc.gauges("members",
 		"Known members by role and state (Live, Suspect, Leaving).", "role", "state")
 	mx.LeaseHeld = dc.gauges("lease_held",
--- a/io/bwrouter/router_admin.go
+++ b/io/bwrouter/router_admin.go
@@ -74,28 +74,42 @@
 	}
 	answer, err := rtr.proc.Fleet.Apply(ctx, req.Ticket)
 	if err != nil {
-		rtr.proc.Metrics.TicketSubmissions.With("Refused").Inc()
+		rtr.proc.Metrics.TicketSubmissions.With(submissionResult(err)).Inc()
 		rtr.proc.Log.Warn("ticket refused", "Number", req.Ticket.Number, "Operator", bwhttp.OperatorName(ctx), "Error", err)
 		return nil, ticketError(err)
 	}
-	rtr.proc.Metrics.TicketSubmissions.With("Accepted").Inc()
-	rtr.proc.Log.Info("ticket accepted", "Number", answer.Number, "Operator", bwhttp.OperatorName(ctx))
 	result.Result = bwadmin.Accepted
+	if answer.Repeated {
+		result.Result = bwadmin.Repeated
+	}
+	rtr.proc.Metrics.TicketSubmissions.With(result.Result).Inc()
+	rtr.proc.Log.Info("ticket answered", "Number", answer.Number, "Result", result.Result, "Operator", bwhttp.OperatorName(ctx))
 	result.Head = max(answer.Number, rtr.proc.StateNumber())
 	return result, nil
 }
 
+// submissionResult names an error of a submission in the metrics.
+func submissionResult(err error) string {
+	var faults bwticket.Faults
+	var conflict *bwticket.ConflictError
+	switch {
+	case errors.As(err, &faults):
+		return "Invalid"
+	case errors.As(err, &conflict):
+		return "Conflict"
+	case errors.Is(err, bwticket.ErrAway):
+		return "Unavailable"
+	}
+	return "Unknown"
+}
+
 // ticketError turns an error of a submission into one of the API.
 func ticketError(err error) error {
 	var faults bwticket.Faults
 	var conflict *bwticket.ConflictError
 	switch {
 	case errors.As(err, &faults):
-		rep := &bwsettings.Report{}
-		for _, fault := range faults {
-			rep.Add(fault.Path, fault.Reason)
-		}
-		return rep.Err()
+		return bwadmin.FaultsError(faults)
 	case errors.As(err, &conflict):
 		return &bwadmin.ConflictError{Head: conflict.Current.Number(), Reason: conflict.Error()}
 	case errors.Is(err, bwticket.ErrAway):
