--- a/cmd/bilberrywick/main.go
+++ b/cmd/bilberrywick/main.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"bilberrywick/cmd/bwcommand"
 	"bilberrywick/cmd/bwlauncher"
@@ -16,7 +14,7 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := bwlauncher.WithSignals(context.Background())
 	defer stop()
 	cfg := bwcommand.Config{
 		Version:     version,
--- a/cmd/bwlauncher/process.go
+++ b/cmd/bwlauncher/process.go
@@ -40,7 +40,7 @@
 	cmd := &cobra.Command{
 		Use:     "router",
 		Short:   "Run a router on an entry VM",
-		Long:    "Run a router on an entry VM until SIGTERM, then drain it and exit.",
+		Long:    "Run a router on an entry VM until SIGTERM or a drain through the\nadministration API, then drain it and exit. A second signal ends it at once.",
 		Example: "  bilberrywick router --settings /etc/bilberrywick/router.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -60,7 +60,7 @@
 	cmd := &cobra.Command{
 		Use:     "agent",
 		Short:   "Run the agent beside an upstream",
-		Long:    "Run the agent beside an upstream until SIGTERM, then drain it and exit.",
+		Long:    "Run the agent beside an upstream until SIGTERM or a drain through the\nadministration API, then drain it and exit. A second signal ends it at once.",
 		Example: "  bilberrywick agent --settings /etc/bilberrywick/agent.json",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -87,7 +87,7 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, set.DrainTime, process{start: rtr.Start, stop: rtr.Stop})
+	return serve(ctx, set.DrainTime, process{start: rtr.Start, stop: rtr.Stop, asked: rtr.StopRequested()})
 }
 
 func runAgent(ctx context.Context, cfg Config, set bwsettings.Agent) error {
@@ -95,20 +95,26 @@
 	if err != nil {
 		return err
 	}
-	return serve(ctx, set.DrainTime, process{start: agt.Start, stop: agt.Stop})
+	return serve(ctx, set.DrainTime, process{start: agt.Start, stop: agt.Stop, asked: agt.StopRequested()})
 }
 
 // process is a router or an agent.
 type process struct {
 	start func(context.Context)
 	stop  func(context.Context) error
+	// asked is closed when an operator has asked the process to end.
+	asked <-chan struct{}
 }
 
-// serve runs a process until the context ends, then drains it.
+// serve runs a process until the context ends or an operator asks it to end,
+// then drains it.
 func serve(ctx context.Context, drain time.Duration, prc process) error {
 	// The process outlives the signal that ends the context, until it has drained.
 	prc.start(context.WithoutCancel(ctx))
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-prc.asked:
+	}
 	stopping, cancel := context.WithTimeout(context.WithoutCancel(ctx), drain+stopMargin)
 	defer cancel()
 	if err := prc.stop(stopping); err != nil {
--- a/core/bwmember/directory.go
+++ b/core/bwmember/directory.go
@@ -42,6 +42,8 @@
 	// Heard is when the member itself was last heard, by this process or by a peer
 	// that passed it on; zero means never.
 	Heard time.Time
+	// StateNumber is the highest ticket number that the member was known to have.
+	StateNumber bwmodel.TicketNumber
 }
 
 // Directory merges the platform's list with direct evidence. It is owned by
@@ -108,6 +110,13 @@
 	rec.member.Leaving = leaving
 }
 
+// Learn records the ticket number that a member's incarnation has in force.
+func (dir *Directory) Learn(id bwmodel.MemberID, inc bwmodel.Incarnation, num bwmodel.TicketNumber) {
+	if rec := dir.members[id]; rec != nil && rec.member.Incarnation == inc {
+		rec.stateNumber = max(rec.stateNumber, num)
+	}
+}
+
 // List replaces what the platform lists. Direct evidence takes precedence over
 // it, except that a member listed as leaving is leaving.
 func (dir *Directory) List(listed []bwmodel.Member) {
@@ -141,7 +150,7 @@
 	})
 	entries := make([]Entry, 0, len(dir.members))
 	for _, rec := range dir.members {
-		ent := Entry{Member: rec.member, Status: dir.status(rec, now), Heard: rec.heard}
+		ent := Entry{Member: rec.member, Status: dir.status(rec, now), Heard: rec.heard, StateNumber: rec.stateNumber}
 		ent.Member.Leaving = ent.Status == Leaving
 		entries = append(entries, ent)
 	}
@@ -165,5 +174,6 @@
 	heard time.Time
 	// listed and listedLeaving are from the platform's last list.
 	listed        bool
+	stateNumber   bwmodel.TicketNumber
 	listedLeaving bool
 }
--- a/core/bwticket/registry.go
+++ b/core/bwticket/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"time"
 
 	"bilberrywick/core/bwmodel"
 )
@@ -33,6 +34,8 @@
 	// Pause waits before a write of unknown outcome is read back and repeated, or
 	// returns the context's error.
 	Pause func(ctx context.Context) error
+	// Now reads the wall clock; nil leaves Accepted.At at zero.
+	Now func() time.Time
 }
 
 // Answer is the result of a ticket that is part of the history.
@@ -121,6 +124,9 @@
 		return Answer{}, false, faults
 	}
 	acc := Accepted{Ticket: sub.ticket, Previous: st.Number(), Digest: sub.digest}
+	if sub.reg.Now != nil {
+		acc.At = sub.reg.Now().UTC()
+	}
 	return sub.commit(ctx, acc)
 }
 
--- a/core/bwticket/ticket.go
+++ b/core/bwticket/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"bilberrywick/core/bwmodel"
 )
@@ -38,6 +39,9 @@
 	// when it has missed one; numbers may leave gaps.
 	Previous bwmodel.TicketNumber
 	Digest   Digest
+	// At is the wall clock of the process that accepted the ticket; it is shown
+	// and measured but decides nothing.
+	At time.Time
 }
 
 // Size returns the number of objects that the ticket sets and removes.
--- a/io/bwadmin/api.go
+++ b/io/bwadmin/api.go
@@ -64,7 +64,7 @@
 func NewHandler(cfg Config) *mux.Router {
 	if cfg.Gate != nil {
 		gate := *cfg.Gate
-		gate.Fail = fail
+		gate.Fail = Fail
 		cfg.Gate = &gate
 	}
 	table := cfg.routes()
@@ -85,8 +85,8 @@
 	return rtr
 }
 
-func failNotFound(rw http.ResponseWriter, rq *http.Request) { fail(rw, rq, ErrNotFound) }
+func failNotFound(rw http.ResponseWriter, rq *http.Request) { Fail(rw, rq, ErrNotFound) }
 
 func failMethod(rw http.ResponseWriter, rq *http.Request) {
-	fail(rw, rq, &bwhttp.RequestError{Status: http.StatusMethodNotAllowed, Err: errMethod})
+	Fail(rw, rq, &bwhttp.RequestError{Status: http.StatusMethodNotAllowed, Err: errMethod})
 }
--- a/io/bwadmin/error.go
+++ b/io/bwadmin/error.go
@@ -58,8 +58,8 @@
 // conflictType tells a ticket's conflict from other ones with the same status.
 const conflictType = "urn:bilberrywick:ticket-conflict"
 
-// fail answers with problem details.
-func fail(rw http.ResponseWriter, _ *http.Request, err error) {
+// Fail answers an error with problem details.
+func Fail(rw http.ResponseWriter, _ *http.Request, err error) {
 	prob := newProblem(err)
 	data, encErr := bwhttp.EncodeJSON(prob)
 	if encErr != nil {
--- a/io/bwadmin/types.go
+++ b/io/bwadmin/types.go
@@ -98,6 +98,17 @@
 // UpstreamList holds the upstreams that this process follows.
 type UpstreamList struct{ Upstreams []UpstreamStatus }
 
+// Health of an upstream.
+const (
+	HealthyUpstream     = "Healthy"
+	SlowUpstream        = "Slow"
+	UnreachableUpstream = "Unreachable"
+	DrainingUpstream    = "Draining"
+	LeavingUpstream     = "Leaving"
+	DownUpstream        = "Down"
+	NotFollowed         = "NotFollowed"
+)
+
 // UpstreamStatus is what this process knows of one upstream.
 type UpstreamStatus struct {
 	Name    bwmodel.UpstreamID
@@ -105,7 +116,7 @@
 	Region  bwmodel.RegionID
 	Zone    bwmodel.ZoneID
 	Agent   netip.AddrPort
-	// Health is Healthy, Slow, Unreachable, Draining, Leaving or Down.
+	// Health is Healthy, Slow, Unreachable, Draining, Leaving, Down or NotFollowed.
 	Health string
 	// Reason says in a few words why the health is not Healthy.
 	Reason string `json:",omitempty"`
@@ -129,15 +140,28 @@
 // DrainList holds what is being drained.
 type DrainList struct{ Drains []DrainStatus }
 
+// Kinds and causes of drains.
+const (
+	UpstreamDrain = "Upstream"
+	MemberDrain   = "Member"
+
+	CauseTicket   = "Ticket"
+	CauseSignal   = "Signal"
+	CauseOperator = "Operator"
+	// CauseMember says that another member or the platform's list said so.
+	CauseMember = "Member"
+)
+
 // DrainStatus is an upstream or a process that takes no new work.
 type DrainStatus struct {
 	// Kind is Upstream or Member.
 	Kind string
 	Name string
-	// Cause is Ticket, Signal, Operator or Platform.
+	// Cause is Ticket, Signal, Operator or Member.
 	Cause string
 	Since time.Time `json:",omitzero"`
-	// Remaining is the number of requests that are still served.
+	// Remaining is the number of requests that are still served, as far as the
+	// process that answers knows.
 	Remaining int
 }
 
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -5,20 +5,18 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"net/netip"
 	"time"
 
-	"github.com/gorilla/mux"
-
 	"bilberrywick/core/bwaction"
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwadmin"
 	"bilberrywick/io/bwengine"
 	"bilberrywick/io/bwfleet"
 	"bilberrywick/io/bwhttp"
-	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwprocess"
 	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwwire"
 )
 
 // Agent is the agent process beside one upstream.
@@ -52,30 +50,22 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	set := cfg.Settings
+	agt := &Agent{cfg: cfg}
 	proc, err := bwprocess.New(bwprocess.Config{
 		Role:      bwmodel.AgentRole,
-		Identity:  set.Identity,
-		Peers:     set.Peers,
-		SeedPeers: set.SeedPeers,
-		Platform:  set.Platform,
-		Log:       set.Log,
+		Settings:  cfg.Settings.Common(),
 		Version:   cfg.Version,
 		LogOutput: cfg.LogOutput,
+		Refusing:  agt.refusing,
 		Now:       cfg.Now,
 	})
 	if err != nil {
 		return nil, err
 	}
-	agt := &Agent{cfg: cfg, proc: proc}
+	agt.proc = proc
 	agt.buildUpstream()
 	agt.reporter.Register(proc.Server)
-	agt.operators, err = proc.Listen(bwprocess.Listener{
-		Address: set.Operators.Address,
-		TLS:     set.Operators.TLS,
-		Bounds:  set.Operators.Bounds,
-		Handler: agt.operatorHandler(),
-	})
+	agt.operators, err = proc.ListenOperators(agt.administration())
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("listen for operators: %w", err), proc.Close())
 	}
@@ -112,7 +102,7 @@
 func (agt *Agent) Stop(ctx context.Context) error {
 	drain, cancel := context.WithTimeout(ctx, agt.cfg.Settings.DrainTime)
 	defer cancel()
-	agt.proc.Metrics.Draining.Set(1)
+	agt.proc.BeginStop()
 	err := agt.reporter.SetLeaving(drain, true)
 	err = errors.Join(err, agt.proc.Fleet.Leave(drain), agt.drain(drain))
 	err = errors.Join(err, agt.proc.Stop(), agt.operators.Close())
@@ -207,29 +197,65 @@
 	}
 }
 
-func (agt *Agent) operatorHandler() http.Handler {
-	routes := mux.NewRouter()
-	routes.Handle("/health", bwhttp.HealthHandler())
-	routes.Handle("/ready", bwhttp.ReadyHandler(agt.ready))
-	routes.Handle("/metrics", bwobserve.MetricsHandler(agt.proc.Metrics))
-	return routes
+// administration returns what an agent adds to the administration API.
+func (agt *Agent) administration() bwprocess.Administration {
+	return bwprocess.Administration{
+		API:                bwadmin.Config{Upstreams: agt.showUpstream},
+		InProgress:         agt.inProgress,
+		UpstreamInProgress: agt.upstreamInProgress,
+	}
+}
+
+func (agt *Agent) upstreamInProgress(name bwmodel.UpstreamID) int {
+	if name != agt.cfg.Settings.Upstream.Name {
+		return 0
+	}
+	return agt.inProgress()
 }
 
-// ready returns why the agent takes no new work, and nil when it does.
-func (agt *Agent) ready() error {
+// showUpstream lists the upstream beside the agent only.
+func (agt *Agent) showUpstream(context.Context, *struct{}) (*bwadmin.UpstreamList, error) {
+	set, view := agt.cfg.Settings.Upstream, agt.reporter.Snapshot()
+	status := bwadmin.UpstreamStatus{
+		Name:     set.Name,
+		Service:  set.Service,
+		Region:   agt.proc.Self.Region,
+		Zone:     agt.proc.Self.Zone,
+		Agent:    agt.proc.Self.Address,
+		Health:   bwadmin.HealthyUpstream,
+		Running:  view.Load.Running,
+		Waiting:  view.Load.Waiting,
+		Slots:    set.Slots,
+		InFlight: agt.inProgress(),
+		Models:   view.Load.Models,
+	}
+	if !view.Measured.IsZero() {
+		status.ReportAge = bwwire.DurationText(agt.cfg.Now().Sub(view.Measured))
+	}
+	switch {
+	case view.Leaving:
+		status.Health, status.Reason = bwadmin.LeavingUpstream, errLeaving.Error()
+	case view.Load.UpstreamIsDown:
+		status.Health, status.Reason = bwadmin.DownUpstream, "the upstream does not answer"
+	}
+	return &bwadmin.UpstreamList{Upstreams: []bwadmin.UpstreamStatus{status}}, nil
+}
+
+// StopRequested is closed when an operator has asked the agent to end.
+func (agt *Agent) StopRequested() <-chan struct{} { return agt.proc.StopRequested() }
+
+// Ready returns why the agent takes no new work, and nil when it does.
+func (agt *Agent) Ready() error { return agt.proc.Ready() }
+
+// refusing returns why the agent takes no new work although its process does.
+func (agt *Agent) refusing() error {
 	if agt.Leaving() {
 		return errLeaving
 	}
-	if !agt.proc.Fleet.Snapshot().Ready {
-		return errNotCurrent
-	}
 	return nil
 }
 
-var (
-	errLeaving    = errors.New("the agent is leaving")
-	errNotCurrent = errors.New("neither the store nor a peer has confirmed the state within 3 s")
-)
+var errLeaving = errors.New("the agent is leaving: a ticket or the platform's list drains its upstream")
 
 // follower takes drains in tickets and in the platform's list into effect.
 type follower struct {
@@ -251,7 +277,6 @@
 func (flw *follower) apply(ctx context.Context) {
 	agt := flw.agt
 	snap := agt.proc.Fleet.Snapshot()
-	agt.proc.Metrics.TicketNumber.Set(float64(snap.State.Number()))
 	ups, listed := snap.State.Upstream(agt.cfg.Settings.Upstream.Name)
 	leaving := snap.Self.Leaving || (listed && ups.Draining)
 	if leaving == agt.Leaving() {
--- a/io/bwfleet/control.go
+++ b/io/bwfleet/control.go
@@ -47,6 +47,8 @@
 		State:   ctl.state,
 		Members: ctl.dir.Entries(),
 		Ready:   ctl.started && ctl.now().Sub(ctl.contact) <= contactTime,
+		Started: ctl.started,
+		Contact: ctl.contact,
 		recent:  ctl.recent,
 	}
 	if snap.differs(&ctl.last) {
@@ -64,8 +66,10 @@
 func (ctl *control) hear(msg *bwwire.ExchangeMessage) {
 	ctl.touch()
 	ctl.dir.Hear(msg.From, 0)
+	ctl.dir.Learn(msg.From.ID, msg.From.Incarnation, msg.Head)
 	for _, sum := range msg.Members {
 		ctl.dir.Hear(sum.Member, sum.Age)
+		ctl.dir.Learn(sum.Member.ID, sum.Member.Incarnation, sum.StateNumber)
 	}
 }
 
@@ -98,7 +102,7 @@
 }
 
 func (snap *Snapshot) differs(old *Snapshot) bool {
-	if snap.State != old.State || snap.Ready != old.Ready || snap.Self != old.Self {
+	if snap.State != old.State || snap.Ready != old.Ready || snap.Started != old.Started || snap.Self != old.Self {
 		return true
 	}
 	return !slices.EqualFunc(snap.Members, old.Members, func(aa, bb bwmember.Entry) bool {
--- a/io/bwfleet/exchange.go
+++ b/io/bwfleet/exchange.go
@@ -7,6 +7,7 @@
 	"slices"
 
 	"bilberrywick/core/bwmember"
+	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwticket"
 	"bilberrywick/io/bwwire"
 )
@@ -20,7 +21,7 @@
 	if err := fl.update(ctx, func(ctl *control) { ctl.hear(msg) }); err != nil {
 		return nil, fmt.Errorf("exchange: %w", err)
 	}
-	fl.Learn(msg.Head, msg.From.Address)
+	fl.hint(hint{number: msg.Head, from: msg.From.Address, source: FromExchange})
 	return fl.message(), nil
 }
 
@@ -49,7 +50,7 @@
 	slices.SortStableFunc(heard, func(aa, bb bwmember.Entry) int { return bb.Heard.Compare(aa.Heard) })
 	now := fl.cfg.Now()
 	for _, ent := range heard[:min(len(heard), maxSummaries)] {
-		msg.Members = append(msg.Members, bwwire.MemberSummary{Member: ent.Member, Age: now.Sub(ent.Heard)})
+		msg.Members = append(msg.Members, bwwire.MemberSummary{Member: ent.Member, Age: now.Sub(ent.Heard), StateNumber: ent.StateNumber})
 	}
 	return msg
 }
@@ -65,7 +66,7 @@
 	if err := fl.update(ctx, func(ctl *control) { ctl.hear(rsp) }); err != nil {
 		return nil, err
 	}
-	fl.Learn(rsp.Head, addr)
+	fl.hint(hint{number: rsp.Head, from: addr, source: FromExchange})
 	return rsp, nil
 }
 
@@ -101,7 +102,7 @@
 }
 
 // pullPeer fetches what follows the own state from a peer.
-func (fl *Fleet) pullPeer(ctx context.Context, addr netip.AddrPort) error {
+func (fl *Fleet) pullPeer(ctx context.Context, addr netip.AddrPort, src Source) error {
 	call, cancel := context.WithTimeout(ctx, fl.cfg.CallTimeout)
 	defer cancel()
 	req := &bwwire.TicketsRequest{After: fl.Snapshot().State.Number()}
@@ -123,7 +124,7 @@
 			return fmt.Errorf("state of %v: %w", addr, err)
 		}
 	}
-	return fl.advance(ctx, accs, st)
+	return fl.advance(ctx, src, accs, st)
 }
 
 // pullStore fetches what follows the own state from the store.
@@ -134,11 +135,11 @@
 	if err != nil {
 		return err
 	}
-	return fl.advance(ctx, accs, nil)
+	return fl.advance(ctx, FromStore, accs, nil)
 }
 
 // advance applies tickets or a whole state, and passes a higher number on.
-func (fl *Fleet) advance(ctx context.Context, accs []bwticket.Accepted, st *bwticket.State) error {
+func (fl *Fleet) advance(ctx context.Context, src Source, accs []bwticket.Accepted, st *bwticket.State) error {
 	before := fl.Snapshot().State.Number()
 	gap := false
 	err := fl.update(ctx, func(ctl *control) {
@@ -152,7 +153,8 @@
 		return err
 	}
 	if now := fl.Snapshot().State.Number(); now > before {
-		fl.cfg.Log.Info("state in effect", "Number", now, "Before", before)
+		fl.cfg.Log.Info("state in effect", "Number", now, "Before", before, "Source", src)
+		fl.measure(src, accs, before, now)
 		fl.wakePush()
 	}
 	if gap {
@@ -160,3 +162,16 @@
 	}
 	return nil
 }
+
+// measure tells how long the tickets that came into effect took to get here.
+func (fl *Fleet) measure(src Source, accs []bwticket.Accepted, before, now bwmodel.TicketNumber) {
+	if fl.cfg.InEffect == nil {
+		return
+	}
+	for _, acc := range accs {
+		if num := acc.Ticket.Number; num > before && num <= now && !acc.At.IsZero() {
+			// The clocks of two VMs may differ by more than the time between them.
+			fl.cfg.InEffect(src, max(0, fl.cfg.Now().Sub(acc.At)))
+		}
+	}
+}
--- a/io/bwfleet/fleet.go
+++ b/io/bwfleet/fleet.go
@@ -23,7 +23,7 @@
 	cfg   Config
 	own   *bwcontrol.Owner[control, Snapshot]
 	hints chan hint
-	heard chan bwmodel.Member
+	heard chan evidence
 	// pushes wakes loopPush.
 	pushes chan struct{}
 	// revision is the last one that subscribers were told of.
@@ -42,6 +42,9 @@
 	// Now reads a monotonic clock; nil means time.Now.
 	Now func() time.Time
 	Log *slog.Logger
+	// InEffect is told of each ticket that comes into effect here: from where it
+	// was learned and how long after its acceptance by the wall clocks; may be nil.
+	InEffect func(src Source, took time.Duration)
 	// RandomSeed seeds the choice of peers.
 	RandomSeed uint64
 	// PollInterval separates reads of the store's head by a watcher; 0 means 500 ms.
@@ -65,6 +68,10 @@
 	// Ready says that the state is known and that the store or a peer was heard
 	// from within 3 s.
 	Ready bool
+	// Started says that the state was read from the store or from enough seeds.
+	Started bool
+	// Contact is when the store or a peer was last heard from; zero means never.
+	Contact time.Time
 	// Revision rises whenever the state, the readiness or a member's status changes.
 	Revision uint64
 	// recent are the last tickets up to the state, to pass on to peers.
@@ -93,7 +100,7 @@
 	fl := &Fleet{
 		cfg:    cfg,
 		hints:  make(chan hint, hintBacklog),
-		heard:  make(chan bwmodel.Member, heardBacklog),
+		heard:  make(chan evidence, heardBacklog),
 		pushes: make(chan struct{}, 1),
 	}
 	ctl := newControl(cfg)
@@ -139,21 +146,25 @@
 // Learn records that a peer has a ticket number, as seen in its messages. It is
 // cheap and never blocks, so that traffic goroutines may call it on each message.
 func (fl *Fleet) Learn(num bwmodel.TicketNumber, from netip.AddrPort) {
-	if num <= fl.Snapshot().State.Number() {
+	fl.hint(hint{number: num, from: from, source: FromTraffic})
+}
+
+func (fl *Fleet) hint(hnt hint) {
+	if hnt.number <= fl.Snapshot().State.Number() {
 		return
 	}
 	select {
-	case fl.hints <- hint{number: num, from: from}:
+	case fl.hints <- hnt:
 	default:
 		// A later message or the next exchange carries the number again.
 	}
 }
 
-// Hear records direct evidence of a member, such as its status message. It
-// never blocks; the view shows it within the poll interval.
-func (fl *Fleet) Hear(mem bwmodel.Member) {
+// Hear records direct evidence of a member and of its ticket number, such as
+// its status message. It never blocks; the view shows it within the poll interval.
+func (fl *Fleet) Hear(mem bwmodel.Member, num bwmodel.TicketNumber) {
 	select {
-	case fl.heard <- mem:
+	case fl.heard <- evidence{member: mem, number: num}:
 	default:
 	}
 }
@@ -240,12 +251,46 @@
 	cfg.Seeds = seeds
 }
 
+// NotReady returns why the process is not current, and nil when it is.
+func (snap *Snapshot) NotReady(now time.Time) error {
+	switch {
+	case snap.Ready:
+		return nil
+	case !snap.Started:
+		return errNotStarted
+	}
+	age := now.Sub(snap.Contact).Truncate(time.Second)
+	return fmt.Errorf("neither the store nor a peer was heard from for %v, at most %v are allowed", age, contactTime)
+}
+
+var errNotStarted = errors.New("the state was not read yet: the store does not answer, and fewer than half of the seed peers know the state")
+
+// evidence is what a member's own message said.
+type evidence struct {
+	member bwmodel.Member
+	number bwmodel.TicketNumber
+}
+
 // hint says that a peer has a ticket number.
 type hint struct {
 	number bwmodel.TicketNumber
 	from   netip.AddrPort
+	source Source
 }
 
+// Source says from where a process learned of a ticket.
+type Source string
+
+// Sources of tickets.
+const (
+	// FromStore says that the process read the store.
+	FromStore Source = "Store"
+	// FromExchange says that a peer told in an exchange or a push, which use the same message.
+	FromExchange Source = "Exchange"
+	// FromTraffic says that a message of a request or a status carried the number.
+	FromTraffic Source = "Traffic"
+)
+
 // task runs one loop of the fleet.
 type task struct {
 	loop func(context.Context)
--- a/io/bwfleet/loop.go
+++ b/io/bwfleet/loop.go
@@ -75,7 +75,7 @@
 	if ready == 0 || ready*2 < len(fl.cfg.Seeds) {
 		return false
 	}
-	if err := fl.pullPeer(ctx, best.from); err != nil {
+	if err := fl.pullPeer(ctx, best.from, FromExchange); err != nil {
 		fl.cfg.Log.Debug("start from seed failed", "Peer", best.from, "Error", err)
 		return false
 	}
@@ -149,15 +149,16 @@
 	if err != nil {
 		return err
 	}
-	return fl.advance(ctx, nil, st)
+	return fl.advance(ctx, FromStore, nil, st)
 }
 
 func (fl *Fleet) drainHeard(ctl *control) {
 	for {
 		select {
-		case mem := <-fl.heard:
+		case evd := <-fl.heard:
 			ctl.touch()
-			ctl.dir.Hear(mem, 0)
+			ctl.dir.Hear(evd.member, 0)
+			ctl.dir.Learn(evd.member.ID, evd.member.Incarnation, evd.number)
 		default:
 			return
 		}
@@ -233,7 +234,7 @@
 			if hnt.number <= fl.Snapshot().State.Number() {
 				continue
 			}
-			if err := fl.pullPeer(ctx, hnt.from); err != nil {
+			if err := fl.pullPeer(ctx, hnt.from, hnt.source); err != nil {
 				fl.cfg.Log.Debug("pull failed", "Peer", hnt.from, "Error", err)
 			}
 		case <-ctx.Done():
--- a/io/bwhttp/server.go
+++ b/io/bwhttp/server.go
@@ -13,10 +13,11 @@
 
 // Server serves one listener within its bounds.
 type Server struct {
-	http *http.Server
-	lis  net.Listener
-	done chan struct{}
-	err  error
+	http    *http.Server
+	bounded *boundedHandler
+	lis     net.Listener
+	done    chan struct{}
+	err     error
 }
 
 // ServerConfig configures a Server.
@@ -61,8 +62,9 @@
 			IdleTimeout:       cfg.Bounds.IdleTimeout,
 			ErrorLog:          slog.NewLogLogger(cfg.Log.Handler(), slog.LevelDebug),
 		},
-		lis:  lis,
-		done: make(chan struct{}),
+		bounded: bounded,
+		lis:     lis,
+		done:    make(chan struct{}),
 	}
 	return srv, nil
 }
@@ -73,6 +75,9 @@
 	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
 }
 
+// InProgress returns the number of requests being served.
+func (srv *Server) InProgress() int { return len(srv.bounded.slots) }
+
 // Start serves requests until Shutdown or Close.
 func (srv *Server) Start() { go srv.run() }
 
--- a/io/bwobserve/metrics.go
+++ b/io/bwobserve/metrics.go
@@ -121,8 +121,6 @@
 	StoreDuration *Family[*metrics.PrometheusHistogram]
 	// StoreErrors counts failed requests to the platform by store and kind.
 	StoreErrors *Family[*metrics.Counter]
-	// StoreReadBacks counts writes whose outcome was read back by result.
-	StoreReadBacks *Family[*metrics.Counter]
 	// RPCDuration is the duration of unary calls between processes in seconds by method.
 	RPCDuration *Family[*metrics.PrometheusHistogram]
 	// RPCErrors counts failed calls between processes by method and code.
@@ -245,7 +243,7 @@
 	mx.TicketNumber = dc.gauge("ticket_number",
 		"Number of the ticket in force in this process.")
 	mx.TicketPropagation = dc.histograms("ticket_propagation_seconds",
-		"Time from a ticket's acceptance to its effect in this process, by source (Store, Push, Exchange, Traffic).",
+		"Time from a ticket's acceptance to its effect in this process by both wall clocks, by source (Store, Exchange, Traffic).",
 		latencyBuckets, "source")
 	mx.TicketSubmissions = dc.counters("ticket_submissions_total",
 		"Tickets submitted to this process by result (Accepted, Repeated, Conflict, Invalid, Unavailable, Unknown).", "result")
@@ -267,15 +265,13 @@
 	mx.StoreDuration = dc.histograms("store_duration_seconds",
 		"Duration of requests to the platform by store (Table, Objects, VMList) and operation.", latencyBuckets, "store", "operation")
 	mx.StoreErrors = dc.counters("store_errors_total",
-		"Failed requests to the platform by store and kind (Unavailable, Throttled, Conflict, Timeout).", "store", "kind")
-	mx.StoreReadBacks = dc.counters("store_read_backs_total",
-		"Writes with an unknown outcome that were read back, by result (Written, NotWritten, Unknown).", "result")
+		"Failed requests to the platform by store and kind (Unavailable, Unsure, Conflict, Invalid).", "store", "kind")
 	mx.RPCDuration = dc.histograms("rpc_duration_seconds",
 		"Duration of unary calls between processes by method.", shortBuckets, "method")
 	mx.RPCErrors = dc.counters("rpc_errors_total",
 		"Failed calls between processes by method and code.", "method", "code")
 	mx.ControlBytes = dc.counters("control_sent_bytes_total",
-		"Bytes of control traffic sent to other processes by kind (Status, Exchange, Push).", "kind")
+		"Bytes of control traffic sent to other processes by kind (Status, Exchange, Tickets).", "kind")
 }
 
 // Definitions returns the definition of each metric, sorted by name.
--- /dev/null
+++ b/io/bwprocess/gauges.go
@@ -0,0 +1,54 @@
+package bwprocess
+
+import (
+	"context"
+	"time"
+
+	"bilberrywick/core/bwmember"
+	"bilberrywick/core/bwmodel"
+)
+
+// gaugeInterval separates two settings of the gauges; scrapes are seconds apart.
+const gaugeInterval = time.Second
+
+// loop keeps the gauges of the process and its fleet current.
+func (prc *Process) loop(ctx context.Context) {
+	tick := time.NewTicker(gaugeInterval)
+	defer tick.Stop()
+	for {
+		prc.setGauges()
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (prc *Process) setGauges() {
+	prc.Metrics.Ready.Set(one(prc.Ready() == nil))
+	prc.Metrics.Draining.Set(one(prc.Stopping()))
+	snap := prc.Fleet.Snapshot()
+	prc.Metrics.TicketNumber.Set(float64(snap.State.Number()))
+	counts := make(map[memberKind]int)
+	for _, ent := range snap.Members {
+		counts[memberKind{ent.Member.Role, ent.Status}]++
+	}
+	for _, role := range []bwmodel.Role{bwmodel.RouterRole, bwmodel.AgentRole} {
+		for _, sts := range []bwmember.Status{bwmember.Live, bwmember.Suspect, bwmember.Leaving} {
+			prc.Metrics.Members.With(role.String(), sts.String()).Set(float64(counts[memberKind{role, sts}]))
+		}
+	}
+}
+
+type memberKind struct {
+	role   bwmodel.Role
+	status bwmember.Status
+}
+
+func one(yes bool) float64 {
+	if yes {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/io/bwprocess/measure.go
@@ -0,0 +1,57 @@
+package bwprocess
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"bilberrywick/io/bwfleet"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwstore"
+	"bilberrywick/io/bwwire"
+)
+
+// kindsOfControl names the control traffic among the methods between processes.
+var kindsOfControl = map[string]string{
+	bwwire.AgentStatus:  "Status",
+	bwwire.PeerExchange: "Exchange",
+	bwwire.PeerTickets:  "Tickets",
+}
+
+func (prc *Process) measureSent(method string, size int) {
+	if kind, ok := kindsOfControl[method]; ok {
+		prc.Metrics.ControlBytes.With(kind).Add(size)
+	}
+}
+
+func (prc *Process) measureCall(method string, took time.Duration, err error) {
+	prc.Metrics.RPCDuration.With(method).Update(took.Seconds())
+	if err != nil && !errors.Is(err, context.Canceled) {
+		prc.Metrics.RPCErrors.With(method, bwwire.CodeName(bwrpc.CodeOf(err))).Inc()
+	}
+}
+
+func (prc *Process) measureStore(req bwstore.Request) {
+	prc.Metrics.StoreDuration.With(req.Store, req.Operation).Update(req.Took.Seconds())
+	if kind := storeErrorKind(req.Err); kind != "" {
+		prc.Metrics.StoreErrors.With(req.Store, kind).Inc()
+	}
+}
+
+func storeErrorKind(err error) string {
+	switch {
+	case err == nil, errors.Is(err, context.Canceled):
+		return ""
+	case errors.Is(err, bwstore.ErrConflict):
+		return "Conflict"
+	case errors.Is(err, bwstore.ErrUnsure):
+		return "Unsure"
+	case errors.Is(err, bwstore.ErrUnavailable):
+		return "Unavailable"
+	}
+	return "Invalid"
+}
+
+func (prc *Process) measureTicket(src bwfleet.Source, took time.Duration) {
+	prc.Metrics.TicketPropagation.With(string(src)).Update(took.Seconds())
+}
--- a/io/bwprocess/process.go
+++ b/io/bwprocess/process.go
@@ -34,23 +34,27 @@
 	Store  *bwstore.Client
 	Fleet  *bwfleet.Fleet
 
-	cfg    Config
-	port   net.Listener
-	cancel context.CancelFunc
-	ended  chan struct{}
+	cfg  Config
+	stop *stopState
+	// certificates are read again while the process runs.
+	certificates []*bwsettings.Certificates
+	port         net.Listener
+	cancel       context.CancelFunc
+	ended        chan struct{}
 }
 
 // Config configures a Process.
 type Config struct {
-	Role      bwmodel.Role
-	Identity  bwsettings.Identity
-	Peers     bwsettings.PeerListener
-	SeedPeers []netip.AddrPort
-	Platform  bwsettings.Platform
-	Log       bwsettings.Log
-	Version   string
+	Role     bwmodel.Role
+	Settings bwsettings.Common
+	Version  string
 	// LogOutput receives the log, one JSON object a line.
 	LogOutput io.Writer
+	// ReloadInterval separates two readings of certificate files; 0 means 30 s.
+	ReloadInterval time.Duration
+	// Refusing returns a reason of its own why the process takes no new work, and
+	// nil when there is none; the field may be nil.
+	Refusing func() error
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -65,9 +69,10 @@
 		cfg:     cfg,
 		Began:   cfg.Now(),
 		Metrics: bwobserve.NewMetrics(),
+		stop:    newStopState(),
 		ended:   make(chan struct{}),
 	}
-	lis, err := net.Listen("tcp", cfg.Peers.Address.String())
+	lis, err := net.Listen("tcp", cfg.Settings.Peers.Address.String())
 	if err != nil {
 		return nil, fmt.Errorf("listen for other processes: %w", err)
 	}
@@ -85,8 +90,12 @@
 func (prc *Process) Start(ctx context.Context) (context.Context, <-chan struct{}) {
 	ctx, prc.cancel = context.WithCancel(ctx)
 	changes := prc.Fleet.Changes()
+	for _, certs := range prc.certificates {
+		certs.Start(ctx)
+	}
 	prc.Fleet.Start(ctx)
 	go prc.run(ctx)
+	go prc.loop(ctx)
 	return ctx, changes
 }
 
@@ -112,7 +121,7 @@
 func (prc *Process) Listen(lst Listener) (*bwhttp.Server, error) {
 	var conf *tls.Config
 	if lst.TLS != nil {
-		certs, err := bwsettings.NewCertificates(bwsettings.CertificatesConfig{Files: lst.TLS.Mutual(), Log: prc.Log})
+		certs, err := prc.openCertificates(lst.TLS.Mutual())
 		if err != nil {
 			return nil, err
 		}
@@ -128,6 +137,21 @@
 	})
 }
 
+// openCertificates reads certificate files, and has them read again while the
+// process runs.
+func (prc *Process) openCertificates(files bwsettings.MutualTLSFiles) (*bwsettings.Certificates, error) {
+	certs, err := bwsettings.NewCertificates(bwsettings.CertificatesConfig{
+		Files:    files,
+		Interval: prc.cfg.ReloadInterval,
+		Log:      prc.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	prc.certificates = append(prc.certificates, certs)
+	return certs, nil
+}
+
 // Listener describes an HTTP listener.
 type Listener struct {
 	Address netip.AddrPort
@@ -146,21 +170,21 @@
 }
 
 func (prc *Process) identify() {
-	address := prc.cfg.Peers.Advertise
+	address := prc.cfg.Settings.Peers.Advertise
 	if !address.IsValid() {
 		address = prc.port.Addr().(*net.TCPAddr).AddrPort()
 	}
 	prc.Self = bwmodel.Member{
-		ID:          prc.cfg.Identity.ID,
+		ID:          prc.cfg.Settings.Identity.ID,
 		Incarnation: bwmodel.NewIncarnation(prc.Began),
 		Role:        prc.cfg.Role,
-		Region:      prc.cfg.Identity.Region,
-		Zone:        prc.cfg.Identity.Zone,
+		Region:      prc.cfg.Settings.Identity.Region,
+		Zone:        prc.cfg.Settings.Identity.Zone,
 		Address:     address,
 	}
 	prc.Log = bwobserve.NewLog(bwobserve.LogConfig{
 		Output:  prc.cfg.LogOutput,
-		Level:   prc.cfg.Log.SlogLevel(),
+		Level:   prc.cfg.Settings.Log.SlogLevel(),
 		Member:  prc.Self,
 		Version: prc.cfg.Version,
 	})
@@ -175,12 +199,14 @@
 	}
 	var err error
 	prc.Fleet, err = bwfleet.New(bwfleet.Config{
-		Self:  prc.Self,
-		Seeds: prc.cfg.SeedPeers,
-		Store: bwfleet.NewStore(prc.Store),
-		Peers: bwfleet.NewPeers(prc.Client),
-		Now:   prc.cfg.Now,
-		Log:   prc.Log,
+		Self:         prc.Self,
+		Seeds:        prc.cfg.Settings.SeedPeers,
+		Store:        bwfleet.NewStore(prc.Store),
+		Peers:        bwfleet.NewPeers(prc.Client),
+		Now:          prc.cfg.Now,
+		Log:          prc.Log,
+		ListInterval: prc.cfg.Settings.Platform.VMList.Interval,
+		InEffect:     prc.measureTicket,
 	})
 	if err != nil {
 		return fmt.Errorf("fleet: %w", err)
@@ -191,38 +217,48 @@
 
 func (prc *Process) openTransport() error {
 	var serverTLS, clientTLS *tls.Config
-	if files := prc.cfg.Peers.TLS; files != nil {
-		certs, err := bwsettings.NewCertificates(bwsettings.CertificatesConfig{Files: *files, Log: prc.Log})
+	if files := prc.cfg.Settings.Peers.TLS; files != nil {
+		certs, err := prc.openCertificates(*files)
 		if err != nil {
 			return fmt.Errorf("certificates for other processes: %w", err)
 		}
 		serverTLS, clientTLS = certs.ServerTLS(), certs.ClientTLS()
 	}
 	var err error
-	prc.Server, err = bwrpc.NewServer(bwrpc.ServerConfig{TLS: serverTLS, Log: prc.Log})
+	prc.Server, err = bwrpc.NewServer(bwrpc.ServerConfig{TLS: serverTLS, Log: prc.Log, Sent: prc.measureSent})
 	if err != nil {
 		return err
 	}
-	prc.Client, err = bwrpc.NewClient(bwrpc.ClientConfig{TLS: clientTLS})
+	prc.Client, err = bwrpc.NewClient(bwrpc.ClientConfig{
+		TLS:     clientTLS,
+		Observe: prc.measureCall,
+		Sent:    prc.measureSent,
+	})
 	return err
 }
 
 func (prc *Process) openStore() error {
-	set := prc.cfg.Platform
+	set := prc.cfg.Settings.Platform
 	secret, err := set.Credentials.Secret()
 	if err != nil {
 		return err
 	}
 	prc.Store, err = bwstore.New(bwstore.Config{
-		Table:     set.Table.Address,
-		Objects:   set.Objects.Address,
-		List:      set.VMList.Address,
-		Region:    set.Table.SigningRegion,
-		AccessKey: set.Credentials.AccessKeyID,
-		SecretKey: secret,
-		TableName: set.Table.Name,
-		Bucket:    set.Objects.Bucket,
-		Timeout:   set.Timeout,
+		Table:         set.Table.Address,
+		Objects:       set.Objects.Address,
+		List:          set.VMList.Address,
+		SecureTable:   set.Table.Secure,
+		SecureObjects: set.Objects.Secure,
+		SecureList:    set.VMList.Secure,
+		ListPath:      set.VMList.Path,
+		Region:        set.Table.SigningRegion,
+		ObjectsRegion: set.Objects.SigningRegion,
+		AccessKey:     set.Credentials.AccessKeyID,
+		SecretKey:     secret,
+		TableName:     set.Table.Name,
+		Bucket:        set.Objects.Bucket,
+		Timeout:       set.Timeout,
+		Observe:       prc.measureStore,
 	})
 	return err
 }
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -37,7 +37,6 @@
 	callers     *bwhttp.Server
 	operators   *bwhttp.Server
 	keys        keyIndex
-	stopping    stopFlag
 }
 
 // Config configures a Router.
@@ -65,14 +64,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	set := cfg.Settings
 	proc, err := bwprocess.New(bwprocess.Config{
 		Role:      bwmodel.RouterRole,
-		Identity:  set.Identity,
-		Peers:     set.Peers,
-		SeedPeers: set.SeedPeers,
-		Platform:  set.Platform,
-		Log:       set.Log,
+		Settings:  cfg.Settings.Common(),
 		Version:   cfg.Version,
 		LogOutput: cfg.LogOutput,
 		Now:       cfg.Now,
@@ -123,21 +117,15 @@
 }
 
 // Ready returns why the router takes no new work, and nil when it does.
-func (rtr *Router) Ready() error {
-	if rtr.stopping.isSet() {
-		return errStopping
-	}
-	if !rtr.proc.Fleet.Snapshot().Ready {
-		return errNotCurrent
-	}
-	return nil
-}
+func (rtr *Router) Ready() error { return rtr.proc.Ready() }
+
+// StopRequested is closed when an operator has asked the router to end.
+func (rtr *Router) StopRequested() <-chan struct{} { return rtr.proc.StopRequested() }
 
 // Stop takes no new work, lets the work in progress end within the drain time
 // and then ends the router.
 func (rtr *Router) Stop(ctx context.Context) error {
-	rtr.stopping.set(rtr.cfg.Now())
-	rtr.proc.Metrics.Draining.Set(1)
+	rtr.proc.BeginStop()
 	drain, cancel := context.WithTimeout(ctx, rtr.cfg.Settings.DrainTime)
 	defer cancel()
 	err := rtr.proc.Fleet.Leave(drain)
@@ -152,11 +140,6 @@
 	return errors.Join(rtr.callers.Close(), rtr.proc.Stop(), rtr.operators.Close())
 }
 
-var (
-	errStopping   = errors.New("the router is stopping")
-	errNotCurrent = errors.New("neither the store nor a peer has confirmed the state within 3 s")
-)
-
 // listen opens the listeners for callers and operators.
 func (rtr *Router) listen() error {
 	set := rtr.cfg.Settings
@@ -171,12 +154,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	rtr.operators, err = rtr.proc.Listen(bwprocess.Listener{
-		Address: set.Operators.Address,
-		TLS:     set.Operators.TLS,
-		Bounds:  set.Operators.Bounds,
-		Handler: rtr.operatorHandler(),
-	})
+	rtr.operators, err = rtr.proc.ListenOperators(rtr.administration())
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for operators: %w", err), rtr.callers.Close())
 	}
@@ -204,7 +182,11 @@
 
 // heardAgent takes the evidence that an agent's report carries.
 func (rtr *Router) heardAgent(rep Report) {
-	rtr.proc.Fleet.Hear(rep.Event.Member)
+	mem := rep.Event.Member
+	// An agent whose upstream a ticket drains may return, while a member that is
+	// leaving never does; it says so itself in an exchange.
+	mem.Leaving = false
+	rtr.proc.Fleet.Hear(mem, rep.Event.StateNumber)
 	rtr.proc.Fleet.Learn(rep.Event.StateNumber, rep.Upstream.Agent)
 }
 
@@ -271,7 +253,6 @@
 		objects.Upstreams = append(objects.Upstreams, ent.Object)
 	}
 	rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
-	rtr.proc.Metrics.TicketNumber.Set(float64(snap.State.Number()))
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
 	}
--- a/io/bwrouter/router_admin.go
+++ b/io/bwrouter/router_admin.go
@@ -3,57 +3,36 @@
 import (
 	"context"
 	"errors"
-	"net/http"
-	"runtime"
-	"time"
+	"fmt"
 
 	"bilberrywick/core/bwaction"
-	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwticket"
 	"bilberrywick/io/bwadmin"
 	"bilberrywick/io/bwhttp"
-	"bilberrywick/io/bwobserve"
-	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwprocess"
 	"bilberrywick/io/bwstore"
 	"bilberrywick/io/bwwire"
 )
 
-// operatorHandler serves the administration API, metrics and profiles.
-func (rtr *Router) operatorHandler() http.Handler {
-	return bwadmin.NewHandler(bwadmin.Config{
-		Apply:     rtr.applyTicket,
-		Tickets:   rtr.listTickets,
-		Ticket:    rtr.showTicket,
-		State:     rtr.showState,
-		Members:   rtr.listMembers,
-		Upstreams: rtr.listUpstreams,
-		Action:    rtr.showAction,
-		Version:   bwadmin.VersionResponse{Version: rtr.cfg.Version, Go: runtime.Version()},
-		Ready:     rtr.Ready,
-		Metrics:   bwobserve.MetricsHandler(rtr.proc.Metrics),
-		Profiles:  bwobserve.ProfileHandler(),
-		Gate:      operatorGate(rtr.cfg.Settings.Operators.Keys, rtr.cfg.Now),
-	})
-}
-
-// operatorGate returns the check of operators' keys, or nil when none is set,
-// which the settings allow for loopback listeners only.
-func operatorGate(keys []bwsettings.OperatorKey, now func() time.Time) *bwhttp.OperatorGate {
-	if len(keys) == 0 {
-		return nil
+// administration returns what a router adds to the administration API.
+func (rtr *Router) administration() bwprocess.Administration {
+	return bwprocess.Administration{
+		API: bwadmin.Config{
+			Apply:     rtr.applyTicket,
+			Tickets:   rtr.listTickets,
+			Ticket:    rtr.showTicket,
+			Upstreams: rtr.listUpstreams,
+			Action:    rtr.showAction,
+		},
+		InProgress:         rtr.inProgress,
+		UpstreamInProgress: rtr.services.InProgress,
 	}
-	gate := &bwhttp.OperatorGate{Now: now, Fail: failRequest}
-	for _, key := range keys {
-		// The settings were checked when they were loaded.
-		hash, err := key.Hash()
-		if err != nil {
-			continue
-		}
-		gate.Keys = append(gate.Keys, bwhttp.OperatorKey{Name: key.Name, Hash: hash, NotAfter: key.NotAfter})
-	}
-	return gate
 }
 
+// inProgress returns the number of callers' requests being served.
+func (rtr *Router) inProgress() int { return rtr.callers.InProgress() }
+
 func (rtr *Router) applyTicket(ctx context.Context, req *bwadmin.TicketRequest) (*bwadmin.TicketResult, error) {
 	before := rtr.proc.Fleet.Snapshot().State
 	ticket, faults := req.Ticket.Ticket()
@@ -174,9 +153,10 @@
 	for _, acc := range accepted[:min(limit, len(accepted))] {
 		tk := acc.Ticket
 		list.Tickets = append(list.Tickets, bwadmin.TicketSummary{
-			Number:  tk.Number,
-			Comment: tk.Comment,
-			Objects: tk.Size(),
+			Number:   tk.Number,
+			Comment:  tk.Comment,
+			Accepted: acc.At,
+			Objects:  tk.Size(),
 		})
 	}
 	return list, nil
@@ -194,33 +174,6 @@
 	return &doc, nil
 }
 
-func (rtr *Router) showState(context.Context, *struct{}) (*bwwire.StateDocument, error) {
-	doc := bwwire.NewStateDocument(rtr.proc.Fleet.Snapshot().State)
-	return &doc, nil
-}
-
-func (rtr *Router) listMembers(context.Context, *struct{}) (*bwadmin.MemberList, error) {
-	snap := rtr.proc.Fleet.Snapshot()
-	list := &bwadmin.MemberList{Self: rtr.proc.Self.ID, Head: snap.State.Number()}
-	now := rtr.cfg.Now()
-	for _, ent := range snap.Members {
-		mem := bwadmin.MemberStatus{
-			ID:          ent.Member.ID,
-			Incarnation: ent.Member.Incarnation,
-			Role:        ent.Member.Role.String(),
-			Region:      ent.Member.Region,
-			Zone:        ent.Member.Zone,
-			Address:     ent.Member.Address,
-			State:       ent.Status.String(),
-		}
-		if !ent.Heard.IsZero() {
-			mem.Age = bwwire.DurationText(now.Sub(ent.Heard))
-		}
-		list.Members = append(list.Members, mem)
-	}
-	return list, nil
-}
-
 func (rtr *Router) showAction(ctx context.Context, req *bwadmin.ActionRequest) (*bwadmin.ActionStatus, error) {
 	key := bwaction.Key{Team: req.Team, Name: req.Key}
 	row, found, err := rtr.actionRows.read(ctx, key)
@@ -255,29 +208,55 @@
 }
 
 func (rtr *Router) listUpstreams(context.Context, *struct{}) (*bwadmin.UpstreamList, error) {
+	views := rtr.services.Views()
 	list := &bwadmin.UpstreamList{}
 	for _, ent := range rtr.proc.Fleet.Snapshot().State.Upstreams() {
-		ups := ent.Object
-		list.Upstreams = append(list.Upstreams, rtr.upstreamStatus(ups))
+		vw, followed := views[ent.Object.Name]
+		// Draining takes effect in the state before the chooser has it.
+		vw.Upstream = ent.Object
+		list.Upstreams = append(list.Upstreams, newUpstreamStatus(vw, followed))
 	}
 	return list, nil
 }
 
-func (rtr *Router) upstreamStatus(ups bwmodel.Upstream) bwadmin.UpstreamStatus {
+func newUpstreamStatus(vw bwroute.View, followed bool) bwadmin.UpstreamStatus {
+	ups := vw.Upstream
 	status := bwadmin.UpstreamStatus{
-		Name:    ups.Name,
-		Service: ups.Service,
-		Region:  ups.Region,
-		Zone:    ups.Zone,
-		Agent:   ups.Agent,
-		Slots:   ups.Slots,
-		Health:  "Healthy",
-	}
-	switch _, _, reported := rtr.services.AgentClock(ups.Name); {
-	case ups.Draining:
-		status.Health, status.Reason = "Draining", "a ticket drains it"
-	case !reported:
-		status.Health, status.Reason = "Unreachable", "its agent has not reported"
+		Name:       ups.Name,
+		Service:    ups.Service,
+		Region:     ups.Region,
+		Zone:       ups.Zone,
+		Agent:      ups.Agent,
+		Slots:      ups.Slots,
+		Running:    vw.Load.Running,
+		Waiting:    vw.Load.Waiting,
+		Limit:      vw.Limit,
+		InFlight:   vw.InFlight,
+		Latency:    bwwire.DurationText(vw.Latency),
+		SlowFactor: vw.SlowFactor,
+		ReportAge:  bwwire.DurationText(vw.Load.Age),
+		Models:     vw.Load.Models,
 	}
+	status.Health, status.Reason = healthOf(vw, followed)
 	return status
 }
+
+func healthOf(vw bwroute.View, followed bool) (health, reason string) {
+	switch {
+	case vw.Upstream.Draining:
+		return bwadmin.DrainingUpstream, "a ticket drains it"
+	case !followed:
+		return bwadmin.NotFollowed, "other routers send it work"
+	case !vw.Reported:
+		return bwadmin.UnreachableUpstream, "its agent has not reported"
+	case !vw.Connected:
+		return bwadmin.UnreachableUpstream, "the connection to its agent was lost"
+	case vw.Leaving:
+		return bwadmin.LeavingUpstream, "its agent takes no new work"
+	case vw.Load.UpstreamIsDown:
+		return bwadmin.DownUpstream, "its agent can't reach it"
+	case vw.Suspended:
+		return bwadmin.SlowUpstream, fmt.Sprintf("%.1f times the median latency or failing; it gets probes only", vw.SlowFactor)
+	}
+	return bwadmin.HealthyUpstream, ""
+}
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -15,6 +15,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwretry"
 	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwprocess"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
 )
@@ -124,14 +125,14 @@
 // callers on connections that are still open go to another router.
 func (rtr *Router) refuseWhenStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
-		if !rtr.stopping.isSet() {
+		if !rtr.proc.Stopping() {
 			next.ServeHTTP(wr, req)
 			return
 		}
 		wr.Header().Set("Connection", "close")
 		bwhttp.WriteProblem(wr, bwhttp.Problem{
 			Status:     http.StatusServiceUnavailable,
-			Detail:     errStopping.Error(),
+			Detail:     bwprocess.ErrStopping.Error(),
 			Outcome:    bwhttp.OutcomeNotRun,
 			RetryAfter: time.Second,
 		})
@@ -165,10 +166,3 @@
 	}
 	return cur.Lookup(hash)
 }
-
-// stopFlag remembers when the router began to stop.
-type stopFlag struct{ since atomic.Int64 }
-
-func (sfl *stopFlag) set(now time.Time) { sfl.since.CompareAndSwap(0, now.UnixNano()) }
-
-func (sfl *stopFlag) isSet() bool { return sfl.since.Load() != 0 }
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -191,6 +191,20 @@
 	return names
 }
 
+// Views returns what is known of each followed upstream.
+func (svs *Services) Views() map[bwmodel.UpstreamID]bwroute.View {
+	views := make(map[bwmodel.UpstreamID]bwroute.View)
+	for _, svc := range svs.own.Snapshot().services {
+		for _, vw := range svc.chooser.Views() {
+			views[vw.Upstream.Name] = vw
+		}
+	}
+	return views
+}
+
+// InProgress returns the number of this router's requests at an upstream.
+func (svs *Services) InProgress(name bwmodel.UpstreamID) int { return svs.Views()[name].InFlight }
+
 // Choose waits for an upstream and logs the decision.
 func (svs *Services) Choose(ctx context.Context, req bwroute.Request) (bwroute.Choice, error) {
 	svc := svs.own.Snapshot().services[req.Service]
--- a/io/bwrpc/client.go
+++ b/io/bwrpc/client.go
@@ -32,6 +32,11 @@
 	IdleTimeout time.Duration
 	// Dial replaces TCP, for tests that cut connections; nil means TCP.
 	Dial func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	// Observe is told of each unary call and of each failed opening of a stream;
+	// may be nil.
+	Observe func(method string, took time.Duration, err error)
+	// Sent is told of the size of each message that is sent; may be nil.
+	Sent func(method string, size int)
 }
 
 const (
@@ -75,7 +80,10 @@
 func Call[Req, Rsp any](ctx context.Context, cl *Client, addr netip.AddrPort, method string, req *Req) (*Rsp, error) {
 	rsp := new(Rsp)
 	conn := cl.pool.Get(ctx, addr, cl.dial)
-	if err := conn.Invoke(ctx, method, cl.codec, req, rsp); err != nil {
+	began := time.Now()
+	err := conn.Invoke(ctx, method, cl.metered(method), req, rsp)
+	cl.observe(method, time.Since(began), err)
+	if err != nil {
 		return nil, wrap(method, err)
 	}
 	return rsp, nil
@@ -85,11 +93,21 @@
 // *Error; the stream ends when the context does.
 func Open[In, Out any](ctx context.Context, cl *Client, addr netip.AddrPort, method string) (*Stream[In, Out], error) {
 	conn := cl.pool.Get(ctx, addr, cl.dial)
-	stm, err := conn.NewStream(ctx, method, cl.codec)
+	began, enc := time.Now(), cl.metered(method)
+	stm, err := conn.NewStream(ctx, method, enc)
 	if err != nil {
+		cl.observe(method, time.Since(began), err)
 		return nil, wrap(method, err)
 	}
-	return &Stream[In, Out]{stm: stm, codec: cl.codec, method: method}, nil
+	return &Stream[In, Out]{stm: stm, enc: enc, method: method}, nil
+}
+
+func (cl *Client) metered(method string) drpc.Encoding { return meter(cl.codec, method, cl.cfg.Sent) }
+
+func (cl *Client) observe(method string, took time.Duration, err error) {
+	if cl.cfg.Observe != nil {
+		cl.cfg.Observe(method, took, err)
+	}
 }
 
 func (cl *Client) dial(ctx context.Context, addr netip.AddrPort) (drpcpool.Conn, error) {
@@ -125,20 +143,20 @@
 // Stream is one side of a streaming call.
 type Stream[In, Out any] struct {
 	stm    drpc.Stream
-	codec  *Codec
+	enc    drpc.Encoding
 	method string
 }
 
 // Send writes a message, or returns an *Error.
 func (sm *Stream[In, Out]) Send(msg *Out) error {
-	return wrap(sm.method, sm.stm.MsgSend(msg, sm.codec))
+	return wrap(sm.method, sm.stm.MsgSend(msg, sm.enc))
 }
 
 // Recv reads the next message; it returns io.EOF within an *Error when the
 // other side has closed its sending direction.
 func (sm *Stream[In, Out]) Recv() (*In, error) {
 	msg := new(In)
-	if err := sm.stm.MsgRecv(msg, sm.codec); err != nil {
+	if err := sm.stm.MsgRecv(msg, sm.enc); err != nil {
 		return nil, wrap(sm.method, err)
 	}
 	return msg, nil
--- a/io/bwrpc/codec.go
+++ b/io/bwrpc/codec.go
@@ -43,3 +43,27 @@
 
 // Unmarshal reads an encoded message into msg, a pointer to a struct.
 func (cod *Codec) Unmarshal(buf []byte, msg drpc.Message) error { return cod.dec.Unmarshal(buf, msg) }
+
+// meteredCodec tells the size of each message that it encodes.
+type meteredCodec struct {
+	*Codec
+	method string
+	sent   func(method string, size int)
+}
+
+// meter returns the codec itself when nobody is told.
+func meter(cod *Codec, method string, sent func(string, int)) drpc.Encoding {
+	if sent == nil {
+		return cod
+	}
+	return &meteredCodec{Codec: cod, method: method, sent: sent}
+}
+
+// Marshal returns the encoded message.
+func (mtr *meteredCodec) Marshal(msg drpc.Message) ([]byte, error) {
+	buf, err := mtr.Codec.Marshal(msg)
+	if err == nil {
+		mtr.sent(mtr.method, len(buf))
+	}
+	return buf, err
+}
--- a/io/bwrpc/error.go
+++ b/io/bwrpc/error.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 
 	"storj.io/drpc/drpcerr"
 )
@@ -20,6 +21,19 @@
 	Unknown
 )
 
+// String returns the code's name, or its number for a code of bwwire.
+func (cod Code) String() string {
+	switch cod {
+	case Unreachable:
+		return "Unreachable"
+	case Broken:
+		return "Broken"
+	case Unknown:
+		return "Unknown"
+	}
+	return strconv.FormatUint(uint64(cod), 10)
+}
+
 // Error is a failed call.
 type Error struct {
 	Code   Code
--- a/io/bwrpc/server.go
+++ b/io/bwrpc/server.go
@@ -16,6 +16,7 @@
 	codec    *Codec
 	tls      *tls.Config
 	log      *slog.Logger
+	sent     func(method string, size int)
 	handlers map[string]func(drpc.Stream) error
 }
 
@@ -24,6 +25,8 @@
 	// TLS secures connections when set.
 	TLS *tls.Config
 	Log *slog.Logger
+	// Sent is told of the size of each message that is sent; may be nil.
+	Sent func(method string, size int)
 }
 
 // NewServer returns a server without handlers, or an error from the codec.
@@ -39,6 +42,7 @@
 		codec:    cod,
 		tls:      cfg.TLS,
 		log:      cfg.Log,
+		sent:     cfg.Sent,
 		handlers: make(map[string]func(drpc.Stream) error),
 	}
 	return srv, nil
@@ -47,24 +51,26 @@
 // HandleUnary registers a method with one request and one response; it must be
 // called before Serve.
 func HandleUnary[Req, Rsp any](srv *Server, method string, fn func(context.Context, *Req) (*Rsp, error)) {
+	enc := meter(srv.codec, method, srv.sent)
 	srv.handlers[method] = func(stm drpc.Stream) error {
 		req := new(Req)
-		if err := stm.MsgRecv(req, srv.codec); err != nil {
+		if err := stm.MsgRecv(req, enc); err != nil {
 			return err
 		}
 		rsp, err := fn(stm.Context(), req)
 		if err != nil {
 			return err
 		}
-		return stm.MsgSend(rsp, srv.codec)
+		return stm.MsgSend(rsp, enc)
 	}
 }
 
 // HandleStream registers a method whose handler reads In and writes Out until
 // it returns; it must be called before Serve.
 func HandleStream[In, Out any](srv *Server, method string, fn func(context.Context, *Stream[In, Out]) error) {
+	enc := meter(srv.codec, method, srv.sent)
 	srv.handlers[method] = func(stm drpc.Stream) error {
-		return fn(stm.Context(), &Stream[In, Out]{stm: stm, codec: srv.codec, method: method})
+		return fn(stm.Context(), &Stream[In, Out]{stm: stm, enc: enc, method: method})
 	}
 }
 
--- a/io/bwsettings/settings.go
+++ b/io/bwsettings/settings.go
@@ -44,6 +44,27 @@
 	Log       Log
 }
 
+// Common holds the settings that routers and agents have in common.
+type Common struct {
+	Identity  Identity
+	Peers     PeerListener
+	Operators OperatorListener
+	SeedPeers []netip.AddrPort
+	Platform  Platform
+	DrainTime time.Duration
+	Log       Log
+}
+
+// Common returns the settings that routers and agents have in common.
+func (rt *Router) Common() Common {
+	return Common{rt.Identity, rt.Peers, rt.Operators, rt.SeedPeers, rt.Platform, rt.DrainTime, rt.Log}
+}
+
+// Common returns the settings that routers and agents have in common.
+func (ag *Agent) Common() Common {
+	return Common{ag.Identity, ag.Peers, ag.Operators, ag.SeedPeers, ag.Platform, ag.DrainTime, ag.Log}
+}
+
 // Identity says which member the process is.
 type Identity struct {
 	ID     bwmodel.MemberID `required:"true"`
--- a/io/bwstore/client.go
+++ b/io/bwstore/client.go
@@ -27,14 +27,50 @@
 	Table   netip.AddrPort
 	Objects netip.AddrPort
 	List    netip.AddrPort
-	// Region and the keys sign requests to the table and the object store.
-	Region    string
-	AccessKey string
-	SecretKey string
-	TableName string
-	Bucket    string
+	// SecureTable, SecureObjects and SecureList use HTTPS.
+	SecureTable   bool
+	SecureObjects bool
+	SecureList    bool
+	// ListPath is the path of the VM list; empty means /v1/vms.
+	ListPath string
+	// Region, ObjectsRegion and the keys sign requests to the table and the object
+	// store; an empty ObjectsRegion means Region.
+	Region        string
+	ObjectsRegion string
+	AccessKey     string
+	SecretKey     string
+	TableName     string
+	Bucket        string
 	// Timeout bounds one request; 0 means 2 s.
 	Timeout time.Duration
+	// Observe is told of each request; may be nil.
+	Observe func(req Request)
+}
+
+// Request is what became of one request to the platform.
+type Request struct {
+	// Store is Table, Objects or VMList.
+	Store     string
+	Operation string
+	Took      time.Duration
+	Err       error
+}
+
+// Stores of the platform in Request.
+const (
+	TableStore   = "Table"
+	ObjectsStore = "Objects"
+	VMListStore  = "VMList"
+)
+
+// observer times requests.
+type observer struct{ tell func(Request) }
+
+// done tells of a request that began at a time.
+func (obs observer) done(store, operation string, began time.Time, err error) {
+	if obs.tell != nil {
+		obs.tell(Request{Store: store, Operation: operation, Took: time.Since(began), Err: err})
+	}
 }
 
 const (
@@ -47,6 +83,12 @@
 	if cfg.Timeout == 0 {
 		cfg.Timeout = defaultTimeout
 	}
+	if cfg.ObjectsRegion == "" {
+		cfg.ObjectsRegion = cfg.Region
+	}
+	if cfg.ListPath == "" {
+		cfg.ListPath = listPath
+	}
 	if cfg.Table.IsValid() && cfg.TableName == "" {
 		return nil, errors.New("field TableName is required with Table")
 	}
@@ -57,10 +99,11 @@
 		Timeout:   cfg.Timeout,
 		Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: time.Minute},
 	}}
+	obs := observer{tell: cfg.Observe}
 	creds := credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, "")
 	if cfg.Table.IsValid() {
-		cl.Table = &Table{name: cfg.TableName, api: dynamodb.New(dynamodb.Options{
-			BaseEndpoint: aws.String(base(cfg.Table)),
+		cl.Table = &Table{obs: obs, name: cfg.TableName, api: dynamodb.New(dynamodb.Options{
+			BaseEndpoint: aws.String(base(cfg.Table, cfg.SecureTable)),
 			Region:       cfg.Region,
 			Credentials:  creds,
 			HTTPClient:   cl.web,
@@ -68,9 +111,9 @@
 		})}
 	}
 	if cfg.Objects.IsValid() {
-		cl.Objects = &Objects{bucket: cfg.Bucket, api: s3.New(s3.Options{
-			BaseEndpoint:               aws.String(base(cfg.Objects)),
-			Region:                     cfg.Region,
+		cl.Objects = &Objects{obs: obs, bucket: cfg.Bucket, api: s3.New(s3.Options{
+			BaseEndpoint:               aws.String(base(cfg.Objects, cfg.SecureObjects)),
+			Region:                     cfg.ObjectsRegion,
 			Credentials:                creds,
 			HTTPClient:                 cl.web,
 			Retryer:                    aws.NopRetryer{},
@@ -80,7 +123,7 @@
 		})}
 	}
 	if cfg.List.IsValid() {
-		cl.List = &List{web: cl.web, url: base(cfg.List) + listPath}
+		cl.List = &List{obs: obs, web: cl.web, url: base(cfg.List, cfg.SecureList) + cfg.ListPath}
 	}
 	return cl, nil
 }
@@ -88,4 +131,9 @@
 // Close closes the idle connections.
 func (cl *Client) Close() { cl.web.CloseIdleConnections() }
 
-func base(addr netip.AddrPort) string { return "http://" + addr.String() }
+func base(addr netip.AddrPort, secure bool) string {
+	if secure {
+		return "https://" + addr.String()
+	}
+	return "http://" + addr.String()
+}
--- a/io/bwstore/list.go
+++ b/io/bwstore/list.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"bilberrywick/core/bwmodel"
 )
@@ -19,6 +20,7 @@
 
 // List is a client of the platform's list of VMs, which lags.
 type List struct {
+	obs observer
 	web *http.Client
 	url string
 }
@@ -40,6 +42,13 @@
 
 // Members returns the VMs that run a process of the system, or ErrUnavailable.
 func (ls *List) Members(ctx context.Context) ([]bwmodel.Member, error) {
+	began := time.Now()
+	val, err := ls.members(ctx)
+	ls.obs.done(VMListStore, "Read", began, err)
+	return val, err
+}
+
+func (ls *List) members(ctx context.Context) ([]bwmodel.Member, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, ls.url, http.NoBody)
 	if err != nil {
 		return nil, fmt.Errorf("list VMs: %w: %w", ErrInvalid, err)
--- a/io/bwstore/object.go
+++ b/io/bwstore/object.go
@@ -6,18 +6,27 @@
 	"errors"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 )
 
 // Objects is a client of one bucket of the platform's object store.
 type Objects struct {
+	obs    observer
 	api    *s3.Client
 	bucket string
 }
 
 // Put stores an object, or returns ErrUnsure or ErrUnavailable.
 func (obj *Objects) Put(ctx context.Context, name string, body []byte) error {
+	began := time.Now()
+	err := obj.put(ctx, name, body)
+	obj.obs.done(ObjectsStore, "Put", began, err)
+	return err
+}
+
+func (obj *Objects) put(ctx context.Context, name string, body []byte) error {
 	_, err := obj.api.PutObject(ctx, &s3.PutObjectInput{Bucket: &obj.bucket, Key: &name, Body: bytes.NewReader(body)})
 	if err != nil {
 		return writeError("put object "+name, err)
@@ -27,6 +36,13 @@
 
 // Get returns an object, or nil when there is none, or ErrUnavailable.
 func (obj *Objects) Get(ctx context.Context, name string) ([]byte, error) {
+	began := time.Now()
+	val, err := obj.get(ctx, name)
+	obj.obs.done(ObjectsStore, "Get", began, err)
+	return val, err
+}
+
+func (obj *Objects) get(ctx context.Context, name string) ([]byte, error) {
 	out, err := obj.api.GetObject(ctx, &s3.GetObjectInput{Bucket: &obj.bucket, Key: &name})
 	if statusOf(err) == http.StatusNotFound {
 		return nil, nil
--- a/io/bwstore/table.go
+++ b/io/bwstore/table.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strconv"
+	"time"
 
 	"github.com/aws/aws-sdk-go-v2/aws"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
@@ -71,12 +72,20 @@
 
 // Table is a client of the platform's transactional table.
 type Table struct {
+	obs  observer
 	api  *dynamodb.Client
 	name string
 }
 
 // Get returns a row as of now, or nil when there is none, or ErrUnavailable.
 func (tab *Table) Get(ctx context.Context, key Key) (*Row, error) {
+	began := time.Now()
+	val, err := tab.get(ctx, key)
+	tab.obs.done(TableStore, "Get", began, err)
+	return val, err
+}
+
+func (tab *Table) get(ctx context.Context, key Key) (*Row, error) {
 	out, err := tab.api.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName:      &tab.name,
 		Key:            key.item(),
@@ -99,6 +108,13 @@
 // order of their keys, or ErrUnavailable. The rows are read in pages, so that
 // writes during the query may show in some of them.
 func (tab *Table) Query(ctx context.Context, partition, after string) ([]Row, error) {
+	began := time.Now()
+	val, err := tab.query(ctx, partition, after)
+	tab.obs.done(TableStore, "Query", began, err)
+	return val, err
+}
+
+func (tab *Table) query(ctx context.Context, partition, after string) ([]Row, error) {
 	in := &dynamodb.QueryInput{
 		TableName:                &tab.name,
 		ConsistentRead:           aws.Bool(true),
@@ -159,11 +175,13 @@
 		}
 		items = append(items, tab.item(wr))
 	}
+	began := time.Now()
 	_, err := tab.api.TransactWriteItems(ctx, &dynamodb.TransactWriteItemsInput{TransactItems: items})
 	if err != nil {
-		return writeError("write "+writes[0].Row.Key.String(), err)
+		err = writeError("write "+writes[0].Row.Key.String(), err)
 	}
-	return nil
+	tab.obs.done(TableStore, "Write", began, err)
+	return err
 }
 
 func (tab *Table) item(wr Write) types.TransactWriteItem {
--- a/io/bwstore/ticket.go
+++ b/io/bwstore/ticket.go
@@ -43,6 +43,7 @@
 		Commit:     tks.Commit,
 		Digest:     bwwire.TicketDigest,
 		Pause:      pause,
+		Now:        time.Now,
 	}
 }
 
--- a/io/bwwire/control.go
+++ b/io/bwwire/control.go
@@ -52,6 +52,8 @@
 	Member bwmodel.Member
 	// Age is the time since the member itself was heard.
 	Age time.Duration
+	// StateNumber is the ticket number that the member was known to have in force.
+	StateNumber bwmodel.TicketNumber
 }
 
 // TicketsRequest asks for what follows a number.
--- a/io/bwwire/method.go
+++ b/io/bwwire/method.go
@@ -48,3 +48,25 @@
 	// Unsent says that the agent could make no connection to its upstream.
 	Unsent
 )
+
+// CodeName returns the name of a code of a failed call.
+func CodeName(cod bwrpc.Code) string {
+	if name, ok := codeNames[cod]; ok {
+		return name
+	}
+	return cod.String()
+}
+
+var codeNames = map[bwrpc.Code]string{
+	Leaving:          "Leaving",
+	Overloaded:       "Overloaded",
+	Stale:            "Stale",
+	Expired:          "Expired",
+	OtherIncarnation: "OtherIncarnation",
+	Duplicate:        "Duplicate",
+	NotFound:         "NotFound",
+	Forbidden:        "Forbidden",
+	UpstreamFailed:   "UpstreamFailed",
+	Invalid:          "Invalid",
+	Unsent:           "Unsent",
+}
--- a/io/bwwire/state.go
+++ b/io/bwwire/state.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"time"
 
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwticket"
@@ -18,6 +19,8 @@
 	Previous bwmodel.TicketNumber
 	// Digest is in hexadecimal digits.
 	Digest string
+	// At is when the ticket was accepted, by the clock of the process that did so.
+	At     time.Time
 	Ticket TicketDocument
 }
 
@@ -105,7 +108,7 @@
 	if err != nil || len(sum) != len(bwticket.Digest{}) {
 		return bwticket.Accepted{}, fmt.Errorf("accepted ticket %d: field Digest: want 64 hexadecimal digits", doc.Ticket.Number)
 	}
-	return bwticket.Accepted{Ticket: tk, Previous: doc.Previous, Digest: bwticket.Digest(sum)}, nil
+	return bwticket.Accepted{Ticket: tk, Previous: doc.Previous, Digest: bwticket.Digest(sum), At: doc.At}, nil
 }
 
 // NewAcceptedDocument returns the written form of an accepted ticket.
@@ -113,6 +116,7 @@
 	return AcceptedDocument{
 		Previous: acc.Previous,
 		Digest:   hex.EncodeToString(acc.Digest[:]),
+		At:       acc.At,
 		Ticket:   NewTicketDocument(acc.Ticket),
 	}
 }
