--- a/io/bwadmin/error.go
+++ b/io/bwadmin/error.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwticket"
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwsettings"
 )
@@ -32,6 +33,16 @@
 // Error returns the reason.
 func (err *ConflictError) Error() string { return err.Reason }
 
+// FaultsError returns a ticket's faults as a *bwsettings.Error, or nil when
+// there are none.
+func FaultsError(faults bwticket.Faults) error {
+	rep := &bwsettings.Report{}
+	for _, ft := range faults {
+		rep.Add(ft.Path, ft.Reason)
+	}
+	return rep.Err()
+}
+
 // problem is an answer in the form of RFC 9457 with our extension members.
 type problem struct {
 	Type   string               `json:"type"`
@@ -47,8 +58,8 @@
 // conflictType tells a ticket's conflict from other ones with the same status.
 const conflictType = "urn:bilberrywick:ticket-conflict"
 
-// fail answers with problem details.
-func fail(rw http.ResponseWriter, _ *http.Request, err error) {
+// Fail answers an error with problem details.
+func Fail(rw http.ResponseWriter, _ *http.Request, err error) {
 	prob := newProblem(err)
 	data, encErr := bwhttp.EncodeJSON(prob)
 	if encErr != nil {
