Place models by the demand that routers report

Cause: bwplace.Planner ran in no process, and a holder of the duty had no view of what the callers of other routers ask for.

Change: each router counts, for each model of a service's list, the requests before admission and the output of those that end. Every 10 s it reports the rates and some of the engines that it follows to the two candidates for the duty Place/{region}/{service}. The candidate that holds the lease plans every 5 s from the joined reports, logs one line for each decision and orders through the agents. Ways weighed: exchange messages (a random peer hears a given router every 167 s, and relaying all routers' rates costs every process the same again), the object store (100 writes/s and 167 reads for each plan), status streams of the holder to all engines of the region (500 a second, above 9 KB/s) and direct reports to the candidates, which were taken.

--- a/cmd/bwdev/fleet.go
+++ b/cmd/bwdev/fleet.go
@@ -63,10 +63,12 @@
 	// ModelService and PlainService name the two services.
 	ModelService bwmodel.ServiceID
 	PlainService bwmodel.ServiceID
-	Engines      int
-	Engine       bwfakeengine.Config
-	Apps         int
-	App          bwfakeapp.Config
+	// Models are those of the model service; empty means one with its name.
+	Models  []bwwire.ServedModelDocument
+	Engines int
+	Engine  bwfakeengine.Config
+	Apps    int
+	App     bwfakeapp.Config
 	// AppSlots is the number of requests that one app runs at a time.
 	AppSlots int
 	Teams    []Team
@@ -78,6 +80,8 @@
 	LogLevel   string
 	// NoResume makes routers end a generation whose engine fails, as a baseline.
 	NoResume bool
+	// Duties are the times of the routers' control duties.
+	Duties bwrouter.DutyTiming
 	// Resumed is told of each resumed generation; may be nil.
 	Resumed func(cause string, took time.Duration, recomputed int)
 	// Route, Order and Hedge are the routers' policies.
@@ -232,6 +236,7 @@
 		{
 			Name:       flt.cfg.ModelService,
 			Kind:       bwmodel.ModelService.String(),
+			Models:     flt.cfg.Models,
 			Class:      bwmodel.Prompt.String(),
 			QueueLimit: flt.cfg.QueueLimit,
 			Deadline:   bwwire.DurationText(flt.cfg.Deadline),
@@ -322,6 +327,7 @@
 		Order:     flt.cfg.Order,
 		Hedge:     flt.cfg.Hedge,
 		NoResume:  flt.cfg.NoResume,
+		Duties:    flt.cfg.Duties,
 		Resumed:   flt.cfg.Resumed,
 	})
 	if err != nil {
--- a/core/bwmember/selection.go
+++ b/core/bwmember/selection.go
@@ -31,6 +31,30 @@
 	return above < WatchersPerZone
 }
 
+// Candidate reports whether self is one of the count routers of its region that
+// may take a control duty, by rendezvous hashing, given the members known.
+func Candidate(self bwmodel.Member, entries []Entry, duty string, count int) bool {
+	if self.Role != bwmodel.RouterRole || self.Leaving {
+		return false
+	}
+	others := Candidates(self.Region, entries, duty, count)
+	if len(others) < count {
+		return true
+	}
+	last := others[count-1]
+	return compareWeights(weight(duty, string(self.ID)), self.ID, weight(duty, string(last.ID)), last.ID) < 0
+}
+
+// Candidates returns the count live routers of a region that may take a control
+// duty, the first choice first.
+func Candidates(region bwmodel.RegionID, entries []Entry, duty string, count int) []bwmodel.Member {
+	routers := liveRouters(entries, func(mem bwmodel.Member) bool { return mem.Region == region })
+	slices.SortFunc(routers, func(aa, bb bwmodel.Member) int {
+		return compareWeights(weight(duty, string(aa.ID)), aa.ID, weight(duty, string(bb.ID)), bb.ID)
+	})
+	return routers[:min(count, len(routers))]
+}
+
 // PushTargets returns up to fanout members to push a new ticket number to. One
 // live member of each other zone comes first, so that a push crosses zones
 // even when most members are near; the rest are random members of the own zone,
--- a/core/bwplace/planner_test.go
+++ b/core/bwplace/planner_test.go
@@ -12,12 +12,12 @@
 const gib = 1 << 30
 
 // fleet holds engines that carry out each order at once.
-func fleet(count int, model string) []bwplace.Engine {
+func fleet(count int) []bwplace.Engine {
 	engs := make([]bwplace.Engine, count)
 	for idx := range engs {
 		engs[idx] = bwplace.Engine{
 			Upstream: bwmodel.UpstreamID(fmt.Sprintf("u%d", idx)), Zone: bwmodel.ZoneID(fmt.Sprintf("z%d", idx%3)),
-			Loaded: []string{model}, Rate: 1000, Usable: true,
+			Loaded: []string{"a"}, Rate: 1000, Usable: true,
 		}
 	}
 	return engs
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	engs := fleet(10, "a")
+	engs := fleet(10)
 	now := time.Unix(0, 0)
 	for range 300 {
 		ords, _ := pl.Plan(bwplace.Input{
--- a/core/bwplace/rules_test.go
+++ b/core/bwplace/rules_test.go
@@ -65,7 +65,7 @@
 
 // mixed returns engines of which the first half holds a and the rest b.
 func mixed(count int) []bwplace.Engine {
-	engs := fleet(count, "a")
+	engs := fleet(count)
 	for ix := count / 2; ix < count; ix++ {
 		engs[ix].Loaded = []string{"b"}
 	}
@@ -140,7 +140,7 @@
 		{"great lack, load of 2 min", 120 * gib, 3000, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			engs := fleet(6, "a")
+			engs := fleet(6)
 			engs[5].Loaded = []string{"b"}
 			trl := newTrial(t, bwplace.Config{WeightBurst: 1000 * gib}, engs)
 			mods := models(100, tt.demand, tt.bytes)
@@ -159,7 +159,7 @@
 
 // Guards against loads that exceed the weight store's rate after its burst.
 func TestWeightStoreRate(t *testing.T) {
-	trl := newTrial(t, bwplace.Config{WeightRate: gib, WeightBurst: 20 * gib}, fleet(30, "a"))
+	trl := newTrial(t, bwplace.Config{WeightRate: gib, WeightBurst: 20 * gib}, fleet(30))
 	mods := []bwplace.Model{{Name: "a", Bytes: 10 * gib, MinEngines: 1}}
 	for _, name := range []string{"b", "c", "d", "e", "f", "g", "h", "i"} {
 		mods = append(mods, bwplace.Model{Name: name, Bytes: 10 * gib, MinEngines: 3})
@@ -201,7 +201,7 @@
 
 // Guards against roles that miss their shares, or that go on changing once met.
 func TestRolesReachTheirShares(t *testing.T) {
-	engs := fleet(10, "a")
+	engs := fleet(10)
 	for ix := range engs {
 		engs[ix].Role = "prefill"
 	}
--- a/core/bwticket/state.go
+++ b/core/bwticket/state.go
@@ -75,6 +75,12 @@
 	return ent.Object, ok
 }
 
+// ServiceSetBy returns a service by name with the ticket that set it.
+func (st *State) ServiceSetBy(id bwmodel.ServiceID) (bwmodel.Service, bwmodel.TicketNumber, bool) {
+	ent, ok := st.services[id]
+	return ent.Object, ent.SetBy, ok
+}
+
 // Team returns a team by name.
 func (st *State) Team(id bwmodel.TeamID) (bwmodel.Team, bool) {
 	ent, ok := st.teams[id]
--- /dev/null
+++ b/io/bwduty/placement_test.go
@@ -0,0 +1,164 @@
+package bwduty_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bilberrywick/core/bwlease"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwplace"
+	"bilberrywick/io/bwduty"
+	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwwire"
+)
+
+// place runs a placement of two models on four engines that ignore orders.
+type place struct {
+	plc    *bwduty.Placement
+	held   atomic.Bool
+	setBy  bwmodel.TicketNumber
+	mu     sync.Mutex
+	orders []bwduty.Order
+}
+
+func (pl *place) give(_ context.Context, ord bwduty.Order) error {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	pl.orders = append(pl.orders, ord)
+	return nil
+}
+
+func (pl *place) given() []bwduty.Order {
+	pl.mu.Lock()
+	defer pl.mu.Unlock()
+	return slices.Clone(pl.orders)
+}
+
+func (pl *place) fence() (bwmodel.Fence, error) {
+	if !pl.held.Load() {
+		return 0, bwlease.ErrNotHeld
+	}
+	return 1, nil
+}
+
+func (pl *place) objects() (bwduty.Objects, bool) {
+	obs := bwduty.Objects{SetBy: pl.setBy, Service: bwmodel.Service{
+		Name:   "review-desk",
+		Models: []bwmodel.ServedModel{{Name: "a", Bytes: 1, MinEngines: 1}, {Name: "b", Bytes: 1, MinEngines: 1}},
+	}}
+	for ix := range 4 {
+		obs.Upstreams = append(obs.Upstreams, bwmodel.Upstream{Name: bwmodel.UpstreamID(fmt.Sprint("u", ix))})
+	}
+	return obs, true
+}
+
+// report tells of engines that all hold a.
+func (pl *place) report(setBy bwmodel.TicketNumber, demand float32) *bwwire.DemandReport {
+	rep := &bwwire.DemandReport{From: "r1", Service: "review-desk", SetBy: setBy, Rates: []float32{0, demand}}
+	for ix := range 4 {
+		rep.Engines = append(rep.Engines, bwwire.EngineReport{
+			Upstream: bwmodel.UpstreamID(fmt.Sprint("u", ix)), Incarnation: 7, Rate: 1000, Models: []int{0}, Usable: true,
+		})
+	}
+	return rep
+}
+
+func inPlace(t *testing.T, test func(pl *place)) {
+	synctest.Test(t, func(t *testing.T) {
+		pl := &place{setBy: 5}
+		var err error
+		pl.plc, err = bwduty.NewPlacement(bwduty.PlacementConfig{
+			Give: pl.give, Fence: pl.fence, Objects: pl.objects, Planner: bwplace.Config{WeightRate: 1 << 30},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(t.Context())
+		pl.plc.Start(ctx)
+		test(pl)
+		stop()
+		pl.plc.Wait()
+	})
+}
+
+// Guards against plans without the lease, against one before the reports have
+// come in, and against an order that names another run of the agent.
+func TestPlanNeedsLeaseAndReports(t *testing.T) {
+	inPlace(t, func(pl *place) {
+		pl.plc.Hear(pl.report(5, 0))
+		time.Sleep(30 * time.Second)
+		if len(pl.given()) > 0 {
+			t.Error("order without the lease")
+		}
+		pl.held.Store(true)
+		time.Sleep(20 * time.Second)
+		pl.plc.Hear(pl.report(5, 0))
+		if len(pl.given()) > 0 {
+			t.Error("order 20 s after the lease was taken, before each router has reported twice")
+		}
+		time.Sleep(20 * time.Second)
+		if len(pl.given()) != 1 || pl.given()[0].Load != "b" || pl.given()[0].Incarnation != 7 {
+			t.Errorf("got orders %+v, want one that loads b", pl.given())
+		}
+	})
+}
+
+// Guards against indexes of models that are read by another list, and against
+// demand that counts for ever after its router has died.
+func TestOldReportsDoNotCount(t *testing.T) {
+	inPlace(t, func(pl *place) {
+		pl.held.Store(true)
+		for range 10 {
+			pl.plc.Hear(pl.report(4, 5000))
+			time.Sleep(10 * time.Second)
+		}
+		if len(pl.given()) > 0 {
+			t.Errorf("orders %+v from reports by another ticket", pl.given())
+		}
+		pl.plc.Hear(pl.report(5, 5000))
+		time.Sleep(2 * time.Minute)
+		count := len(pl.given())
+		if count == 0 {
+			t.Error("no order for the demand")
+		}
+		time.Sleep(10 * time.Minute)
+		if len(pl.given()) != count {
+			t.Errorf("%d orders after the last report's time", len(pl.given())-count)
+		}
+	})
+}
+
+// Guards against a report that takes a candidate's share of 9 KB/s: 167 routers
+// of a region each send one with 16 models and 6 engines in 10 s.
+func TestReportSize(t *testing.T) {
+	cod, err := bwrpc.NewCodec()
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep := &bwwire.DemandReport{From: "router-0123", Service: "pisar-model", SetBy: 123456}
+	for ix := range 16 {
+		rep.Rates = append(rep.Rates, 1234.5+float32(ix))
+	}
+	for ix := range 6 {
+		rep.Engines = append(rep.Engines, bwwire.EngineReport{
+			Upstream: bwmodel.UpstreamID(fmt.Sprint("engine-012", ix)), Incarnation: 1796372400123456789,
+			Age: 700 * time.Millisecond, Rate: 8000.5, Models: []int{3}, Usable: true,
+		})
+	}
+	buf, err := cod.Marshal(rep)
+	if err = errors.Join(err, cod.Unmarshal(buf, new(bwwire.DemandReport))); err != nil {
+		t.Fatal(err)
+	}
+	rate := 167 * len(buf) / 10
+	t.Logf("report of %d bytes, candidate receives %d bytes/s", len(buf), rate)
+	if rate > 7000 {
+		t.Errorf("candidate receives %d bytes/s, want at most 7000", rate)
+	}
+}
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -34,6 +34,10 @@
 	Choose func(context.Context, bwroute.Request) (bwroute.Choice, error)
 	// Admit waits until a request may start; it returns a *bwadmit.RefusedError otherwise.
 	Admit func(context.Context, bwadmit.Request) (bwadmit.Grant, error)
+	// Asked is told of each request before its admission, and Produced of the
+	// tokens of each that ended; they may be nil.
+	Asked    func(bwmodel.GenerationSpec)
+	Produced func(bwmodel.GenerationSpec, int)
 	// Service returns the service that serves a model.
 	Service func(model string) (bwmodel.Service, bool)
 	// Holder returns the router that holds a request's copy; false when there is none.
@@ -101,6 +105,12 @@
 	if cfg.SawState == nil {
 		cfg.SawState = func(bwmodel.TicketNumber) {}
 	}
+	if cfg.Asked == nil {
+		cfg.Asked = func(bwmodel.GenerationSpec) {}
+	}
+	if cfg.Produced == nil {
+		cfg.Produced = func(bwmodel.GenerationSpec, int) {}
+	}
 	if cfg.Resumed == nil {
 		cfg.Resumed = func(string, time.Duration, int) {}
 	}
@@ -159,6 +169,7 @@
 		return
 	}
 	id := gns.cfg.NewRequestID()
+	gns.cfg.Asked(spec)
 	grant, err := gns.cfg.Admit(req.Context(), bwadmit.Request{
 		ID:      id,
 		Service: spec.Service,
@@ -173,7 +184,10 @@
 	rec := bwstream.NewRecord(bwmodel.GenerationRecord{Request: id, Epoch: 1, Spec: spec})
 	out := newOutput(wrt, gns.cfg.Now(), body.Stream, body.ReturnTokenIDs, rec, bwstream.Mark{})
 	ses := newSession(gns, rec, out)
-	defer func() { grant.Finish(ses.produced) }()
+	defer func() {
+		grant.Finish(ses.produced)
+		gns.cfg.Produced(spec, ses.produced)
+	}()
 	ses.serve(req.Context())
 }
 
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -20,7 +20,9 @@
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwprocess"
+	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwwire"
 )
 
 // Router is the router process: it serves callers, other routers and operators.
@@ -29,6 +31,7 @@
 	proc        *bwprocess.Process
 	services    *Services
 	records     *Records
+	duties      *Duties
 	generations *Generations
 	actions     *Actions
 	calls       *Calls
@@ -53,6 +56,8 @@
 	Hedge func(bwretry.Latencies) (time.Duration, bool)
 	// NoResume ends a generation whose engine fails, as a baseline.
 	NoResume bool
+	// Duties are the times of control duties; the zero values are the defaults.
+	Duties DutyTiming
 	// Resumed is told of each resumed generation; may be nil.
 	Resumed func(cause string, took time.Duration, recomputed int)
 	// Now reads a clock; nil means time.Now.
@@ -199,6 +204,19 @@
 	})
 	rtr.records = NewRecords(RecordsConfig{Client: rtr.proc.Client, Now: rtr.cfg.Now, Log: rtr.proc.Log})
 	rtr.records.Register(rtr.proc.Server)
+	rtr.duties = NewDuties(DutiesConfig{
+		Self:       rtr.proc.Self,
+		Snapshot:   rtr.proc.Fleet.Snapshot,
+		Services:   rtr.services,
+		Table:      rtr.proc.Store.Table,
+		Order:      caller[bwwire.OrderRequest, bwwire.OrderResponse](rtr.proc.Client, bwwire.AgentOrder),
+		Report:     caller[bwwire.DemandReport, bwwire.DemandResponse](rtr.proc.Client, bwwire.PeerDemand),
+		Timing:     rtr.cfg.Duties,
+		WeightRate: float64(rtr.cfg.Settings.Placement.WeightBytesPerSecond),
+		Now:        rtr.cfg.Now,
+		Log:        rtr.proc.Log,
+	})
+	bwrpc.HandleUnary(rtr.proc.Server, bwwire.PeerDemand, rtr.duties.Demand)
 	return rtr.buildTraffic()
 }
 
@@ -275,6 +293,9 @@
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
 	}
+	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
+		rtr.proc.Log.Error("starting control duties failed", "Error", err)
+	}
 }
 
 func newRequestID() bwmodel.RequestID {
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -31,6 +31,8 @@
 	rtr.generations, err = NewGenerations(GenerationsConfig{
 		Choose:       rtr.services.Choose,
 		Admit:        rtr.services.Admit,
+		Asked:        rtr.services.Asked,
+		Produced:     rtr.services.Produced,
 		Service:      rtr.modelService,
 		Holder:       rtr.holder,
 		Known:        rtr.known,
@@ -99,11 +101,9 @@
 	}
 }
 
-// modelService returns the service that serves a model; models are named by
-// their service.
+// modelService returns the service that serves a model or adapter.
 func (rtr *Router) modelService(model string) (bwmodel.Service, bool) {
-	svc, ok := rtr.services.Service(bwmodel.ServiceID(model))
-	return svc, ok && svc.Kind == bwmodel.ModelService
+	return rtr.proc.Fleet.Snapshot().State.ServiceByModel(model)
 }
 
 // upstream finds an upstream in force, whether this router follows it or not,
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -63,7 +63,9 @@
 	chooser *bwroute.Chooser
 	queue   *bwadmit.Queue
 	hedge   *bwretry.Hedge
-	cancel  context.CancelFunc
+	// demand counts what is asked of each model in the service's list.
+	demand map[string]*modelDemand
+	cancel context.CancelFunc
 }
 
 // followed is one upstream with the last reading of its agent's clock.
@@ -72,11 +74,14 @@
 	reading  *atomic.Pointer[clockReading]
 }
 
-// clockReading is an agent's clock as its report carried it.
+// clockReading is an agent's clock as its report carried it, with the engine's
+// load and whether the agent is leaving.
 type clockReading struct {
 	incarnation bwmodel.Incarnation
 	clock       time.Duration
 	arrived     time.Time
+	load        bwmodel.LoadReport
+	leaving     bool
 }
 
 // servicesState is changed by the control goroutine only.
@@ -287,6 +292,7 @@
 		// A copy, since traffic goroutines read the published one.
 		next := *svc
 		next.spec = spec
+		next.demand = newDemand(spec, next.demand)
 		st.services[spec.Name] = &next
 		next.chooser.Update(ups)
 		next.queue.Update(spec, teams)
@@ -351,6 +357,8 @@
 		incarnation: rep.Member.Incarnation,
 		clock:       rep.Clock,
 		arrived:     rep.Arrived,
+		load:        rep.Load,
+		leaving:     rep.Member.Leaving,
 	})
 	svc.chooser.Observe(bwroute.Status{
 		Upstream:    rep.Upstream.Name,
--- a/io/bwsettings/settings.go
+++ b/io/bwsettings/settings.go
@@ -26,9 +26,17 @@
 	Platform  Platform
 	// DrainTime is how long a stopping router lets open generations end.
 	DrainTime time.Duration `default:"30s" min:"0s"`
+	Placement Placement
 	Log       Log
 }
 
+// Placement bounds the placement of models on engines.
+type Placement struct {
+	// WeightBytesPerSecond is the part of the weight store's rate that the loads
+	// of one service in one region may use; it is the same for all routers.
+	WeightBytesPerSecond int64 `default:"1073741824" min:"1"`
+}
+
 // Agent holds the settings of an agent.
 type Agent struct {
 	Identity Identity
--- a/io/bwwire/method.go
+++ b/io/bwwire/method.go
@@ -21,6 +21,7 @@
 	PeerTakeOver = "Peer.TakeOver"
 	PeerExchange = "Peer.Exchange"
 	PeerTickets  = "Peer.Tickets"
+	PeerDemand   = "Peer.Demand"
 )
 
 // Codes of refused calls; a refused call has run nothing.
