Let generations give way, and ask for their expected length

Grants were held to the end with max_tokens as the expected work. A session now follows Grant.Pause (cancel at the agent, Finish, Admit with Resumed, and another attempt with what was issued), reports Progress and Choice.Started, and takes the expected tokens by team and service from bwadmit.Predictor for admission, choice and the engine's priority: class first, then work that had begun, then the shorter. A generation taken over without a running attempt asks for a place as resumed work. The cancellation moves to the attempt's own goroutine, which also covers one whose choice the session has not seen.

Problems and events are written by bwhttp; the copies are gone. The first token's patience is 10 times its mean within 600 ms (or 3 times), plus 3 deviations.

--- a/core/bwstream/pace.go
+++ b/core/bwstream/pace.go
@@ -167,11 +167,13 @@
 	minFirstTokenSamples = 8
 	// minFirstTokenWait covers the prompt of one more request on an idle engine.
 	minFirstTokenWait = 500 * time.Millisecond
-	// maxFirstTokenWait leaves a second for the resume within the goal of 3 s,
-	// unless the service's usual times are longer.
-	maxFirstTokenWait = 2 * time.Second
+	firstTokenFactor  = 10
+	// firstTokenCeiling leaves time for the resume within a second, unless the
+	// service's usual times are longer.
+	firstTokenCeiling = 600 * time.Millisecond
 	// leastFirstTokenFactor multiplies the mean of a service slower than that.
 	leastFirstTokenFactor = 3
+	firstTokenDeviations  = 3
 )
 
 // Observe notes the time one attempt took to its first token.
@@ -193,6 +195,6 @@
 	if ft.count < minFirstTokenSamples {
 		return 0
 	}
-	wait := min(defaultFactor*ft.mean, max(maxFirstTokenWait, leastFirstTokenFactor*ft.mean))
-	return max(minFirstTokenWait, wait+defaultDeviations*ft.deviation)
+	wait := min(firstTokenFactor*ft.mean, max(firstTokenCeiling, leastFirstTokenFactor*ft.mean))
+	return max(minFirstTokenWait, wait+firstTokenDeviations*ft.deviation)
 }
--- a/core/bwstream/record_test.go
+++ b/core/bwstream/record_test.go
@@ -191,7 +191,7 @@
 	}
 	start := time.Unix(0, 0)
 	pc := bwstream.NewPace(sp.Apply(bwstream.PaceConfig{}), start)
-	if got := pc.Patience(); got < 400*time.Millisecond || got > 700*time.Millisecond {
+	if got := pc.Patience(); got < 500*time.Millisecond || got > 700*time.Millisecond {
 		t.Errorf("before the first token waits %v, want ten times the usual 40 ms, at least 500 ms", got)
 	}
 	pc.Observe(start, 1)
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -28,6 +28,8 @@
 	// paces learns the time to the first token and between tokens of each service.
 	paces  *paces
 	budget *bwretry.Budget
+	// lengths expects the length of outputs by team and service.
+	lengths *bwadmit.Predictor
 }
 
 // GenerationsConfig configures a Generations.
@@ -89,7 +91,7 @@
 		return nil, errors.New("generations: records or client are unset")
 	}
 	cfg.setDefaults()
-	return &Generations{cfg: cfg, paces: newPaces(), budget: newResumeBudget(cfg.ResumeBudget)}, nil
+	return &Generations{cfg: cfg, paces: newPaces(), budget: newResumeBudget(cfg.ResumeBudget), lengths: new(bwadmit.Predictor)}, nil
 }
 
 // Start runs the control goroutine until the context ends.
@@ -148,26 +150,26 @@
 func (gns *Generations) serveNew(wrt http.ResponseWriter, req *http.Request, chat bool) {
 	team, ok := bwhttp.TeamFrom(req.Context())
 	if !ok {
-		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	body, prb := readCompletion(wrt, req, chat)
 	if prb != nil {
-		writeProblem(wrt, *prb)
+		bwhttp.WriteProblem(wrt, *prb)
 		return
 	}
 	svc, ok := gns.cfg.Service(body.Model)
 	if !ok || svc.Kind != bwmodel.ModelService {
-		writeProblem(wrt, problem{Status: http.StatusNotFound, Title: "Unknown model", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusNotFound, Title: "Unknown model", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	if !team.MayCall(svc.Name) {
-		writeProblem(wrt, problem{Status: http.StatusForbidden, Title: "Service is not open to the team", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusForbidden, Title: "Service is not open to the team", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	spec, prb := body.spec(team, svc, req.Header.Get(classHeader), gns.cfg.Now())
 	if prb != nil {
-		writeProblem(wrt, *prb)
+		bwhttp.WriteProblem(wrt, *prb)
 		return
 	}
 	id := gns.cfg.NewRequestID()
@@ -176,30 +178,20 @@
 		Service: spec.Service,
 		Team:    spec.Team,
 		Class:   spec.Class,
-		Tokens:  spec.MaxTokens,
+		Tokens:  gns.expected(spec, 0),
 	})
 	if err != nil {
-		writeProblem(wrt, admitProblem(err))
+		bwhttp.WriteProblem(wrt, admitProblem(err))
 		return
 	}
 	rec := bwstream.NewRecord(bwmodel.GenerationRecord{Request: id, Epoch: 1, Spec: spec})
 	out := newOutput(wrt, gns.cfg.Now(), body.Stream, body.ReturnTokenIDs, rec, bwstream.Mark{})
 	ses := newSession(gns, rec, out)
-	defer func() { grant.Finish(ses.produced) }()
+	ses.prm.take(grant)
 	gns.budget.Request()
 	ses.serve(req.Context())
 }
 
-// admitProblem tells a caller why its work was not started.
-func admitProblem(err error) problem {
-	prb := problem{Status: http.StatusServiceUnavailable, Title: "Not admitted", Detail: err.Error(), Outcome: outcomeNotRun}
-	if ref, ok := errors.AsType[*bwadmit.RefusedError](err); ok {
-		prb.Status = http.StatusTooManyRequests
-		prb.RetryAfter = ref.RetryAfter
-	}
-	return prb
-}
-
 func randomRequestID() bwmodel.RequestID {
 	var id bwmodel.RequestID
 	// crypto/rand.Read never returns an error.
@@ -211,23 +203,23 @@
 func (gns *Generations) serveRest(wrt http.ResponseWriter, req *http.Request) {
 	team, ok := bwhttp.TeamFrom(req.Context())
 	if !ok {
-		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	hd, err := restHandle(mux.Vars(req)["handle"], req.Header.Get("Last-Event-ID"))
 	if err != nil {
-		writeProblem(wrt, problem{Status: http.StatusBadRequest, Title: "Malformed handle", Detail: err.Error(), Outcome: outcomeUnknown})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusBadRequest, Title: "Malformed handle", Detail: err.Error(), Outcome: bwhttp.OutcomeUnknown})
 		return
 	}
 	tko := &takeover{gns: gns, team: team.Name, hd: hd}
 	if prb := tko.run(req.Context()); prb != nil {
-		writeProblem(wrt, *prb)
+		bwhttp.WriteProblem(wrt, *prb)
 		return
 	}
 	ids := req.FormValue("return_token_ids") == "true"
 	out := newOutput(wrt, gns.cfg.Now(), true, ids, tko.rec, hd.Mark)
 	ses := newSession(gns, tko.rec, out)
-	ses.adopt(tko)
+	ses.adopt(req.Context(), tko)
 	ses.serve(req.Context())
 }
 
--- a/io/bwrouter/generations_attempt.go
+++ b/io/bwrouter/generations_attempt.go
@@ -21,8 +21,16 @@
 	number bwmodel.Attempt
 	choose bwroute.Request
 	start  bwwire.GenerateRequest
-	// outcome is sent once by the session, when it releases the attempt.
-	outcome chan bwroute.Outcome
+	// ended is sent once by the session, when it lets the attempt go.
+	ended chan attemptEnd
+}
+
+// attemptEnd is how the session judges an attempt.
+type attemptEnd struct {
+	Outcome bwroute.Outcome
+	// Cancel ends the attempt at its agent at once, so that the engine does not
+	// work for a caller that may come back.
+	Cancel bool
 }
 
 // attemptEvent is the choice of an engine, a message of the stream, or the
@@ -38,7 +46,7 @@
 const attemptBuffer = 16
 
 func newAttempt(ctx context.Context, gns *Generations) *attempt {
-	att := &attempt{gns: gns, events: make(chan attemptEvent, attemptBuffer), outcome: make(chan bwroute.Outcome, 1)}
+	att := &attempt{gns: gns, events: make(chan attemptEvent, attemptBuffer), ended: make(chan attemptEnd, 1)}
 	att.ctx, att.cancel = context.WithCancel(ctx)
 	return att
 }
@@ -69,7 +77,35 @@
 }
 
 // finish reports to the chooser once the session knows how the attempt went.
-func (att *attempt) finish(cho bwroute.Choice) { cho.Finish(<-att.outcome) }
+func (att *attempt) finish(cho bwroute.Choice) {
+	fin := <-att.ended
+	cho.Finish(fin.Outcome)
+	if fin.Cancel {
+		att.cancelAt(cho.Upstream.Agent)
+	}
+}
+
+// end lets the attempt go; only the first call counts.
+func (att *attempt) end(fin attemptEnd) {
+	select {
+	case att.ended <- fin:
+	default:
+	}
+	att.cancel()
+}
+
+const cancelTime = 2 * time.Second
+
+// cancelAt tells an agent to end the attempt, so that its engine stops working on it.
+func (att *attempt) cancelAt(agent netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(att.ctx), cancelTime)
+	defer cancel()
+	req := &bwwire.CancelRequest{Request: att.start.Request, Epoch: att.start.Epoch, Attempt: att.start.Attempt}
+	_, err := bwrpc.Call[bwwire.CancelRequest, bwwire.CancelResponse](ctx, att.gns.cfg.Client, agent, bwwire.AgentCancel, req)
+	if err != nil {
+		att.gns.cfg.Log.Debug("cancel not delivered", "Request", req.Request, "Agent", agent, "Error", err)
+	}
+}
 
 // read emits a stream's messages until it ends.
 func (att *attempt) read(recv func() (*bwwire.GenerateEvent, error)) {
@@ -96,24 +132,6 @@
 	}
 }
 
-// canceler tells an agent to end an attempt; it is not waited for.
-type canceler struct {
-	gns   *Generations
-	agent netip.AddrPort
-	req   bwwire.CancelRequest
-}
-
-const cancelTime = 2 * time.Second
-
-func (cnc *canceler) run(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), cancelTime)
-	defer cancel()
-	_, err := bwrpc.Call[bwwire.CancelRequest, bwwire.CancelResponse](ctx, cnc.gns.cfg.Client, cnc.agent, bwwire.AgentCancel, &cnc.req)
-	if err != nil {
-		cnc.gns.cfg.Log.Debug("cancel not delivered", "Request", cnc.req.Request, "Agent", cnc.agent, "Error", err)
-	}
-}
-
 // chooseError says that no engine was found for an attempt.
 type chooseError struct{ err error }
 
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
 	"math/rand/v2"
 	"time"
@@ -21,7 +20,7 @@
 
 // lose ends the current attempt and plans the next one; it returns an error
 // when the generation can't go on.
-func (ses *session) lose(ctx context.Context, cause string, err error) error {
+func (ses *session) lose(cause string, err error) error {
 	now := ses.gns.cfg.Now()
 	code := bwrpc.CodeOf(err)
 	noEngine := false
@@ -32,7 +31,7 @@
 		return err
 	}
 	if ses.loss == nil {
-		ses.loss = &loss{cause: cause, since: now}
+		ses.loss = &loss{cause: cause, since: now, begun: now}
 		if err == nil && ses.pace != nil {
 			ses.loss.since = ses.pace.Last()
 		}
@@ -41,7 +40,6 @@
 		"Attempt", uint32(ses.rec.Attempt()), "Position", uint64(ses.rec.Position()), "Error", err)
 	if ses.choice != nil {
 		ses.exclude = append(ses.exclude, ses.choice.Upstream.Name)
-		ses.cancelAttempt(ctx)
 	}
 	if noEngine {
 		// Every engine may have been excluded; the next choice starts afresh.
@@ -52,7 +50,7 @@
 		ses.refund()
 	}
 	ses.spent = false
-	ses.release(bwroute.Outcome{Refused: refused, Failed: !refused && !noEngine})
+	ses.end(attemptEnd{Outcome: bwroute.Outcome{Refused: refused, Failed: !refused && !noEngine}, Cancel: true})
 	if ses.rec.Position() > 0 && !ses.gns.cfg.Resume(cause) {
 		return errNotResumed
 	}
@@ -106,38 +104,26 @@
 
 // overdue reports whether a loss has waited for the budget long enough.
 func (ses *session) overdue() bool {
-	return ses.gns.cfg.Now().Sub(ses.loss.since) >= budgetTime
+	return ses.gns.cfg.Now().Sub(ses.loss.begun) >= budgetTime
 }
 
-// release ends the current attempt's stream and reports how the engine did.
-func (ses *session) release(oc bwroute.Outcome) {
+// end ends the current attempt's stream and reports how the engine did.
+func (ses *session) end(fin attemptEnd) {
 	if ses.att == nil {
 		return
 	}
 	if ses.choice != nil {
-		oc.FirstToken = ses.first
-		oc.Elapsed = ses.gns.cfg.Now().Sub(ses.started)
-		oc.Tokens = ses.tokens
+		fin.Outcome.FirstToken = ses.first
+		fin.Outcome.Elapsed = ses.gns.cfg.Now().Sub(ses.started)
+		fin.Outcome.Tokens = ses.tokens
 	}
 	if ses.pace != nil {
 		ses.gns.paces.observeGap(ses.att.ctx, ses.rec.Spec().Service, ses.pace.Gap())
 	}
-	ses.att.outcome <- oc
-	ses.att.cancel()
+	ses.att.end(fin)
 	ses.att, ses.choice, ses.pace = nil, nil, nil
 }
 
-// cancelAttempt ends the lost attempt at its agent, so that the engine stops
-// working on it.
-func (ses *session) cancelAttempt(ctx context.Context) {
-	cnc := &canceler{gns: ses.gns, agent: ses.rec.Agent(), req: bwwire.CancelRequest{
-		Request: ses.rec.Request(),
-		Epoch:   ses.rec.Epoch(),
-		Attempt: ses.rec.Attempt(),
-	}}
-	go cnc.run(ctx)
-}
-
 // causeOf names a loss for logs and metrics.
 func causeOf(err error) string {
 	if _, ok := errors.AsType[*chooseError](err); ok {
--- a/io/bwrouter/generations_output.go
+++ b/io/bwrouter/generations_output.go
@@ -9,6 +9,7 @@
 
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwhttp"
 )
 
 // callerWriteTime ends the connection of a caller that takes nothing.
@@ -16,8 +17,10 @@
 
 // output writes a generation to its caller, as events or as one response.
 type output struct {
-	wrt     http.ResponseWriter
-	ctl     *http.ResponseController
+	wrt http.ResponseWriter
+	ctl *http.ResponseController
+	// events is set once the first event is written.
+	events  *bwhttp.EventWriter
 	created time.Time
 	stream  bool
 	ids     bool
@@ -26,8 +29,7 @@
 	// added is the position up to which the assembler has the tokens.
 	added bwmodel.Position
 	sent  bwstream.Mark
-	text  string
-	begun bool
+	text  strings.Builder
 }
 
 func newOutput(wrt http.ResponseWriter, now time.Time, stream, ids bool, rec *bwstream.Record, from bwstream.Mark) *output {
@@ -63,13 +65,13 @@
 func (out *output) end(why bwmodel.FinishReason) error {
 	txt := strings.ToValidUTF8(out.asm.Flush(), "\ufffd")
 	if !out.stream {
-		out.text += txt
+		out.text.WriteString(txt)
 		return out.writeWhole(why)
 	}
 	if err := out.writeEvent(txt, &why); err != nil {
 		return err
 	}
-	return out.write("data: [DONE]\n\n")
+	return out.send(&bwhttp.Event{Data: []byte("[DONE]")})
 }
 
 // refresh sends a new handle without text.
@@ -81,20 +83,20 @@
 }
 
 // fail tells the caller that the generation can't go on here.
-func (out *output) fail(prb problem) {
-	if !out.begun {
-		writeProblem(out.wrt, prb)
+func (out *output) fail(prb bwhttp.Problem) {
+	if out.events == nil {
+		bwhttp.WriteProblem(out.wrt, prb)
 		return
 	}
-	buf, err := json.Marshal(prb)
-	if err == nil {
-		_ = out.write(fmt.Sprintf("event: error\ndata: %s\n\n", buf))
+	if buf, err := json.Marshal(prb); err == nil {
+		// A caller that has gone needs no error.
+		_ = out.send(&bwhttp.Event{Name: "error", Data: buf})
 	}
 }
 
 func (out *output) add(txt string) error {
 	if !out.stream {
-		out.text += txt
+		out.text.WriteString(txt)
 		return nil
 	}
 	if txt == "" {
@@ -124,41 +126,41 @@
 		return err
 	}
 	out.sent = mk
-	return out.write(fmt.Sprintf("id: %s\ndata: %s\n\n", out.rec.Handle(mk), buf))
+	return out.send(&bwhttp.Event{ID: out.rec.Handle(mk).String(), Data: buf})
 }
 
-func (out *output) write(txt string) error {
-	if !out.begun {
-		out.begun = true
-		hdr := out.wrt.Header()
-		hdr.Set("Content-Type", "text/event-stream")
-		hdr.Set("Cache-Control", "no-store")
-		out.wrt.WriteHeader(http.StatusOK)
-	}
+// send writes one event, and the head of the stream before the first.
+func (out *output) send(evt *bwhttp.Event) error {
+	// Recorders in tests have no deadline; the bound on the connection remains.
 	_ = out.ctl.SetWriteDeadline(time.Now().Add(callerWriteTime))
-	if _, err := out.wrt.Write([]byte(txt)); err != nil {
+	if out.events == nil {
+		var err error
+		if out.events, err = bwhttp.NewEventWriter(out.wrt); err != nil {
+			return fmt.Errorf("write to caller: %w", err)
+		}
+	}
+	if err := out.events.Write(evt); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
-	return out.ctl.Flush()
+	return nil
 }
 
 func (out *output) writeWhole(why bwmodel.FinishReason) error {
 	rsp := out.response(&why)
 	rsp.Usage = out.usage()
+	txt := out.text.String()
 	if len(out.rec.Spec().Messages) > 0 {
 		rsp.Object = "chat.completion"
-		rsp.Choices[0].Message = &chatMessage{Role: "assistant", Content: out.text}
+		rsp.Choices[0].Message = &chatMessage{Role: "assistant", Content: txt}
 	} else {
-		rsp.Choices[0].Text = &out.text
+		rsp.Choices[0].Text = &txt
 	}
 	if out.ids {
 		for _, tok := range out.rec.Tokens() {
 			rsp.Choices[0].TokenIDs = append(rsp.Choices[0].TokenIDs, tok.ID)
 		}
 	}
-	out.begun = true
-	out.wrt.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(out.wrt).Encode(rsp); err != nil {
+	if err := bwhttp.WriteJSON(out.wrt, http.StatusOK, rsp); err != nil {
 		return fmt.Errorf("write to caller: %w", err)
 	}
 	return nil
--- a/io/bwrouter/generations_protocol.go
+++ b/io/bwrouter/generations_protocol.go
@@ -3,12 +3,11 @@
 import (
 	"encoding/json"
 	"errors"
-	"math"
 	"net/http"
-	"strconv"
 	"time"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwhttp"
 )
 
 // classHeader states the class of work when it differs from the service's own.
@@ -81,35 +80,7 @@
 	TotalTokens      int `json:"total_tokens"`
 }
 
-// outcome tells a caller what became of its request.
-type outcome string
-
-const (
-	outcomeNotRun  outcome = "NotRun"
-	outcomeUnknown outcome = "Unknown"
-)
-
-// problem is an error in the form of RFC 9457.
-type problem struct {
-	Type       string        `json:"type"`
-	Title      string        `json:"title"`
-	Status     int           `json:"status"`
-	Detail     string        `json:"detail,omitempty"`
-	Outcome    outcome       `json:"Outcome"`
-	RetryAfter time.Duration `json:"-"`
-}
-
-func writeProblem(wrt http.ResponseWriter, prb problem) {
-	prb.Type = "about:blank"
-	wrt.Header().Set("Content-Type", "application/problem+json")
-	if prb.RetryAfter > 0 {
-		wrt.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(prb.RetryAfter.Seconds()))))
-	}
-	wrt.WriteHeader(prb.Status)
-	_ = json.NewEncoder(wrt).Encode(prb)
-}
-
-func readCompletion(wrt http.ResponseWriter, req *http.Request, chat bool) (*completionRequest, *problem) {
+func readCompletion(wrt http.ResponseWriter, req *http.Request, chat bool) (*completionRequest, *bwhttp.Problem) {
 	body := new(completionRequest)
 	err := json.NewDecoder(http.MaxBytesReader(wrt, req.Body, maxCompletionBytes)).Decode(body)
 	if err == nil {
@@ -122,48 +93,48 @@
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
 		status = http.StatusRequestEntityTooLarge
 	}
-	return nil, &problem{Status: status, Title: "Malformed request", Detail: err.Error(), Outcome: outcomeNotRun}
+	return nil, &bwhttp.Problem{Status: status, Title: "Malformed request", Detail: err.Error(), Outcome: bwhttp.OutcomeNotRun}
 }
 
-func (body *completionRequest) check(chat bool) error {
-	if body.MaxTokens == 0 {
-		body.MaxTokens = defaultMaxTokens
+func (cmp *completionRequest) check(chat bool) error {
+	if cmp.MaxTokens == 0 {
+		cmp.MaxTokens = defaultMaxTokens
 	}
 	switch {
-	case body.Model == "":
+	case cmp.Model == "":
 		return errors.New("model is missing")
-	case chat && len(body.Messages) == 0:
+	case chat && len(cmp.Messages) == 0:
 		return errors.New("messages are missing")
-	case !chat && body.Prompt == "":
+	case !chat && cmp.Prompt == "":
 		return errors.New("prompt is missing")
-	case chat == (body.Prompt != ""):
+	case chat == (cmp.Prompt != ""):
 		return errors.New("prompt and messages belong to different calls")
-	case body.MaxTokens < 0 || body.MaxTokens > maxMaxTokens:
+	case cmp.MaxTokens < 0 || cmp.MaxTokens > maxMaxTokens:
 		return errors.New("max_tokens is out of range")
-	case body.Choices > 1:
+	case cmp.Choices > 1:
 		return errors.New("n above 1 is not supported")
-	case body.Echo:
+	case cmp.Echo:
 		return errors.New("echo is not supported")
-	case len(body.Logprobs) > 0 && string(body.Logprobs) != "null" && string(body.Logprobs) != "false":
+	case len(cmp.Logprobs) > 0 && string(cmp.Logprobs) != "null" && string(cmp.Logprobs) != "false":
 		return errors.New("logprobs are not supported")
 	}
 	return nil
 }
 
-func (body *completionRequest) spec(team bwmodel.Team, svc bwmodel.Service, class string, now time.Time) (bwmodel.GenerationSpec, *problem) {
+func (cmp *completionRequest) spec(team bwmodel.Team, svc bwmodel.Service, class string, now time.Time) (bwmodel.GenerationSpec, *bwhttp.Problem) {
 	spec := bwmodel.GenerationSpec{
 		Team:        team.Name,
 		Service:     svc.Name,
 		Class:       svc.Class,
-		Model:       body.Model,
-		Prompt:      body.Prompt,
-		MaxTokens:   body.MaxTokens,
-		Temperature: body.Temperature,
-		Seed:        body.Seed,
-		Stop:        body.Stop,
+		Model:       cmp.Model,
+		Prompt:      cmp.Prompt,
+		MaxTokens:   cmp.MaxTokens,
+		Temperature: cmp.Temperature,
+		Seed:        cmp.Seed,
+		Stop:        cmp.Stop,
 		Created:     now,
 	}
-	for _, msg := range body.Messages {
+	for _, msg := range cmp.Messages {
 		spec.Messages = append(spec.Messages, bwmodel.ChatMessage(msg))
 	}
 	if class == "" {
@@ -171,7 +142,7 @@
 	}
 	var err error
 	if spec.Class, err = bwmodel.ParseWorkClass(class); err != nil {
-		prb := problem{Status: http.StatusBadRequest, Title: "Malformed request", Detail: err.Error(), Outcome: outcomeNotRun}
+		prb := bwhttp.Problem{Status: http.StatusBadRequest, Title: "Malformed request", Detail: err.Error(), Outcome: bwhttp.OutcomeNotRun}
 		return spec, &prb
 	}
 	return spec, nil
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -11,6 +11,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwwire"
 )
 
@@ -48,15 +49,22 @@
 	// askedAt is when the holder was first owed an acknowledgement; zero when it owes none.
 	askedAt time.Time
 	// refresh says that the caller needs a new handle.
-	refresh  bool
-	bad      []netip.AddrPort
-	produced int
+	refresh bool
+	bad     []netip.AddrPort
+	prm     permission
+	// timer is reused for each wait.
+	timer *time.Timer
 }
 
 // loss is the end of an attempt that has to be made up for.
 type loss struct {
 	cause string
+	// since is when the connection closed, or when the last token came before
+	// a stall; begun is when the resume may begin.
 	since time.Time
+	begun time.Time
+	// planned says that no engine failed, so that no budget is needed.
+	planned bool
 }
 
 // errGaveUp says that the attempts or the time for a resume are used up.
@@ -69,16 +77,18 @@
 var errNoHolder = errors.New("no other router keeps a copy of the generation")
 
 func newSession(gns *Generations, rec *bwstream.Record, out *output) *session {
-	return &session{gns: gns, rec: rec, out: out}
+	return &session{gns: gns, rec: rec, out: out, timer: time.NewTimer(idleCheck)}
 }
 
 // serve runs the generation to its end and tells the caller of a failure.
 func (ses *session) serve(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer ses.timer.Stop()
 	err := ses.run(ctx)
-	ses.release(bwroute.Outcome{Canceled: true})
+	ses.end(attemptEnd{Outcome: bwroute.Outcome{Canceled: true}})
 	ses.refund()
+	ses.prm.finish()
 	if ses.cpy != nil {
 		_ = ses.cpy.Close(ctx)
 	}
@@ -86,9 +96,9 @@
 		return
 	}
 	ses.gns.cfg.Log.Warn("generation ended early", "Request", ses.rec.Request(), "Error", err)
-	prb := problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: outcomeUnknown}
+	prb := bwhttp.Problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: bwhttp.OutcomeUnknown}
 	if ses.rec.Position() == 0 {
-		prb.Outcome = outcomeNotRun
+		prb.Outcome = bwhttp.OutcomeNotRun
 	}
 	ses.out.fail(prb)
 }
@@ -100,7 +110,7 @@
 		}
 	}
 	for {
-		if ses.att == nil && ses.rec.Finished() == "" && !ses.gns.cfg.Now().Before(ses.retryAt) {
+		if ses.idle() && !ses.gns.cfg.Now().Before(ses.retryAt) {
 			ses.begin(ctx)
 		}
 		if err := ses.forward(ctx); err != nil {
@@ -115,6 +125,11 @@
 	}
 }
 
+// idle reports whether the next attempt may be started.
+func (ses *session) idle() bool {
+	return ses.att == nil && ses.rec.Finished() == "" && ses.prm.asked == nil
+}
+
 // forward sends the holder and the caller what they may have.
 func (ses *session) forward(ctx context.Context) error {
 	if err := ses.note(ctx); err != nil {
@@ -143,8 +158,7 @@
 	if ses.cpy != nil {
 		acks, lost = ses.cpy.Acks(), ses.cpy.Lost()
 	}
-	timer := time.NewTimer(ses.nextCheck().Sub(ses.gns.cfg.Now()))
-	defer timer.Stop()
+	ses.timer.Reset(ses.nextCheck().Sub(ses.gns.cfg.Now()))
 	select {
 	case evt := <-events:
 		return ses.take(ctx, evt)
@@ -152,7 +166,12 @@
 		return ses.acknowledge(ctx, ack)
 	case <-lost:
 		return ses.replaceHolder(ctx, "connection closed")
-	case <-timer.C:
+	case <-ses.prm.pause():
+		ses.giveWay(ctx)
+		return nil
+	case adm := <-ses.prm.asked:
+		return ses.place(adm)
+	case <-ses.timer.C:
 		return ses.check(ctx)
 	case <-ctx.Done():
 		return ctx.Err()
@@ -171,7 +190,7 @@
 	if !ses.askedAt.IsZero() {
 		next = earlier(next, ses.askedAt.Add(ses.gns.cfg.HolderTime))
 	}
-	if ses.att == nil && ses.rec.Finished() == "" {
+	if ses.idle() {
 		next = earlier(next, ses.retryAt)
 	}
 	if !ses.holdRetry.IsZero() {
@@ -180,8 +199,8 @@
 	if !ses.holdLost.IsZero() {
 		next = earlier(next, ses.holdLost.Add(ses.gns.cfg.ResumeTime))
 	}
-	if ses.loss != nil {
-		next = earlier(next, ses.loss.since.Add(ses.gns.cfg.ResumeTime))
+	if ses.loss != nil && ses.prm.asked == nil {
+		next = earlier(next, ses.loss.begun.Add(ses.gns.cfg.ResumeTime))
 	}
 	return next
 }
@@ -196,7 +215,7 @@
 	if ses.cpy != nil && len(ses.cpy.acks) > 0 {
 		return ses.acknowledge(ctx, <-ses.cpy.acks)
 	}
-	if ses.loss != nil && now.Sub(ses.loss.since) >= ses.gns.cfg.ResumeTime {
+	if ses.loss != nil && ses.prm.asked == nil && now.Sub(ses.loss.begun) >= ses.gns.cfg.ResumeTime {
 		return errGaveUp
 	}
 	if !ses.holdLost.IsZero() && now.Sub(ses.holdLost) >= ses.gns.cfg.ResumeTime {
@@ -232,7 +251,7 @@
 		ses.pace.Excuse(now)
 		return nil
 	}
-	return ses.lose(ctx, "stall", nil)
+	return ses.lose("stall", nil)
 }
 
 // take handles an event of the current attempt.
@@ -245,19 +264,20 @@
 		ses.pace = bwstream.NewPace(ses.gns.paces.config(ses.rec.Spec().Service, ses.gns.cfg.Pace), evt.At)
 		return nil
 	case evt.Err != nil:
-		return ses.lose(ctx, causeOf(evt.Err), evt.Err)
+		return ses.lose(causeOf(evt.Err), evt.Err)
 	}
 	ses.rec.SetPromptTokens(evt.Output.PromptTokens)
 	fresh, err := ses.rec.Take(evt.Output.Attempt, evt.Output.Position, evt.Output.Tokens)
 	if err != nil {
-		return ses.lose(ctx, "bad tokens", err)
+		return ses.lose("bad tokens", err)
 	}
 	if fresh > 0 {
 		ses.progress(ctx, evt, fresh)
 	}
 	if evt.Output.Finish != "" {
 		ses.rec.Finish(evt.Output.Finish)
-		ses.release(bwroute.Outcome{})
+		ses.gns.lengths.Observe(ses.rec.Spec().Team, ses.rec.Spec().Service, int(ses.rec.Position()))
+		ses.end(attemptEnd{})
 	}
 	return nil
 }
@@ -267,13 +287,16 @@
 	if ses.pace != nil {
 		ses.pace.Observe(evt.At, fresh)
 	}
-	ses.produced += fresh
+	ses.prm.progress(fresh)
 	ses.tokens += fresh
 	ses.failures = 0
 	ses.exclude = nil
 	if ses.first == 0 {
 		ses.first = max(evt.At.Sub(ses.started), 1)
 		ses.gns.paces.observeFirst(ctx, ses.rec.Spec().Service, ses.first)
+		if ses.choice != nil && ses.choice.Started != nil {
+			ses.choice.Started(ses.first)
+		}
 	}
 	ses.refund()
 	if ses.loss == nil {
@@ -297,19 +320,20 @@
 		ses.rec.Finish(bwmodel.FinishLength)
 		return
 	}
-	if ses.loss != nil && !ses.pay() && !ses.overdue() {
+	if ses.loss != nil && !ses.loss.planned && !ses.pay() && !ses.overdue() {
 		ses.retryAt = ses.gns.cfg.Now().Add(budgetPause/2 + rand.N(budgetPause/2))
 		return
 	}
 	ses.spent, ses.paid = ses.paid, false
 	att := newAttempt(ctx, ses.gns)
 	att.number = ses.rec.Attempt() + 1
+	expected := ses.gns.expected(spec, ses.rec.Position())
 	att.choose = bwroute.Request{
 		ID:      ses.rec.Request(),
 		Service: spec.Service,
 		Team:    spec.Team,
 		Model:   spec.Model,
-		Tokens:  left,
+		Tokens:  expected,
 		Exclude: ses.exclude,
 		NoProbe: ses.loss != nil,
 	}
@@ -322,26 +346,13 @@
 		Issued:       ses.rec.Tokens(),
 		PromptTokens: ses.rec.PromptTokens(),
 		Holder:       ses.rec.Holder(),
-		Priority:     priorityOf(spec.Class),
+		Priority:     priorityOf(spec.Class, ses.rec.Position() > 0, expected),
 	}
 	ses.att = att
 	ses.first, ses.tokens = 0, 0
 	go att.run()
 }
 
-// Priorities in the engine; a lower value runs first.
-const (
-	promptPriority     = 0
-	deferrablePriority = 100
-)
-
-func priorityOf(class bwmodel.WorkClass) int {
-	if class == bwmodel.Deferrable {
-		return deferrablePriority
-	}
-	return promptPriority
-}
-
 func earlier(ta, tb time.Time) time.Time {
 	if tb.Before(ta) {
 		return tb
--- a/io/bwrouter/generations_takeover.go
+++ b/io/bwrouter/generations_takeover.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
 )
@@ -37,10 +39,10 @@
 )
 
 // run finds the record, at the holder first and then at the agent.
-func (tko *takeover) run(ctx context.Context) *problem {
+func (tko *takeover) run(ctx context.Context) *bwhttp.Problem {
 	rec, err := tko.askHolder(ctx)
 	if err != nil && bwrpc.CodeOf(err) == bwwire.Forbidden {
-		return &problem{Status: http.StatusNotFound, Title: "Unknown generation", Outcome: outcomeUnknown}
+		return &bwhttp.Problem{Status: http.StatusNotFound, Title: "Unknown generation", Outcome: bwhttp.OutcomeUnknown}
 	}
 	agent := tko.hd.Agent
 	if rec != nil && rec.Agent.IsValid() {
@@ -50,16 +52,16 @@
 		held, err := tko.attach(ctx, agent)
 		if err != nil && rec == nil {
 			tko.gns.cfg.Log.Warn("generation not found", "Request", tko.hd.Request, "Error", err)
-			return &problem{Status: http.StatusNotFound, Title: "Unknown generation", Outcome: outcomeUnknown}
+			return &bwhttp.Problem{Status: http.StatusNotFound, Title: "Unknown generation", Outcome: bwhttp.OutcomeUnknown}
 		}
 		rec = tko.merge(rec, held)
 	}
 	rec.Epoch = tko.epoch
 	if short(rec, tko.hd.Mark) {
 		if tko.att != nil {
-			tko.att.cancel()
+			tko.att.end(attemptEnd{})
 		}
-		return &problem{Status: http.StatusConflict, Title: "Record is shorter than the position", Outcome: outcomeUnknown}
+		return &bwhttp.Problem{Status: http.StatusConflict, Title: "Record is shorter than the position", Outcome: bwhttp.OutcomeUnknown}
 	}
 	tko.rec = bwstream.NewRecord(*rec)
 	tko.gns.cfg.Log.Info("generation taken over", "Request", rec.Request, "Epoch", uint64(rec.Epoch), "Position", len(rec.Issued),
@@ -79,7 +81,7 @@
 	}
 	if _, err := rcv.Take(held.Attempt, 0, held.Issued); err != nil || held.Attempt < rec.Attempt {
 		tko.gns.cfg.Log.Warn("agent's attempt was replaced", "Request", rec.Request, "Attempt", uint32(held.Attempt))
-		tko.att.cancel()
+		tko.att.end(attemptEnd{Cancel: true})
 		tko.att = nil
 		return rec
 	}
@@ -159,7 +161,8 @@
 	}
 	tko.att = att
 	if evt.Finish == "" {
-		rdr := &attachReader{att: att, stm: stm}
+		att.start = bwwire.GenerateRequest{Request: evt.Record.Request, Epoch: tko.epoch, Attempt: evt.Record.Attempt}
+		rdr := &attachReader{att: att, stm: stm, agent: agent}
 		go rdr.run()
 	}
 	return evt.Record, nil
@@ -167,28 +170,33 @@
 
 // attachReader reads the rest of an attached stream.
 type attachReader struct {
-	att *attempt
-	stm *bwrpc.Stream[bwwire.GenerateEvent, bwwire.AttachRequest]
+	att   *attempt
+	stm   *bwrpc.Stream[bwwire.GenerateEvent, bwwire.AttachRequest]
+	agent netip.AddrPort
 }
 
 func (rdr *attachReader) run() {
 	defer rdr.att.cancel()
+	defer rdr.att.finish(bwroute.Choice{Upstream: bwmodel.Upstream{Agent: rdr.agent}, Finish: func(bwroute.Outcome) {}})
 	defer func() { _ = rdr.stm.Close() }()
 	rdr.att.read(rdr.stm.Recv)
 }
 
 // adopt continues a taken over record: with the attached attempt, and with the
 // holder that answered unless this router is it.
-func (ses *session) adopt(tko *takeover) {
+func (ses *session) adopt(ctx context.Context, tko *takeover) {
 	if tko.holder.IsValid() && tko.holder != ses.gns.cfg.Address {
 		ses.holder = tko.holder
 	}
 	ses.refresh = true
+	now := ses.gns.cfg.Now()
 	if ses.rec.Finished() != "" || tko.att == nil {
-		ses.loss = &loss{cause: "router lost", since: ses.gns.cfg.Now()}
+		ses.loss = &loss{cause: "router lost", since: now, begun: now}
+		if ses.rec.Finished() == "" {
+			ses.askPlace(ctx)
+		}
 		return
 	}
-	now := ses.gns.cfg.Now()
 	ses.att = tko.att
 	ses.started = now
 	ses.pace = bwstream.NewPace(ses.gns.paces.config(ses.rec.Spec().Service, ses.gns.cfg.Pace), now)
