Send prompts that begin alike to the engine that has computed them

Engines publish hashes of token blocks, routers see text, and bwroute.Request.Prefix stayed empty. bwroute.PrefixIndex learns, from the prompt tokens that engines return, which block hashes follow from a text's beginning: keys are hashes of chunks of 128 bytes of the text, and the blocks of an entry are those that all prompts with this beginning had in common. A resumed generation's blocks are known from its tokens. Ways weighed: sending the text's chunks to agents (no engine publishes events for them), learning only from the cached tokens that engines report (tells nothing of evictions), and a tokenizer in the router (one for each model, and the templates of chats).

--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -17,6 +17,7 @@
 	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwengine"
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwrpc"
 )
@@ -30,6 +31,8 @@
 	budget *bwretry.Budget
 	// lengths expects the length of outputs by team and service.
 	lengths *bwadmit.Predictor
+	// prefixes knows the cached blocks of prompts' beginnings.
+	prefixes *bwroute.PrefixIndex
 }
 
 // GenerationsConfig configures a Generations.
@@ -59,6 +62,9 @@
 	Client  *bwrpc.Client
 	// Pace configures the detection of stalled streams.
 	Pace bwstream.PaceConfig
+	// Blocks returns the hashes that engines publish for a prompt's blocks; nil
+	// means bwengine.BlockHashes.
+	Blocks func([]bwmodel.TokenID) []uint64
 	// Resume reports whether a generation that lost an attempt after its first
 	// token goes on with another one; nil means always.
 	Resume func(cause string) bool
@@ -91,7 +97,13 @@
 		return nil, errors.New("generations: records or client are unset")
 	}
 	cfg.setDefaults()
-	return &Generations{cfg: cfg, paces: newPaces(), budget: newResumeBudget(cfg.ResumeBudget), lengths: new(bwadmit.Predictor)}, nil
+	return &Generations{
+		cfg:      cfg,
+		paces:    newPaces(),
+		budget:   newResumeBudget(cfg.ResumeBudget),
+		lengths:  new(bwadmit.Predictor),
+		prefixes: bwroute.NewPrefixIndex(bwroute.PrefixIndexConfig{}),
+	}, nil
 }
 
 // Start runs the control goroutine until the context ends.
@@ -115,6 +127,9 @@
 	if cfg.Resumed == nil {
 		cfg.Resumed = func(string, time.Duration, int) {}
 	}
+	if cfg.Blocks == nil {
+		cfg.Blocks = bwengine.BlockHashes
+	}
 	if cfg.Resume == nil {
 		cfg.Resume = func(string) bool { return true }
 	}
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -266,7 +266,7 @@
 	case evt.Err != nil:
 		return ses.lose(causeOf(evt.Err), evt.Err)
 	}
-	ses.rec.SetPromptTokens(evt.Output.PromptTokens)
+	ses.notePrompt(evt.Output.PromptTokens)
 	fresh, err := ses.rec.Take(evt.Output.Attempt, evt.Output.Position, evt.Output.Tokens)
 	if err != nil {
 		return ses.lose("bad tokens", err)
@@ -334,6 +334,7 @@
 		Team:    spec.Team,
 		Model:   spec.Model,
 		Tokens:  expected,
+		Prefix:  ses.prefix(),
 		Exclude: ses.exclude,
 		NoProbe: ses.loss != nil,
 	}
