Hand open generations over when a router or an agent stops

A stopping router cut off generations at the end of its drain time, and an agent failed them. One second (half the drain time at most) before the end a router now sends each caller a reconnect event whose id is the handle, refuses requests that still wait for a place as not run, and leaves the attempt at its agent, where the next router attaches. An agent ends what still runs with Leaving after nine tenths of its drain time, and routers go on elsewhere.

bwcaller did not ask for token ids after a reconnect, so that it counted too few tokens.

--- a/bench/bwcaller/generation.go
+++ b/bench/bwcaller/generation.go
@@ -61,6 +61,7 @@
 var (
 	errNoEnd     = errors.New("stream ended without a finish reason")
 	errNoHandle  = errors.New("stream broke before the first event")
+	errHandOver  = errors.New("router stops and asks to reconnect")
 	errLateError = errors.New("generation failed after it began")
 )
 
@@ -111,7 +112,7 @@
 	ctx, cancel := context.WithTimeout(ctx, cal.cfg.Reconnect)
 	defer cancel()
 	for {
-		req, err := cal.request(ctx, http.MethodGet, "/v1/generations/"+rcv.id, nil)
+		req, err := cal.request(ctx, http.MethodGet, "/v1/generations/"+rcv.id+"?return_token_ids=true", nil)
 		if err != nil {
 			return err
 		}
@@ -174,6 +175,10 @@
 	if event.Name == "error" {
 		return fmt.Errorf("%w: %s", errLateError, event.Data)
 	}
+	if event.Name == "reconnect" {
+		rcv.id = event.ID
+		return errHandOver
+	}
 	if string(event.Data) == "[DONE]" {
 		return nil
 	}
--- a/core/bwstream/pace.go
+++ b/core/bwstream/pace.go
@@ -165,12 +165,12 @@
 
 const (
 	minFirstTokenSamples = 8
-	// minFirstTokenWait covers the prompt of one more request on an idle engine.
-	minFirstTokenWait = 500 * time.Millisecond
+	// minFirstTokenWait lets an idle engine of 50 ms slow down 10 times.
+	minFirstTokenWait = 700 * time.Millisecond
 	firstTokenFactor  = 10
 	// firstTokenCeiling leaves time for the resume within a second, unless the
 	// service's usual times are longer.
-	firstTokenCeiling = 600 * time.Millisecond
+	firstTokenCeiling = 700 * time.Millisecond
 	// leastFirstTokenFactor multiplies the mean of a service slower than that.
 	leastFirstTokenFactor = 3
 	firstTokenDeviations  = 3
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -108,13 +108,18 @@
 }
 
 // Stop refuses new work at once, lets the work in progress end within the drain
-// time and then ends the agent.
+// time and then ends the agent. Generations that run shortly before the drain
+// time is over are moved to other engines by their routers.
 func (agt *Agent) Stop(ctx context.Context) error {
 	drain, cancel := context.WithTimeout(ctx, agt.cfg.Settings.DrainTime)
 	defer cancel()
 	agt.proc.Metrics.Draining.Set(1)
 	err := agt.reporter.SetLeaving(drain, true)
-	err = errors.Join(err, agt.proc.Fleet.Leave(drain), agt.drain(drain))
+	err = errors.Join(err, agt.proc.Fleet.Leave(drain))
+	if agt.generations != nil {
+		err = errors.Join(err, agt.drainGenerations(drain))
+	}
+	err = errors.Join(err, agt.drain(drain))
 	err = errors.Join(err, agt.proc.Stop(), agt.operators.Close())
 	agt.proc.Log.Info("agent stopped", "Error", err)
 	return err
@@ -126,6 +131,22 @@
 // Leaving reports whether the agent refuses new work.
 func (agt *Agent) Leaving() bool { return agt.reporter.Snapshot().Leaving }
 
+// drainPart of drainParts of the drain time is left to generations to end.
+const (
+	drainPart  = 9
+	drainParts = 10
+)
+
+// drainGenerations lets generations end, and moves what remains.
+func (agt *Agent) drainGenerations(ctx context.Context) error {
+	patient, cancel := context.WithTimeout(ctx, agt.cfg.Settings.DrainTime*drainPart/drainParts)
+	defer cancel()
+	if agt.drain(patient) == nil {
+		return nil
+	}
+	return agt.generations.Move(ctx)
+}
+
 // drain waits until no work is in progress, or returns the context's error.
 func (agt *Agent) drain(ctx context.Context) error {
 	tick := time.NewTicker(drainPoll)
--- a/io/bwagent/generations.go
+++ b/io/bwagent/generations.go
@@ -105,6 +105,11 @@
 	bwrpc.HandleUnary(srv, bwwire.AgentCancel, gns.cancel)
 }
 
+// Move ends all generations and tells their routers to go on elsewhere.
+func (gns *Generations) Move(ctx context.Context) error {
+	return gns.control.Do(ctx, func(tbl *generationTable) { tbl.move(gns.cfg.Now()) })
+}
+
 // View returns the published state; it never blocks.
 func (gns *Generations) View() GenerationsView { return *gns.control.Snapshot() }
 
--- a/io/bwagent/generations_run.go
+++ b/io/bwagent/generations_run.go
@@ -150,7 +150,7 @@
 		select {
 		case <-prg.next:
 		case <-fdr.sub.ctx.Done():
-			return bwrpc.Refuse(bwwire.Stale, "stream is replaced or its router has gone")
+			return fdr.sub.refusal()
 		}
 	}
 }
--- a/io/bwagent/generations_table.go
+++ b/io/bwagent/generations_table.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"bilberrywick/core/bwmodel"
@@ -28,13 +29,26 @@
 
 // subscription is a router's stream that reads a generation.
 type subscription struct {
-	ctx context.Context
-	end context.CancelFunc
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 }
 
 func newSubscription(ctx context.Context) *subscription {
-	ctx, end := context.WithCancel(ctx)
-	return &subscription{ctx: ctx, end: end}
+	ctx, cancel := context.WithCancelCause(ctx)
+	return &subscription{ctx: ctx, cancel: cancel}
+}
+
+func (sub *subscription) end() { sub.cancel(nil) }
+
+// errMoved says that the agent leaves and the router goes on elsewhere.
+var errMoved = errors.New("the agent is leaving before the generation has ended")
+
+// refusal returns why the router gets no more.
+func (sub *subscription) refusal() error {
+	if errors.Is(context.Cause(sub.ctx), errMoved) {
+		return bwrpc.Refuse(bwwire.Leaving, "%w", errMoved)
+	}
+	return bwrpc.Refuse(bwwire.Stale, "stream is replaced or its router has gone")
 }
 
 func (tbl *generationTable) view() *GenerationsView {
@@ -117,6 +131,20 @@
 	return true
 }
 
+// move ends every run, and tells the routers that read to go on elsewhere.
+func (tbl *generationTable) move(now time.Time) {
+	for _, ent := range tbl.entries {
+		if ent.run == nil || ent.run.ended() {
+			continue
+		}
+		if ent.sub != nil {
+			ent.sub.cancel(errMoved)
+		}
+		ent.stop()
+		ent.detached = now
+	}
+}
+
 func (tbl *generationTable) detach(sub *subscription, req bwmodel.RequestID, now time.Time) {
 	ent := tbl.entries[req]
 	if ent == nil || ent.sub != sub {
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -33,6 +33,9 @@
 	lengths *bwadmit.Predictor
 	// prefixes knows the cached blocks of prompts' beginnings.
 	prefixes *bwroute.PrefixIndex
+	// stopping ends when the router lets its open generations go.
+	stopping context.Context
+	handOver context.CancelFunc
 }
 
 // GenerationsConfig configures a Generations.
@@ -97,13 +100,15 @@
 		return nil, errors.New("generations: records or client are unset")
 	}
 	cfg.setDefaults()
-	return &Generations{
+	gns := &Generations{
 		cfg:      cfg,
 		paces:    newPaces(),
 		budget:   newResumeBudget(cfg.ResumeBudget),
 		lengths:  new(bwadmit.Predictor),
 		prefixes: bwroute.NewPrefixIndex(bwroute.PrefixIndexConfig{}),
-	}, nil
+	}
+	gns.stopping, gns.handOver = context.WithCancel(context.Background())
+	return gns, nil
 }
 
 // Start runs the control goroutine until the context ends.
@@ -188,7 +193,9 @@
 		return
 	}
 	id := gns.cfg.NewRequestID()
-	grant, err := gns.cfg.Admit(req.Context(), bwadmit.Request{
+	ctx, cancel := gns.until(req.Context())
+	defer cancel()
+	grant, err := gns.cfg.Admit(ctx, bwadmit.Request{
 		ID:      id,
 		Service: spec.Service,
 		Team:    spec.Team,
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -95,6 +95,11 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, errStopped) {
+		// A caller that has gone reconnects without the event too.
+		_ = ses.out.handOver()
+		return
+	}
 	ses.gns.cfg.Log.Warn("generation ended early", "Request", ses.rec.Request(), "Error", err)
 	prb := bwhttp.Problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: bwhttp.OutcomeUnknown}
 	if ses.rec.Position() == 0 {
@@ -173,6 +178,8 @@
 		return ses.place(adm)
 	case <-ses.timer.C:
 		return ses.check(ctx)
+	case <-ses.gns.stopping.Done():
+		return errStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -134,12 +134,15 @@
 }
 
 // Stop takes no new work, lets the work in progress end within the drain time
-// and then ends the router.
+// and then ends the router. Generations that are open shortly before the drain
+// time is over are handed over to other routers.
 func (rtr *Router) Stop(ctx context.Context) error {
 	rtr.stopping.set(rtr.cfg.Now())
 	rtr.proc.Metrics.Draining.Set(1)
 	drain, cancel := context.WithTimeout(ctx, rtr.cfg.Settings.DrainTime)
 	defer cancel()
+	patience := time.AfterFunc(rtr.cfg.Settings.DrainTime-handOverTime(rtr.cfg.Settings.DrainTime), rtr.generations.HandOver)
+	defer patience.Stop()
 	err := rtr.proc.Fleet.Leave(drain)
 	err = errors.Join(err, rtr.callers.Shutdown(drain))
 	err = errors.Join(err, rtr.proc.Stop(), rtr.operators.Close())
@@ -147,6 +150,13 @@
 	return err
 }
 
+// maxHandOver is twice the interval at which http.Server looks for connections
+// that have become idle.
+const maxHandOver = time.Second
+
+// handOverTime returns the part of the drain time kept for handing over.
+func handOverTime(drain time.Duration) time.Duration { return min(maxHandOver, drain/2) }
+
 // Kill ends the router at once, as the death of its VM would.
 func (rtr *Router) Kill() error {
 	return errors.Join(rtr.callers.Close(), rtr.proc.Stop(), rtr.operators.Close())
