Match stop texts in the router, and test chats and whole answers

An engine that resumes a generation sees only the end of a stop text that began before it, and engines return the stop's tokens, so its text reached the caller. The assembler now holds text back that may begin a stop text, and ends before the first one; the router then ends the attempt at its agent.

Calls without a stream and chats had no test on the whole path; a grant that arrived as its session ended was never finished.

--- a/core/bwstream/assembler.go
+++ b/core/bwstream/assembler.go
@@ -1,15 +1,20 @@
 package bwstream
 
 import (
+	"bytes"
 	"unicode/utf8"
 
 	"bilberrywick/core/bwmodel"
 )
 
 // Assembler turns the bytes of tokens into text of whole characters. A
-// character whose bytes span several tokens is held back until its last byte.
+// character whose bytes span several tokens is held back until its last byte,
+// and so is text that may begin a stop text.
 type Assembler struct {
 	mark Mark
+	stop []string
+	// stopped says that a stop text was found; the text ends before it.
+	stopped bool
 	// skip is the number of bytes of the next token that the text has passed already.
 	skip int
 	// pending starts an unfinished character; spans are the lengths of the
@@ -19,23 +24,71 @@
 }
 
 // NewAssembler returns an assembler that goes on from a point; the next token
-// added is the one at the point's position.
-func NewAssembler(from Mark) *Assembler {
-	return &Assembler{mark: from, skip: from.Offset}
+// added is the one at the point's position. The text ends before the first of
+// the stop texts; empty ones are ignored.
+func NewAssembler(from Mark, stop ...string) *Assembler {
+	asm := &Assembler{mark: from, skip: from.Offset}
+	for _, txt := range stop {
+		if txt != "" {
+			asm.stop = append(asm.stop, txt)
+		}
+	}
+	return asm
 }
 
 // Add takes the bytes of the next token and returns the text that is complete
 // with them. Bytes that can't be part of a character are returned as they are.
 func (asm *Assembler) Add(tok bwmodel.Token) string {
+	if asm.stopped {
+		return ""
+	}
 	part := tok.Bytes[min(asm.skip, len(tok.Bytes)):]
 	asm.skip = 0
 	asm.pending = append(asm.pending, part...)
 	asm.spans = append(asm.spans, len(part))
-	return asm.cut(wholeLength(asm.pending))
+	if at := asm.findStop(); at >= 0 {
+		asm.stopped = true
+		return asm.cut(at)
+	}
+	return asm.cut(min(wholeLength(asm.pending), len(asm.pending)-asm.stopBegun()))
 }
 
-// Flush returns the bytes of an unfinished character at the generation's end.
-func (asm *Assembler) Flush() string { return asm.cut(len(asm.pending)) }
+// Flush returns what was held back, at the generation's end; nothing after a
+// stop text.
+func (asm *Assembler) Flush() string {
+	if asm.stopped {
+		return ""
+	}
+	return asm.cut(len(asm.pending))
+}
+
+// Stopped reports whether a stop text was found.
+func (asm *Assembler) Stopped() bool { return asm.stopped }
+
+// findStop returns where the first stop text begins, or -1.
+func (asm *Assembler) findStop() int {
+	first := -1
+	for _, txt := range asm.stop {
+		if at := bytes.Index(asm.pending, []byte(txt)); at >= 0 && (first < 0 || at < first) {
+			first = at
+		}
+	}
+	return first
+}
+
+// stopBegun returns the length of the longest end of the pending bytes that a
+// stop text begins with.
+func (asm *Assembler) stopBegun() int {
+	longest := 0
+	for _, txt := range asm.stop {
+		for size := min(len(txt)-1, len(asm.pending)); size > longest; size-- {
+			if bytes.HasSuffix(asm.pending, []byte(txt[:size])) {
+				longest = size
+			}
+		}
+	}
+	return longest
+}
 
 // Mark returns the point that the returned text reaches.
 func (asm *Assembler) Mark() Mark { return asm.mark }
--- a/core/bwstream/text_test.go
+++ b/core/bwstream/text_test.go
@@ -82,6 +82,41 @@
 	}
 }
 
+// Guards against a stop text that is delivered, in whole or in part, or missed
+// because it spans tokens or a reconnect, and against text that is held back
+// for a stop text that never comes.
+func TestAssemblerEndsBeforeStopTexts(t *testing.T) {
+	texts := []string{"ababac koniec", "Lyžičkáreň ľúbi drevo", "የባትሪ ማከማቻ ፈቃድ ፈቃ"}
+	stops := [][]string{{"abac"}, {"bac", "abac"}, {"ľúbi", ""}, {" ፈቃድ ፈቃድ"}, {"ማከማቻ", "ፈቃድ"}, {"nikdy"}}
+	pps := properties(t)
+	pps.Property("text ends before the first stop text", prop.ForAll(func(which, list int, sizes []int) bool {
+		txt := texts[which]
+		want := txt
+		for _, stop := range stops[list] {
+			if head, _, found := strings.Cut(txt, stop); found && stop != "" && len(head) < len(want) {
+				want = head
+			}
+		}
+		toks := split(txt, sizes)
+		asm := bwstream.NewAssembler(bwstream.Mark{}, stops[list]...)
+		got := ""
+		for _, tok := range toks {
+			got += asm.Add(tok)
+			mk := asm.Mark()
+			rest := bwstream.NewAssembler(mk, stops[list]...)
+			tail := ""
+			for _, later := range toks[min(int(mk.Position), len(toks)):] {
+				tail += rest.Add(later)
+			}
+			if got+tail+rest.Flush() != want || rest.Stopped() != (want != txt) {
+				return false
+			}
+		}
+		return got+asm.Flush() == want && asm.Stopped() == (want != txt)
+	}, gen.IntRange(0, len(texts)-1), gen.IntRange(0, len(stops)-1), gen.SliceOf(gen.IntRange(1, 7))))
+	pps.TestingRun(t)
+}
+
 // Guards against handles that change on the way through a caller.
 func TestHandleRoundTrip(t *testing.T) {
 	addrs := []netip.AddrPort{
--- a/io/bwrouter/generations_admission.go
+++ b/io/bwrouter/generations_admission.go
@@ -76,7 +76,7 @@
 // askPlace asks for a place for work that had begun.
 func (ses *session) askPlace(ctx context.Context) {
 	spec := ses.rec.Spec()
-	ses.prm.asked = make(chan admission, 1)
+	ses.prm.asked = make(chan admission)
 	ask := &asking{
 		admit: ses.gns.cfg.Admit,
 		reply: ses.prm.asked,
@@ -116,12 +116,14 @@
 
 func (ask *asking) run(ctx context.Context) {
 	grant, err := ask.admit(ctx, ask.req)
-	if err == nil && ctx.Err() != nil {
+	select {
+	case ask.reply <- admission{grant: grant, err: err}:
+	case <-ctx.Done():
 		// The session has ended and takes no answer.
-		grant.Finish(0)
-		return
+		if err == nil {
+			grant.Finish(0)
+		}
 	}
-	ask.reply <- admission{grant: grant, err: err}
 }
 
 // expected returns the tokens that a generation still needs. One that is
--- a/io/bwrouter/generations_output.go
+++ b/io/bwrouter/generations_output.go
@@ -40,7 +40,7 @@
 		stream:  stream,
 		ids:     ids,
 		rec:     rec,
-		asm:     bwstream.NewAssembler(from),
+		asm:     bwstream.NewAssembler(from, rec.Spec().Stop...),
 		added:   from.Position,
 		sent:    from,
 	}
@@ -64,6 +64,9 @@
 // character whose last bytes were never generated; U+FFFD stands for it.
 func (out *output) end(why bwmodel.FinishReason) error {
 	txt := strings.ToValidUTF8(out.asm.Flush(), "\ufffd")
+	if out.asm.Stopped() {
+		why = bwmodel.FinishStop
+	}
 	if !out.stream {
 		out.text.WriteString(txt)
 		return out.writeWhole(why)
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -149,7 +149,24 @@
 	if ses.refresh {
 		return nil
 	}
-	return ses.out.advance()
+	if err := ses.out.advance(); err != nil {
+		return err
+	}
+	if ses.out.asm.Stopped() && ses.rec.Finished() == "" {
+		// An engine that resumed has seen only the end of a stop text that
+		// began before it, so the router ends the generation itself.
+		ses.complete(bwmodel.FinishStop, true)
+		return ses.note(ctx)
+	}
+	return nil
+}
+
+// complete ends the generation, and the running attempt when it goes on.
+func (ses *session) complete(why bwmodel.FinishReason, cancel bool) {
+	ses.rec.Finish(why)
+	ses.loss = nil
+	ses.gns.lengths.Observe(ses.rec.Spec().Team, ses.rec.Spec().Service, int(ses.rec.Position()))
+	ses.end(attemptEnd{Cancel: cancel})
 }
 
 // wait takes the next event of the attempt, the holder or the clock.
@@ -234,7 +251,7 @@
 	if !ses.askedAt.IsZero() && now.Sub(ses.askedAt) >= ses.gns.cfg.HolderTime {
 		return ses.replaceHolder(ctx, "no acknowledgement")
 	}
-	return ses.checkPace(ctx, now)
+	return ses.checkPace(now)
 }
 
 // latePace is how late a check may be before the router itself counts as
@@ -242,7 +259,7 @@
 const latePace = 100 * time.Millisecond
 
 // checkPace ends an attempt that has stalled.
-func (ses *session) checkPace(ctx context.Context, now time.Time) error {
+func (ses *session) checkPace(now time.Time) error {
 	if ses.pace == nil {
 		return nil
 	}
@@ -282,9 +299,7 @@
 		ses.progress(ctx, evt, fresh)
 	}
 	if evt.Output.Finish != "" {
-		ses.rec.Finish(evt.Output.Finish)
-		ses.gns.lengths.Observe(ses.rec.Spec().Team, ses.rec.Spec().Service, int(ses.rec.Position()))
-		ses.end(attemptEnd{})
+		ses.complete(evt.Output.Finish, false)
 	}
 	return nil
 }
--- a/standin/bwfakeengine/admission_test.go
+++ b/standin/bwfakeengine/admission_test.go
@@ -74,19 +74,32 @@
 // await waits until the engines run a number of sequences.
 func (cl *cluster) await(running int) {
 	cl.t.Helper()
-	for cl.t.Context().Err() == nil {
+	cl.until(func() bool {
 		total := 0
 		for _, nd := range cl.nodes {
 			run, wait := nd.engine.Running()
 			total += run + wait
 		}
-		if total == running {
-			return
-		}
+		return total == running
+	})
+}
+
+// until waits for a condition, at most until the test's own deadline.
+func (cl *cluster) until(done func() bool) {
+	cl.t.Helper()
+	for !done() && cl.t.Context().Err() == nil {
 		time.Sleep(time.Millisecond)
 	}
 }
 
+func (gt *gate) ended(grants int) func() bool {
+	return func() bool {
+		gt.mu.Lock()
+		defer gt.mu.Unlock()
+		return len(gt.finished) == grants
+	}
+}
+
 // Guards against work that keeps its engine although it was asked to give way,
 // and against an answer that is not whole after it went on.
 func TestWorkGivesWay(t *testing.T) {
@@ -100,6 +113,7 @@
 	close(gt.hold)
 	cal.read(all)
 	cal.check("dlhý odkladný návrh", tokens)
+	cl.until(gt.ended(2))
 	gt.mu.Lock()
 	defer gt.mu.Unlock()
 	if len(gt.asked) != 2 || !gt.asked[1].Resumed {
@@ -121,8 +135,9 @@
 	eng.StopEvery = 40
 	cl := newClusterWith(t, clusterConfig{engines: 1, routers: 2, engine: eng, edit: gt.edit})
 	const rounds, limit = 12, 100000
-	for range rounds {
+	for round := range rounds {
 		cl.post(cl.routers[0], "krátke venovanie 7", limit).read(all)
+		cl.until(gt.ended(round + 1))
 	}
 	want := gt.finished[0]
 	last := gt.asked[rounds-1].Tokens
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -359,6 +359,7 @@
 		var msg struct {
 			Choices []struct {
 				Text   string            `json:"text"`
+				Delta  map[string]string `json:"delta"`
 				IDs    []bwmodel.TokenID `json:"token_ids"`
 				Finish string            `json:"finish_reason"`
 			} `json:"choices"`
@@ -370,7 +371,7 @@
 			return
 		}
 		cal.events++
-		cal.text.WriteString(msg.Choices[0].Text)
+		cal.text.WriteString(msg.Choices[0].Text + msg.Choices[0].Delta["content"])
 		cal.ids = append(cal.ids, msg.Choices[0].IDs...)
 		cal.finish = msg.Choices[0].Finish
 	}
--- /dev/null
+++ b/standin/bwfakeengine/path_test.go
@@ -0,0 +1,163 @@
+package bwfakeengine_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/standin/bwfakeengine"
+)
+
+// answered is the part of a whole answer that the tests read.
+type answered struct {
+	Object  string `json:"object"`
+	Choices []struct {
+		Text    string            `json:"text"`
+		Message map[string]string `json:"message"`
+		IDs     []bwmodel.TokenID `json:"token_ids"`
+		Finish  string            `json:"finish_reason"`
+	} `json:"choices"`
+	Usage map[string]int `json:"usage"`
+}
+
+// ask sends a call without a stream and returns its answer.
+func (cl *cluster) ask(rt *routerNode, path string, body map[string]any) answered {
+	cl.t.Helper()
+	buf, err := json.Marshal(body)
+	must(cl.t, err)
+	req, err := http.NewRequestWithContext(cl.t.Context(), http.MethodPost, rt.web.URL+path, bytes.NewReader(buf))
+	must(cl.t, err)
+	req.Header.Set("Team", "alpha")
+	rsp, err := http.DefaultClient.Do(req)
+	must(cl.t, err)
+	defer func() { _ = rsp.Body.Close() }()
+	txt, err := io.ReadAll(rsp.Body)
+	must(cl.t, err)
+	var ans answered
+	if err := json.Unmarshal(txt, &ans); err != nil || rsp.StatusCode != http.StatusOK || len(ans.Choices) != 1 {
+		cl.t.Fatalf("status %d, %v: %s", rsp.StatusCode, err, txt)
+	}
+	return ans
+}
+
+func continuation(prompt string, tokens int) string {
+	want := ""
+	for _, tok := range bwfakeengine.Continue(bwfakeengine.Tokenize(prompt), tokens) {
+		want += string(tok.Bytes)
+	}
+	return strings.ToValidUTF8(want, "\ufffd")
+}
+
+// killer ends the engine that runs a sequence once it has written some tokens.
+type killer struct {
+	cl     *cluster
+	tokens uint64
+}
+
+func (kil *killer) run() {
+	for kil.cl.t.Context().Err() == nil {
+		for _, nd := range kil.cl.nodes {
+			if nd.engine.Counts().TokensGenerated >= kil.tokens {
+				_ = nd.engine.Die(kil.cl.t.Context())
+				return
+			}
+		}
+	}
+}
+
+// Guards against answers without a stream, and chats, that lose text when their
+// engine dies.
+func TestCallsWithoutStream(t *testing.T) {
+	const tokens = 80
+	tests := []struct {
+		name, path, object, prompt string
+		body                       map[string]any
+	}{
+		{
+			"completion", "/v1/completions", "text_completion", "celá odpoveď",
+			map[string]any{"prompt": "celá odpoveď"},
+		},
+		{
+			"chat", "/v1/chat/completions", "chat.completion", "system: Píš verše.\nuser: የልደት ካርድ\n",
+			map[string]any{"messages": []map[string]string{
+				{"role": "system", "content": "Píš verše."}, {"role": "user", "content": "የልደት ካርድ"},
+			}},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cl := newCluster(t, 2, 2, fastEngine)
+			kil := &killer{cl: cl, tokens: 20}
+			go kil.run()
+			tt.body["model"], tt.body["max_tokens"], tt.body["return_token_ids"] = testModel, tokens, true
+			ans := cl.ask(cl.routers[0], tt.path, tt.body)
+			cho := ans.Choices[0]
+			got := cho.Text + cho.Message["content"]
+			if want := continuation(tt.prompt, tokens); got != want {
+				t.Errorf("text\n%q\nwant\n%q", got, want)
+			}
+			if ans.Object != tt.object || cho.Finish != "length" || len(cho.IDs) != tokens || ans.Usage["completion_tokens"] != tokens {
+				t.Errorf("object %q, finish %q, %d ids and usage %v", ans.Object, cho.Finish, len(cho.IDs), ans.Usage)
+			}
+			if got := cl.resumed.Load(); got != 1 {
+				t.Errorf("%d resumes, want 1", got)
+			}
+		})
+	}
+}
+
+// Guards against a stream of a chat that differs from the whole answer.
+func TestChatStream(t *testing.T) {
+	const tokens = 80
+	cl := newCluster(t, 2, 2, fastEngine)
+	buf, err := json.Marshal(map[string]any{
+		"model": testModel, "max_tokens": tokens, "stream": true, "return_token_ids": true,
+		"messages": []map[string]string{{"role": "user", "content": "krstný list"}},
+	})
+	must(t, err)
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, cl.routers[0].web.URL+"/v1/chat/completions", bytes.NewReader(buf))
+	must(t, err)
+	cal := &caller{t: t}
+	cal.open(req, "alpha")
+	cal.read(20)
+	cl.routers[0].kill()
+	cal.read(all)
+	cal.reconnect(cl.routers[1])
+	cal.read(all)
+	cal.check("user: krstný list\n", tokens)
+}
+
+// Guards against a stop text that is missed, or delivered in part, because the
+// engine dies while it is being written.
+func TestStopTextSpansResume(t *testing.T) {
+	const prompt, tokens, begin, length = "až po podpis", 120, 30, 16
+	toks := bwfakeengine.Continue(bwfakeengine.Tokenize(prompt), tokens)
+	stop := ""
+	for _, tok := range toks[begin : begin+length] {
+		stop += string(tok.Bytes)
+	}
+	// The stop text is cut to whole characters.
+	stop = strings.ToValidUTF8(stop, "")
+	text := continuation(prompt, tokens)
+	want, _, found := strings.Cut(text, stop)
+	if !found {
+		t.Fatalf("%q does not occur in %q", stop, text)
+	}
+	cl := newCluster(t, 2, 2, fastEngine)
+	kil := &killer{cl: cl, tokens: begin + length/2}
+	go kil.run()
+	ans := cl.ask(cl.routers[0], "/v1/completions", map[string]any{
+		"model": testModel, "prompt": prompt, "max_tokens": tokens, "stop": []string{"nikdy", stop},
+	})
+	if cho := ans.Choices[0]; cho.Text != want || cho.Finish != "stop" {
+		t.Errorf("got %q and finish %q, want %q and stop", cho.Text, cho.Finish, want)
+	}
+	if got := cl.resumed.Load(); got != 1 {
+		t.Errorf("%d resumes, want 1", got)
+	}
+	cl.await(0)
+}
