--- a/bench/bwcaller/generation.go
+++ b/bench/bwcaller/generation.go
@@ -63,6 +63,7 @@
 var (
 	errNoEnd     = errors.New("stream ended without a finish reason")
 	errNoHandle  = errors.New("stream broke before the first event")
+	errHandOver  = errors.New("router stops and asks to reconnect")
 	errLateError = errors.New("generation failed after it began")
 )
 
@@ -189,6 +190,10 @@
 	if event.Name == "error" {
 		return fmt.Errorf("%w: %s", errLateError, event.Data)
 	}
+	if event.Name == "reconnect" {
+		rcv.id = event.ID
+		return errHandOver
+	}
 	if string(event.Data) == "[DONE]" {
 		return nil
 	}
