Divide the upstreams' slots among the routers

Each of three routers took all slots of an engine for its own, so that generations queued in the engines, out of the reach of classes and deadlines, and first tokens came so late that streams counted as stalled. A router now takes its part of the slots, rounded up, and long and deferrable work its part of the share without what short work uses. The check of answers compares with the text that JSON can carry: a limit may end an answer within a character.

--- a/bench/bwbench/catalog.go
+++ b/bench/bwbench/catalog.go
@@ -100,7 +100,9 @@
 	calmDeferrable  = 0.2
 	crestRamp       = 2 * time.Second
 	crestDeadline   = 2 * time.Second
-	crestQueue      = 400
+	// queueDeadline leaves time for the first token after the wait in the queue.
+	queueDeadline = 3 * crestDeadline / 4
+	crestQueue    = 400
 )
 
 func crest(siz Size) Experiment {
@@ -119,7 +121,7 @@
 	variant := func(policy string, route bwroute.Policy, order bwadmit.Policy) Variant {
 		flt := siz.fleet()
 		flt.Route, flt.Order = route, order
-		flt.Deadline, flt.QueueLimit = crestDeadline, crestQueue
+		flt.Deadline, flt.QueueLimit = queueDeadline, crestQueue
 		return Variant{
 			Policy: policy, Fleet: flt, Streams: streams, Length: siz.Length,
 			Window: Window{Begin: begin + crestRamp, End: end}, StartDelay: siz.FirstToken,
@@ -189,7 +191,7 @@
 	variant := func(policy string, order bwadmit.Policy) Variant {
 		flt := siz.fleet()
 		flt.Order = order
-		flt.Deadline, flt.QueueLimit = crestDeadline, crestQueue
+		flt.Deadline, flt.QueueLimit = queueDeadline, crestQueue
 		return Variant{
 			Policy: policy, Fleet: flt, Streams: []Stream{small, large}, Length: siz.Length,
 			Window: Window{Begin: burstSettle, End: siz.Length},
--- a/bench/bwbench/result.go
+++ b/bench/bwbench/result.go
@@ -56,14 +56,28 @@
 		for _, name := range sortedKeys(res.Counts) {
 			fmt.Fprintf(tab, "%s\t%s\t%s\t%d\t\t\t\t\n", res.Experiment, res.Policy, name, res.Counts[name])
 		}
+	}
+	if err := tab.Flush(); err != nil {
+		return err
+	}
+	return writeFaults(out, results)
+}
+
+// writeFaults prints the errors and violations, whose length would widen the table.
+func writeFaults(out io.Writer, results []Result) error {
+	for _, res := range results {
 		for _, name := range sortedKeys(res.Errors) {
-			fmt.Fprintf(tab, "%s\t%s\t%s: %s\t\t\t\t\t\n", res.Experiment, res.Policy, name, res.Errors[name])
+			if _, err := fmt.Fprintf(out, "%s %s %s: %s\n", res.Experiment, res.Policy, name, res.Errors[name]); err != nil {
+				return err
+			}
 		}
 		for _, vio := range res.Violations {
-			fmt.Fprintf(tab, "%s\t%s\tVIOLATION: %s\t\t\t\t\t\n", res.Experiment, res.Policy, vio)
+			if _, err := fmt.Fprintf(out, "%s %s VIOLATION: %s\n", res.Experiment, res.Policy, vio); err != nil {
+				return err
+			}
 		}
 	}
-	return tab.Flush()
+	return nil
 }
 
 // Report is the JSON form of a bench command's output.
--- a/cmd/bwdev/demo.go
+++ b/cmd/bwdev/demo.go
@@ -144,12 +144,16 @@
 		return fmt.Errorf("received %d tokens, want %d", ans.Tokens, tokens)
 	case ans.Finish != bwmodel.FinishLength:
 		return fmt.Errorf("finished for %q, want %q", ans.Finish, bwmodel.FinishLength)
-	case !bytes.Equal([]byte(ans.Text), want):
+	case ans.Text != asText(want):
 		return fmt.Errorf("text differs from the model's: got %q, want %q", ans.Text, want)
 	}
 	return nil
 }
 
+// asText returns bytes as a JSON string carries them: an answer that its limit
+// ends within a character has each byte of that character replaced.
+func asText(buf []byte) string { return string([]rune(string(buf))) }
+
 // killBusy ends an engine that is running a generation.
 func (dem *Demo) killBusy(ctx context.Context) *Engine {
 	for _, eng := range dem.flt.Engines {
--- a/core/bwadmit/dispatch.go
+++ b/core/bwadmit/dispatch.go
@@ -11,9 +11,10 @@
 // dispatch starts what may start and returns the time until the next look.
 func (st *state) dispatch(now time.Time) time.Duration {
 	st.expire(now)
+	st.demand.add(float64(len(st.running)-st.held+st.waiting[promptShort]), now)
 	capacity := st.cfg.Capacity()
 	for len(st.running) < capacity {
-		ln := st.next(capacity)
+		ln := st.next()
 		if ln == nil {
 			break
 		}
@@ -39,11 +40,11 @@
 // next returns the line whose head starts next, or nil. Deferrable work is
 // considered only when no prompt work waits, other than that of teams at their
 // own limit.
-func (st *state) next(capacity int) *line {
+func (st *state) next() *line {
 	if st.cfg.Policy.Plain {
 		return st.first(promptShort, promptLong, deferrableShort, deferrableLong)
 	}
-	spare := st.held < capacity-int(float64(capacity)*st.cfg.ShortReserve)
+	spare := float64(st.held) < st.heldLimit()
 	if st.heaps[promptShort].Len()+st.heaps[promptLong].Len() > 0 {
 		if spare {
 			return st.first(promptShort, promptLong)
--- a/core/bwadmit/queue.go
+++ b/core/bwadmit/queue.go
@@ -24,12 +24,16 @@
 	Now     func() time.Time
 	// Capacity returns the number of requests that may run at a time.
 	Capacity func() int
+	// Share returns this router's part of the slots, and the number of routers
+	// that share them; it bounds long and deferrable work. nil means the capacity
+	// and one router.
+	Share func() (slots float64, routers int)
 	// Policy orders the teams; the zero value means FairShares.
 	Policy Policy
 	// LongTokens is the expected work from which a request counts as long; 0 means 2000.
 	LongTokens int
-	// ShortReserve is the part of the capacity that long and deferrable work
-	// leaves free; 0 means 0.2.
+	// ShortReserve is the least part of the share that long and deferrable work
+	// leaves free; 0 means 0.2. More is left when short work needs it.
 	ShortReserve float64
 	// MinRun is the time that long deferrable work runs at least before it is
 	// asked to pause; 0 means 1 s.
@@ -66,6 +70,10 @@
 	if cfg.Now == nil || cfg.Capacity == nil {
 		return nil, errors.New("queue: Now and Capacity must be set")
 	}
+	if cfg.Share == nil {
+		capacity := cfg.Capacity
+		cfg.Share = func() (float64, int) { return float64(capacity()), 1 }
+	}
 	if cfg.Policy.Before == nil {
 		cfg.Policy = FairShares()
 	}
--- a/core/bwadmit/state.go
+++ b/core/bwadmit/state.go
@@ -24,6 +24,7 @@
 	// virtual is the virtual time of the work started last.
 	virtual float64
 	drain   drainRate
+	demand  demand
 }
 
 func newState(qu *Queue) *state {
--- a/core/bwroute/chooser.go
+++ b/core/bwroute/chooser.go
@@ -28,6 +28,7 @@
 	meanTokens number
 
 	// The rest belongs to the control goroutine.
+	routers   int
 	nodes     map[bwmodel.UpstreamID]*node
 	ordered   []*node
 	slots     slotTable
@@ -99,13 +100,19 @@
 	}
 	chs := &Chooser{
 		cfg: cfg, begin: cfg.Now(), nodes: map[bwmodel.UpstreamID]*node{},
-		holders: newHolderIndex(cfg.CacheBlocks),
+		holders: newHolderIndex(cfg.CacheBlocks), routers: 1,
 	}
 	chs.freed.reset()
-	chs.current.Store(&snapshot{})
+	chs.current.Store(&snapshot{routers: 1})
 	return chs, nil
 }
 
+// SetRouters sets the number of routers that share the slots of the upstreams,
+// in force from the next Update; below 1 means 1. Without it, routers that each
+// fill all slots queue work in the upstreams, out of the reach of admission.
+// Only the control goroutine calls it.
+func (chs *Chooser) SetRouters(count int) { chs.routers = max(1, count) }
+
 // Update replaces the upstreams of the service; work in flight on those that
 // remain stays counted. Only the control goroutine calls it.
 func (chs *Chooser) Update(ups []bwmodel.Upstream) {
@@ -115,7 +122,7 @@
 			continue
 		}
 		if old := chs.nodes[up.Name]; old != nil {
-			nodes[up.Name] = old.with(up)
+			nodes[up.Name] = old.with(up, chs.highest(up))
 		} else {
 			nodes[up.Name] = chs.newNode(up)
 		}
@@ -234,6 +241,18 @@
 	return total, free
 }
 
+// Share returns this router's part of the slots of the usable upstreams, and the
+// number of routers that share them.
+func (chs *Chooser) Share() (slots float64, routers int) {
+	snap := chs.current.Load()
+	for _, nd := range snap.nodes {
+		if nd.usable() && !chs.suspended(nd) {
+			slots += float64(chs.maxLimit(nd.up)) / float64(snap.routers)
+		}
+	}
+	return slots, snap.routers
+}
+
 func (chs *Chooser) limit(nd *node) int {
 	if chs.cfg.Policy.Plain {
 		return chs.maxLimit(nd.up)
@@ -241,6 +260,12 @@
 	return nd.work.limit.now()
 }
 
+// highest returns the most requests that this router may have in flight to an
+// upstream: its part of the slots, rounded up.
+func (chs *Chooser) highest(up bwmodel.Upstream) int {
+	return (chs.maxLimit(up) + chs.routers - 1) / chs.routers
+}
+
 func (chs *Chooser) suspended(nd *node) bool {
 	return !chs.cfg.Policy.Plain && nd.work.health.suspended.Load()
 }
@@ -257,16 +282,19 @@
 	for _, nd := range chs.ordered {
 		nd.past.add(chs.refreshed, nd.work.tokens.Load())
 	}
-	chs.current.Store(newSnapshot(chs.ordered))
+	snap := newSnapshot(chs.ordered)
+	snap.routers = chs.routers
+	chs.current.Store(snap)
 	chs.freed.broadcast()
 }
 
 func (chs *Chooser) newNode(up bwmodel.Upstream) *node {
 	wk := &work{}
 	wk.health.firstPause = chs.cfg.ProbePause
-	wk.limit.start(min(chs.maxLimit(up), startLimit(up)))
+	highest := chs.highest(up)
+	wk.limit.start(min(highest, startLimit(up)))
 	return &node{
-		up: up, slot: chs.slots.take(), work: wk, report: &atomic.Pointer[report]{},
+		up: up, highest: highest, slot: chs.slots.take(), work: wk, report: &atomic.Pointer[report]{},
 		cache: newCacheView(chs.cfg.CacheBlocks), past: &past{},
 	}
 }
--- a/core/bwroute/lease.go
+++ b/core/bwroute/lease.go
@@ -101,7 +101,7 @@
 	}
 	wk.latency.blend(sec, smoothing)
 	wk.sampled.Store(int64(now))
-	wk.limit.learn(sec, wk.latency.load(), int(wk.inFlight.Load()), ls.chs.maxLimit(ls.nd.up))
+	wk.limit.learn(sec, wk.latency.load(), int(wk.inFlight.Load()), ls.nd.highest)
 	if relative(fromSeconds(wk.latency.load()), median) >= slowThreshold {
 		wk.health.suspend(now)
 	}
--- a/core/bwroute/node.go
+++ b/core/bwroute/node.go
@@ -11,11 +11,13 @@
 
 // node is an upstream in a snapshot; all but up outlives the snapshot.
 type node struct {
-	up     bwmodel.Upstream
-	slot   uint16
-	work   *work
-	report *atomic.Pointer[report]
-	cache  *cacheView
+	up bwmodel.Upstream
+	// highest bounds this router's requests in flight.
+	highest int
+	slot    uint16
+	work    *work
+	report  *atomic.Pointer[report]
+	cache   *cacheView
 	// past belongs to the control goroutine.
 	past *past
 }
@@ -43,9 +45,12 @@
 	own float64
 }
 
-func (nd *node) with(up bwmodel.Upstream) *node {
+func (nd *node) with(up bwmodel.Upstream, highest int) *node {
 	next := *nd
-	next.up = up
+	if next.highest != highest {
+		nd.work.limit.start(highest)
+	}
+	next.up, next.highest = up, highest
 	return &next
 }
 
--- a/core/bwroute/snapshot.go
+++ b/core/bwroute/snapshot.go
@@ -8,6 +8,8 @@
 // snapshot is immutable; the control goroutine replaces it.
 type snapshot struct {
 	nodes []*node
+	// routers is the number of routers that share the upstreams' slots.
+	routers int
 	// byModel lists the nodes that reported a model when the snapshot was made.
 	byModel map[string][]*node
 	bySlot  map[uint16]*node
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -288,6 +288,7 @@
 		next := *svc
 		next.spec = spec
 		st.services[spec.Name] = &next
+		next.chooser.SetRouters(objects.Routers)
 		next.chooser.Update(ups)
 		next.queue.Update(spec, teams)
 		follow = append(follow, ups...)
@@ -312,6 +313,7 @@
 		Now:      svs.cfg.Now,
 		Policy:   svs.cfg.Order,
 		Capacity: func() int { total, _ := chooser.Capacity(); return total },
+		Share:    chooser.Share,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("queue of service %q: %w", spec.Name, err)
