--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -308,6 +308,7 @@
 		next.spec = spec
 		next.demand = newDemand(spec, next.demand)
 		st.services[spec.Name] = &next
+		next.chooser.SetRouters(objects.Routers)
 		next.chooser.Update(ups)
 		next.queue.Update(spec, teams)
 		follow = append(follow, ups...)
@@ -332,6 +333,7 @@
 		Now:      svs.cfg.Now,
 		Policy:   svs.cfg.Order,
 		Capacity: func() int { total, _ := chooser.Capacity(); return total },
+		Share:    chooser.Share,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("queue of service %q: %w", spec.Name, err)
