Add a soak of random faults with checks of every guarantee

Cause: parts were tested alone or in the demo; nothing played faults together over the whole path. Change: bench/bwsoak and the command soak run a fleet of 3 routers, 6 engines and 3 apps under seeded faults of engines, apps, routers, agents, the network and the table, several at a time. Generations are compared byte for byte, actions and tickets go through porcupine, and each round ends with a check that every process has the last ticket. TestShortSoak plays one short round. Not helpful: requests whose limit cuts a character were counted as differences; JSON can't carry half a character, so the soak asks for whole ones.

--- /dev/null
+++ b/bench/bwsoak/report.go
@@ -0,0 +1,91 @@
+package bwsoak
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+)
+
+// Report is what a run found.
+type Report struct {
+	Seed uint64
+	// Counts are the outcomes, faults and checks by name.
+	Counts     map[string]int64
+	Violations []Violation
+	// Dropped is the number of violations beyond those kept.
+	Dropped int
+}
+
+// Violation is one broken guarantee.
+type Violation struct {
+	Check string
+	// Request names the request, key, ticket or process.
+	Request string
+	Detail  string
+}
+
+// maxViolations bounds the violations that are kept.
+const maxViolations = 100
+
+// Write prints the counts and the violations.
+func (rpt Report) Write(out io.Writer) error {
+	if _, err := fmt.Fprintf(out, "seed %d\n", rpt.Seed); err != nil {
+		return err
+	}
+	for _, name := range slices.Sorted(maps.Keys(rpt.Counts)) {
+		if _, err := fmt.Fprintf(out, "%-36s %8d\n", name, rpt.Counts[name]); err != nil {
+			return err
+		}
+	}
+	for _, vio := range rpt.Violations {
+		if _, err := fmt.Fprintf(out, "violation of %s: %s: %s\n", vio.Check, vio.Request, vio.Detail); err != nil {
+			return err
+		}
+	}
+	_, err := fmt.Fprintf(out, "%d violations\n", len(rpt.Violations)+rpt.Dropped)
+	return err
+}
+
+// recorder collects a report from many goroutines.
+type recorder struct {
+	mu  sync.Mutex
+	rpt Report
+}
+
+func newRecorder(seed uint64) *recorder {
+	return &recorder{rpt: Report{Seed: seed, Counts: make(map[string]int64)}}
+}
+
+func (rec *recorder) count(name string, by int64) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rec.rpt.Counts[name] += by
+}
+
+func (rec *recorder) violate(check, request, format string, args ...any) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	if len(rec.rpt.Violations) >= maxViolations {
+		rec.rpt.Dropped++
+		return
+	}
+	vio := Violation{Check: check, Request: request, Detail: fmt.Sprintf(format, args...)}
+	rec.rpt.Violations = append(rec.rpt.Violations, vio)
+}
+
+func (rec *recorder) violations() int {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	return len(rec.rpt.Violations) + rec.rpt.Dropped
+}
+
+func (rec *recorder) report() Report {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	rpt := rec.rpt
+	rpt.Counts = maps.Clone(rpt.Counts)
+	rpt.Violations = slices.Clone(rpt.Violations)
+	return rpt
+}
--- /dev/null
+++ b/bench/bwsoak/soak_test.go
@@ -0,0 +1,53 @@
+package bwsoak_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"bilberrywick/bench/bwsoak"
+)
+
+// Guards against wrong answers, repeated actions and lost tickets while all
+// kinds of faults meet. The time for processes to be current is long, because
+// the verdict must not depend on the machine's load.
+func TestShortSoak(t *testing.T) {
+	const seed = 11
+	t.Logf("seed %d", seed)
+	rpt, err := bwsoak.Run(t.Context(), bwsoak.Config{
+		Seed:        seed,
+		Generations: 100,
+		Actions:     100,
+		Workers:     6,
+		Faults:      4,
+		Round:       3 * time.Second,
+		Heal:        time.Minute,
+		Late:        time.Second,
+		Limit:       time.Minute,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, vio := range rpt.Violations {
+		t.Errorf("%s: %s: %s", vio.Check, vio.Request, vio.Detail)
+	}
+	for _, name := range []string{"GenerationsDone", "ActionsDone", "LookupsDone", "TicketsAccepted", "TicketChecks"} {
+		if rpt.Counts[name] == 0 {
+			t.Errorf("nothing was checked: count %s is 0", name)
+		}
+	}
+}
+
+// Guards against a report that hides violations from whoever reads it.
+func TestReportNamesViolations(t *testing.T) {
+	rpt := bwsoak.Report{Seed: 3, Violations: []bwsoak.Violation{{Check: "AtMostOnce", Request: "act-7", Detail: "ran 2 times"}}, Dropped: 2}
+	var out strings.Builder
+	if err := rpt.Write(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"seed 3\n", "violation of AtMostOnce: act-7: ran 2 times\n", "3 violations\n"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("report %q lacks %q", out.String(), want)
+		}
+	}
+}
--- a/cmd/bwdev/fleet.go
+++ b/cmd/bwdev/fleet.go
@@ -205,6 +205,8 @@
 
 // Ticket returns a ticket with all services, teams and upstreams of the fleet.
 func (flt *Fleet) Ticket(num bwmodel.TicketNumber) bwwire.TicketDocument {
+	flt.mu.RLock()
+	defer flt.mu.RUnlock()
 	doc := bwwire.TicketDocument{
 		Number:   num,
 		Comment:  "create the services, teams and upstreams",
--- a/cmd/bwlauncher/process.go
+++ b/cmd/bwlauncher/process.go
@@ -31,6 +31,7 @@
 		newAgentCommand(cfg),
 		newDevCommand(cfg),
 		newBenchCommand(cfg),
+		newSoakCommand(cfg),
 		newStandinCommand(),
 	}
 }
--- /dev/null
+++ b/cmd/bwlauncher/soak.go
@@ -0,0 +1,53 @@
+package bwlauncher
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"bilberrywick/bench/bwsoak"
+)
+
+func newSoakCommand(cfg Config) *cobra.Command {
+	var soak bwsoak.Config
+	var verbose bool
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "Run a whole fleet under random faults and check its guarantees",
+		Long: "Run a whole fleet under random faults in this process and check every answer, action and ticket.\n" +
+			"It fails when a guarantee was broken. Faults: " + bwsoak.FaultNames() + ".",
+		Example: "  bilberrywick soak --seed 7 --generations 10000 --actions 10000",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			soak.Progress = cmd.ErrOrStderr()
+			soak.LogOutput = io.Discard
+			if verbose {
+				soak.LogOutput = cfg.Logs
+			}
+			rpt, err := bwsoak.Run(cmd.Context(), soak)
+			if err != nil {
+				return err
+			}
+			if err := rpt.Write(cmd.OutOrStdout()); err != nil {
+				return err
+			}
+			if len(rpt.Violations) > 0 {
+				return fmt.Errorf("%d guarantees were broken", len(rpt.Violations)+rpt.Dropped)
+			}
+			return nil
+		},
+	}
+	flags := cmd.Flags()
+	flags.Uint64Var(&soak.Seed, "seed", 1, "seed of the faults and requests")
+	flags.IntVar(&soak.Generations, "generations", 10_000, "generations after which the run ends")
+	flags.IntVar(&soak.Actions, "actions", 10_000, "actions after which the run ends")
+	flags.DurationVar(&soak.Limit, "limit", 10*time.Minute, "time after which the run ends in any case")
+	flags.DurationVar(&soak.Round, "round", 12*time.Second, "time with faults before each pause without")
+	flags.IntVar(&soak.Faults, "faults", 3, "faults at a time")
+	flags.IntVar(&soak.Workers, "workers", 24, "callers of each kind")
+	flags.StringSliceVar(&soak.Only, "only", nil, "names of the faults to use")
+	flags.BoolVar(&verbose, "verbose", false, "print the processes' logs to standard error")
+	return cmd
+}
--- a/standin/bwfakeapp/app.go
+++ b/standin/bwfakeapp/app.go
@@ -52,6 +52,8 @@
 	// Executions is in the order of execution.
 	Executions []Execution
 	Lookups    int
+	// Started counts the actions and lookups that have arrived.
+	Started int
 	// Canceled counts lookups whose client gave up.
 	Canceled int
 }
@@ -141,7 +143,10 @@
 		panic(http.ErrAbortHandler)
 	}
 	var flt Faults
-	err = app.own.Do(hrq.Context(), func(st *state) { flt = st.takeFaults() })
+	err = app.own.Do(hrq.Context(), func(st *state) {
+		st.view.Started++
+		flt = st.takeFaults()
+	})
 	if err != nil || flt.DieBefore > 0 {
 		panic(http.ErrAbortHandler)
 	}
@@ -168,6 +173,7 @@
 	var flt Faults
 	ans := Answer{App: app.cfg.Name, Path: hrq.URL.RequestURI()}
 	err := app.own.Do(hrq.Context(), func(st *state) {
+		st.view.Started++
 		st.view.Lookups++
 		ans.Number = st.view.Lookups
 		flt = st.faults
