--- a/cmd/bwdev/start.go
+++ b/cmd/bwdev/start.go
@@ -50,6 +50,7 @@
 		Order:     flt.cfg.Order,
 		Hedge:     flt.cfg.Hedge,
 		NoResume:  flt.cfg.NoResume,
+		Duties:    flt.cfg.Duties,
 		Resumed:   flt.cfg.Resumed,
 	}
 	if nw := flt.cfg.Network; nw != nil {
--- a/core/bwticket/ticket.go
+++ b/core/bwticket/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"bilberrywick/core/bwmodel"
 )
@@ -38,6 +39,9 @@
 	// when it has missed one; numbers may leave gaps.
 	Previous bwmodel.TicketNumber
 	Digest   Digest
+	// At is the wall clock of the process that accepted the ticket; it is shown
+	// and measured but decides nothing.
+	At time.Time
 }
 
 // Size returns the number of objects that the ticket sets and removes.
@@ -52,6 +56,7 @@
 	out.Services = slices.Clone(tk.Services)
 	for ix := range out.Services {
 		out.Services[ix].Actions = slices.Clone(out.Services[ix].Actions)
+		out.Services[ix].Models = slices.Clone(out.Services[ix].Models)
 	}
 	out.Teams = slices.Clone(tk.Teams)
 	for ix := range out.Teams {
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -1,11 +1,12 @@
 package bwrouter
 
 import (
-	"context"
+	"cmp"
 	"errors"
 	"math/rand/v2"
 	"time"
 
+	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
@@ -19,7 +20,7 @@
 
 // lose ends the current attempt and plans the next one; it returns an error
 // when the generation can't go on.
-func (ses *session) lose(ctx context.Context, cause string, err error) error {
+func (ses *session) lose(cause string, err error) error {
 	now := ses.gns.cfg.Now()
 	code := bwrpc.CodeOf(err)
 	noEngine := false
@@ -30,20 +31,29 @@
 		return err
 	}
 	if ses.loss == nil {
-		ses.loss = &loss{cause: cause, since: now}
+		ses.loss = &loss{cause: cause, since: now, begun: now}
+		if err == nil && ses.pace != nil {
+			ses.loss.since = ses.pace.Last()
+		}
 	}
 	ses.gns.cfg.Log.Warn("attempt lost", "Request", ses.rec.Request(), "Cause", cause, "Agent", ses.rec.Agent(),
 		"Attempt", uint32(ses.rec.Attempt()), "Position", uint64(ses.rec.Position()), "Error", err)
 	if ses.choice != nil {
 		ses.exclude = append(ses.exclude, ses.choice.Upstream.Name)
-		ses.cancelAttempt(ctx)
 	}
 	if noEngine {
 		// Every engine may have been excluded; the next choice starts afresh.
 		ses.exclude = nil
 	}
 	refused := code == bwwire.Leaving || code == bwwire.Overloaded
-	ses.release(bwroute.Outcome{Refused: refused, Failed: !refused && !noEngine})
+	if noEngine || refused {
+		ses.refund()
+	}
+	ses.spent = false
+	ses.end(attemptEnd{Outcome: bwroute.Outcome{Refused: refused, Failed: !refused && !noEngine}, Cancel: true})
+	if ses.rec.Position() > 0 && !ses.gns.cfg.Resume(cause) {
+		return errNotResumed
+	}
 	ses.failures++
 	if ses.failures >= ses.gns.cfg.MaxAttempts {
 		return errGaveUp
@@ -52,32 +62,68 @@
 	return nil
 }
 
-// release ends the current attempt's stream and reports how the engine did.
-func (ses *session) release(oc bwroute.Outcome) {
+// Resumes are taken from a budget, which they get back with their first token.
+// So it bounds the resumes that are under way at once, and those that fail use
+// it up until new requests fill it.
+const (
+	// resumeBurst is about the streams that a router has on one engine.
+	resumeBurst = 32
+	// budgetPause is how long a loss waits before it asks the budget again; a
+	// resume takes about as long.
+	budgetPause = 60 * time.Millisecond
+	// budgetTime is how long a loss waits for the budget at most. After that it
+	// is slowed down by retryDelay only, so that an empty budget ends no answer.
+	budgetTime = 1500 * time.Millisecond
+)
+
+// newResumeBudget returns a full budget.
+func newResumeBudget(cfg bwretry.BudgetConfig) *bwretry.Budget {
+	cfg.Burst = cmp.Or(cfg.Burst, resumeBurst)
+	bud := bwretry.NewBudget(cfg)
+	for range cfg.Burst {
+		bud.Give()
+	}
+	return bud
+}
+
+// pay takes the next attempt from the budget and reports whether it has room.
+func (ses *session) pay() bool {
+	ses.paid = ses.paid || ses.gns.budget.Take()
+	return ses.paid
+}
+
+// refund gives back what an attempt has taken that has succeeded or was not made.
+func (ses *session) refund() {
+	for _, taken := range []*bool{&ses.paid, &ses.spent} {
+		if *taken {
+			ses.gns.budget.Give()
+			*taken = false
+		}
+	}
+}
+
+// overdue reports whether a loss has waited for the budget long enough.
+func (ses *session) overdue() bool {
+	return ses.gns.cfg.Now().Sub(ses.loss.begun) >= budgetTime
+}
+
+// end ends the current attempt's stream and reports how the engine did.
+func (ses *session) end(fin attemptEnd) {
 	if ses.att == nil {
 		return
 	}
 	if ses.choice != nil {
-		oc.FirstToken = ses.first
-		oc.Elapsed = ses.gns.cfg.Now().Sub(ses.started)
-		oc.Tokens = ses.tokens
+		fin.Outcome.FirstToken = ses.first
+		fin.Outcome.Elapsed = ses.gns.cfg.Now().Sub(ses.started)
+		fin.Outcome.Tokens = ses.tokens
+	}
+	if ses.pace != nil {
+		ses.gns.paces.observeGap(ses.att.ctx, ses.rec.Spec().Service, ses.pace.Gap())
 	}
-	ses.att.outcome <- oc
-	ses.att.cancel()
+	ses.att.end(fin)
 	ses.att, ses.choice, ses.pace = nil, nil, nil
 }
 
-// cancelAttempt ends the lost attempt at its agent, so that the engine stops
-// working on it.
-func (ses *session) cancelAttempt(ctx context.Context) {
-	cnc := &canceler{gns: ses.gns, agent: ses.rec.Agent(), req: bwwire.CancelRequest{
-		Request: ses.rec.Request(),
-		Epoch:   ses.rec.Epoch(),
-		Attempt: ses.rec.Attempt(),
-	}}
-	go cnc.run(ctx)
-}
-
 // causeOf names a loss for logs and metrics.
 func causeOf(err error) string {
 	if _, ok := errors.AsType[*chooseError](err); ok {
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -15,6 +15,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwretry"
 	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwprocess"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
 )
@@ -31,11 +32,14 @@
 	rtr.generations, err = NewGenerations(GenerationsConfig{
 		Choose:       rtr.services.Choose,
 		Admit:        rtr.services.Admit,
+		Asked:        rtr.services.Asked,
+		Produced:     rtr.services.Produced,
 		Service:      rtr.modelService,
 		Holder:       rtr.holder,
 		Known:        rtr.known,
 		StateNumber:  rtr.proc.StateNumber,
 		Resumed:      rtr.resumed,
+		Resume:       func(string) bool { return !rtr.cfg.NoResume },
 		Address:      rtr.proc.Self.Address,
 		Records:      rtr.records,
 		Client:       rtr.proc.Client,
@@ -99,11 +103,9 @@
 	}
 }
 
-// modelService returns the service that serves a model; models are named by
-// their service.
+// modelService returns the service that serves a model or adapter.
 func (rtr *Router) modelService(model string) (bwmodel.Service, bool) {
-	svc, ok := rtr.services.Service(bwmodel.ServiceID(model))
-	return svc, ok && svc.Kind == bwmodel.ModelService
+	return rtr.proc.Fleet.Snapshot().State.ServiceByModel(model)
 }
 
 // upstream finds an upstream in force, whether this router follows it or not,
@@ -124,14 +126,14 @@
 // callers on connections that are still open go to another router.
 func (rtr *Router) refuseWhenStopping(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
-		if !rtr.stopping.isSet() {
+		if !rtr.proc.Stopping() {
 			next.ServeHTTP(wr, req)
 			return
 		}
 		wr.Header().Set("Connection", "close")
 		bwhttp.WriteProblem(wr, bwhttp.Problem{
 			Status:     http.StatusServiceUnavailable,
-			Detail:     errStopping.Error(),
+			Detail:     bwprocess.ErrStopping.Error(),
 			Outcome:    bwhttp.OutcomeNotRun,
 			RetryAfter: time.Second,
 		})
@@ -165,10 +167,3 @@
 	}
 	return cur.Lookup(hash)
 }
-
-// stopFlag remembers when the router began to stop.
-type stopFlag struct{ since atomic.Int64 }
-
-func (sfl *stopFlag) set(now time.Time) { sfl.since.CompareAndSwap(0, now.UnixNano()) }
-
-func (sfl *stopFlag) isSet() bool { return sfl.since.Load() != 0 }
--- a/io/bwwire/control.go
+++ b/io/bwwire/control.go
@@ -12,26 +12,16 @@
 	StateNumber bwmodel.TicketNumber
 }
 
-// AgentStatusEvent is an agent's report, sent each second and on change.
-type AgentStatusEvent struct {
-	Member      bwmodel.Member
-	Upstream    bwmodel.UpstreamID
-	Service     bwmodel.ServiceID
-	StateNumber bwmodel.TicketNumber
-	// Clock is the agent's monotonic clock, counted from its start.
-	Clock time.Duration
-	Load  bwmodel.LoadReport
-	Cache []bwmodel.CacheEvent
-}
-
 // OrderRequest tells an engine to load or unload a model or to change role.
 type OrderRequest struct {
 	// Duty names the leased control duty under which the order is given.
-	Duty   string
-	Fence  bwmodel.Fence
-	Load   string
-	Unload string
-	Role   string
+	Duty  string
+	Fence bwmodel.Fence
+	// Incarnation is the agent's as the sender knew it before it checked its lease.
+	Incarnation bwmodel.Incarnation
+	Load        string
+	Unload      string
+	Role        string
 }
 
 // OrderResponse answers an OrderRequest that was carried out.
@@ -52,6 +42,8 @@
 	Member bwmodel.Member
 	// Age is the time since the member itself was heard.
 	Age time.Duration
+	// StateNumber is the ticket number that the member was known to have in force.
+	StateNumber bwmodel.TicketNumber
 }
 
 // TicketsRequest asks for what follows a number.
