Work out the cost of each mechanism at the target size

Cause: CAPACITY.md needs figures that a program can redo from measured slopes. Change: bilberrywick capacity measure writes the slopes, capacity table works out memory, messages, bytes and processor time for routers, agents and the table.

--- /dev/null
+++ b/bench/bwcapacity/capacity_test.go
@@ -0,0 +1,69 @@
+package bwcapacity_test
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"bilberrywick/bench/bwcapacity"
+)
+
+// Guards against a line that does not go through points that lie on one.
+func TestMeasureFitsALine(t *testing.T) {
+	slp, err := bwcapacity.Measure("Cost", "teams", bwcapacity.Bytes, []int{10, 100, 3100}, func(size int) float64 {
+		return 50 + 3*float64(size)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if math.Abs(slp.Base-50) > 1e-6 || math.Abs(slp.Each-3) > 1e-9 {
+		t.Errorf("line is %v + %v × size, want 50 + 3 × size", slp.Base, slp.Each)
+	}
+	if _, err := bwcapacity.Measure("Cost", "teams", bwcapacity.Bytes, []int{1, 2}, func(int) float64 { return 0 }); !errors.Is(err, bwcapacity.ErrTooFewSizes) {
+		t.Errorf("two sizes gave %v, want ErrTooFewSizes", err)
+	}
+}
+
+// Guards against a table that silently leaves out a cost that was not measured,
+// and against committed slopes that the arithmetic can't use.
+func TestRowsNeedEverySlope(t *testing.T) {
+	mst, err := bwcapacity.Load(filepath.Join("..", "..", "docs", "capacity-slopes.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, err := bwcapacity.Rows(mst, bwcapacity.TargetScale())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out bytes.Buffer
+	if err := bwcapacity.WriteMarkdown(&out, rows); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"### router", "### agent", "### table", "sum of control"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("table lacks %q", want)
+		}
+	}
+	mst.Slopes = mst.Slopes[1:]
+	if _, err := bwcapacity.Rows(mst, bwcapacity.TargetScale()); err == nil {
+		t.Error("rows without the first slope gave no error")
+	}
+}
+
+// Guards against a scale whose derived figures leave the target: 14 requests and
+// 6,500 tokens a second and about 300 open generations for each router.
+func TestTargetScale(t *testing.T) {
+	scl := bwcapacity.TargetScale()
+	if got := scl.RouterRequests(); got != 14 {
+		t.Errorf("%v requests a second for each router, want 14", got)
+	}
+	if got := scl.RouterTokens(); got != 6500 {
+		t.Errorf("%v tokens a second for each router, want 6500", got)
+	}
+	if got := scl.OpenGenerations(); got < 290 || got > 310 {
+		t.Errorf("%v open generations for each router, want about 300", got)
+	}
+}
--- a/cmd/bwlauncher/process.go
+++ b/cmd/bwlauncher/process.go
@@ -32,6 +32,7 @@
 		newDevCommand(cfg),
 		newBenchCommand(cfg),
 		newSoakCommand(cfg),
+		newCapacityCommand(),
 		newStandinCommand(),
 	}
 }
