Read cache events only where they fit the control budget

Cause: at peak an engine publishes about 290 cache events a second; a router that follows 128 engines would receive 337 KB/s of them, its budget is 9 KB/s. Change: a router that follows more than 64 upstreams subscribes without cache events and notes the prefixes of its own requests instead (Chooser.Remember). Ways weighed: a digest of each cache (agents can't tell hot blocks from cold ones, since engines report no hits), events at a lower rate (each gap halves the trust in the view). Figures at the target size, by capacity table: 337 KB/s before, none after.

--- a/bench/bwcapacity/decision.go
+++ b/bench/bwcapacity/decision.go
@@ -27,6 +27,7 @@
 	ChooseTime         = "ChooseTime"
 	ObserveTime        = "ObserveTime"
 	RefreshTime        = "RefreshTime"
+	RememberTime       = "RememberTime"
 	QueueBytes         = "QueueBytes"
 	AdmitTime          = "AdmitTime"
 	DirectoryBytes     = "DirectoryBytes"
@@ -65,6 +66,7 @@
 		{ChooseTime, "upstreams", Nanoseconds, choiceSizes, chooseTime},
 		{ObserveTime, "upstreams", Nanoseconds, choiceSizes, observeTime},
 		{RefreshTime, "upstreams", Nanoseconds, choiceSizes, func(count int) float64 { return timePer(chooser(count).Refresh) }},
+		{RememberTime, "blocks", Nanoseconds, []int{8, 32, 128}, rememberTime},
 		{QueueBytes, "teams", Bytes, teamSizes, func(count int) float64 {
 			return heapOf(func() any { return queue(count) })
 		}},
@@ -181,6 +183,16 @@
 	return timePer(func() { chs.Observe(status) })
 }
 
+// rememberTime is the time to note a prefix of a number of blocks.
+func rememberTime(count int) float64 {
+	chs := chooser(1)
+	prefix := make([]uint64, count)
+	for ix := range prefix {
+		prefix[ix] = uint64(ix+1) * 0x9e3779b97f4a7c15
+	}
+	return timePer(func() { chs.Remember("pisar-model-0000", prefix) })
+}
+
 func queue(count int) *bwadmit.Queue {
 	que, err := bwadmit.New(bwadmit.Config{
 		Service:  bwmodel.Service{Name: "pisar-model", Class: bwmodel.Prompt, QueueLimit: 1000},
--- a/bench/bwcapacity/rows.go
+++ b/bench/bwcapacity/rows.go
@@ -62,10 +62,9 @@
 			Processor: cst.nanos(StatusTime, 0, followed*reportRate/2) + cst.nanos(ObserveTime, perChooser, followed*reportRate),
 		},
 		{
-			Role: routerRole, Item: "prefix cache events", Mechanism: "runs of events in the reports", Control: true,
-			Traffic:    followed * cst.cacheEventRate() * cst.slope(StatusBytes),
-			Processor:  time.Duration(followed * cst.cacheEventRate() * cst.slope(StatusTime) / 2),
-			Unmeasured: "prompts of 500 tokens in blocks of 16, each stored and evicted once",
+			Role: routerRole, Item: "prefix caches", Mechanism: "noted from own requests; events are read by routers that follow up to 64 upstreams", Control: true,
+			Processor:  cst.nanos(RememberTime, scl.PromptTokens/scl.BlockTokens, scl.RouterRequests()),
+			Unmeasured: "prompts of 500 tokens in blocks of 16",
 		},
 		{
 			Role: routerRole, Item: "comparison of upstreams", Mechanism: "medians four times a second", Control: true,
@@ -120,12 +119,6 @@
 			Traffic:   followers * reportRate * (cst.at(StatusBytes, 0) + frameBytes),
 			Processor: cst.nanos(StatusTime, 0, followers*reportRate/2),
 		},
-		{
-			Role: agentRole, Item: "prefix cache events", Mechanism: "runs of events in the reports", Control: true,
-			Traffic:    followers * cst.cacheEventRate() * cst.slope(StatusBytes),
-			Processor:  time.Duration(followers * cst.cacheEventRate() * cst.slope(StatusTime) / 2),
-			Unmeasured: "prompts of 500 tokens in blocks of 16, each stored and evicted once",
-		},
 		{
 			Role: agentRole, Item: "tokens to routers", Mechanism: "one stream for each generation", Messages: perEngine,
 			Traffic:   perEngine * (cst.at(GenerateBytes, 1) + frameBytes),
@@ -167,13 +160,5 @@
 // actionWrites are the transactions a second that the table has left for actions.
 const actionWrites = 250
 
-// cacheEventRate returns the cache events of one engine in a second: each
-// block of a prompt is stored once and evicted once.
-func (cst *costs) cacheEventRate() float64 {
-	scl := cst.scl
-	prompts := scl.RequestRate / float64(scl.Engines)
-	return 2 * prompts * scl.PromptTokens / scl.BlockTokens
-}
-
 // slope returns the cost of one more unit.
 func (cst *costs) slope(name string) float64 { return cst.at(name, 1) - cst.at(name, 0) }
--- a/core/bwroute/cache_test.go
+++ b/core/bwroute/cache_test.go
@@ -60,6 +60,26 @@
 	}
 }
 
+// Guards against a router without cache events that sends prompts which begin
+// alike to different engines.
+func TestRememberedPrefixAttractsRequests(t *testing.T) {
+	chs := newChooser(t, bwroute.LeastCost(), 3, 4)
+	chs.Remember("u1", []uint64{21, 22, 23})
+	chs.Remember("gone", []uint64{31})
+	req := request(1)
+	req.Prefix = []uint64{21, 22, 23, 24}
+	for range 5 {
+		chc, dec, err := chs.Choose(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		chc.Finish(bwroute.Outcome{Refused: true})
+		if dec.Chosen != "u1" || dec.Candidates[0].CachedBlocks != 3 {
+			t.Errorf("chose %s with %d cached blocks, want u1 with 3", dec.Chosen, dec.Candidates[0].CachedBlocks)
+		}
+	}
+}
+
 // Guards against a view that differs from the events that arrived in order:
 // every event lost, repeated or late may only be missing.
 func TestCacheViewFollowsDeliveredEvents(t *testing.T) {
--- a/core/bwroute/chooser.go
+++ b/core/bwroute/chooser.go
@@ -161,6 +161,20 @@
 	chs.freed.broadcast()
 }
 
+// Remember notes that an upstream has computed a prefix, for upstreams whose
+// cache events are not read. Only the control goroutine calls it.
+func (chs *Chooser) Remember(name bwmodel.UpstreamID, prefix []uint64) {
+	nd := chs.nodes[name]
+	if nd == nil {
+		return
+	}
+	for _, block := range prefix {
+		key := blockKey(block)
+		nd.cache.blocks.add(key)
+		chs.holders.add(key, nd.slot)
+	}
+}
+
 // Refresh renews the medians that upstreams are compared with. The control
 // goroutine calls it several times a second; Observe does so as well when the
 // last time is 100 ms ago.
--- a/io/bwagent/reporter.go
+++ b/io/bwagent/reporter.go
@@ -171,7 +171,7 @@
 	}
 	tick := time.NewTicker(rep.cfg.Interval)
 	defer tick.Stop()
-	sub := &subscriber{rep: rep}
+	sub := &subscriber{rep: rep, withoutCache: req.WithoutCache}
 	for {
 		view := rep.own.Snapshot()
 		if err := stm.Send(sub.event(view)); err != nil {
@@ -192,7 +192,8 @@
 	// told is the view of the last event; nil before the first.
 	told *ReporterView
 	// cached is the sequence number of the last cache event sent.
-	cached uint64
+	cached       uint64
+	withoutCache bool
 }
 
 // event returns what the subscriber has not been told yet.
@@ -211,15 +212,22 @@
 		}
 		event.Load = bwwire.NewLoadMessage(load)
 	}
-	fresh := after(view.cache, sub.cached)
-	if len(fresh) > 0 {
-		event.Cache = bwwire.NewCacheRuns(fresh)
-		sub.cached = fresh[len(fresh)-1].Sequence
+	if !sub.withoutCache {
+		event.Cache = sub.cacheRuns(view.cache)
 	}
 	sub.told = view
 	return event
 }
 
+func (sub *subscriber) cacheRuns(events []bwmodel.CacheEvent) []bwwire.CacheRun {
+	fresh := after(events, sub.cached)
+	if len(fresh) == 0 {
+		return nil
+	}
+	sub.cached = fresh[len(fresh)-1].Sequence
+	return bwwire.NewCacheRuns(fresh)
+}
+
 // after returns the events above a sequence number.
 func after(events []bwmodel.CacheEvent, sequence uint64) []bwmodel.CacheEvent {
 	for ix, event := range events {
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -52,6 +52,10 @@
 	defaultUpstreamsPerService = 32
 	// refreshInterval is how often upstreams are compared with their peers.
 	refreshInterval = 250 * time.Millisecond
+	// maxCacheStreams is the number of followed upstreams up to which their cache
+	// events are read. At peak an engine publishes about 290 events a second,
+	// 2.6 KB, so a router that follows 128 would spend its budget on them.
+	maxCacheStreams = 64
 )
 
 // ErrNoService says that no service of the name is in force.
@@ -89,12 +93,15 @@
 	services  map[bwmodel.ServiceID]*service
 	upstreams map[bwmodel.UpstreamID]followed
 	watches   *Watches
+	// withCache says that the reports carry the upstreams' cache events.
+	withCache bool
 }
 
 // servicesView is what traffic goroutines read.
 type servicesView struct {
 	services  map[bwmodel.ServiceID]*service
 	upstreams map[bwmodel.UpstreamID]followed
+	withCache bool
 }
 
 // NewServices returns a Services without any service.
@@ -212,15 +219,36 @@
 
 // Choose waits for an upstream and logs the decision.
 func (svs *Services) Choose(ctx context.Context, req bwroute.Request) (bwroute.Choice, error) {
-	svc := svs.own.Snapshot().services[req.Service]
+	view := svs.own.Snapshot()
+	svc := view.services[req.Service]
 	if svc == nil {
 		return bwroute.Choice{}, fmt.Errorf("service %q: %w", req.Service, ErrNoService)
 	}
 	choice, dec, err := svc.chooser.Wait(ctx, req)
 	svs.logChoice(ctx, req, dec)
+	if err == nil && !view.withCache && len(req.Prefix) > 0 {
+		choice.Finish = svs.remember(req, choice)
+	}
 	return choice, err
 }
 
+// remember returns a Finish that notes the prefix which the upstream has
+// computed, in place of the cache events that it does not report.
+func (svs *Services) remember(req bwroute.Request, choice bwroute.Choice) func(bwroute.Outcome) {
+	return func(out bwroute.Outcome) {
+		choice.Finish(out)
+		if out.FirstToken == 0 {
+			return
+		}
+		// A failed post means that the router is stopping.
+		_ = svs.own.Post(context.Background(), func(st *servicesState) {
+			if svc := st.services[req.Service]; svc != nil {
+				svc.chooser.Remember(choice.Upstream.Name, req.Prefix)
+			}
+		})
+	}
+}
+
 // Admit waits until the work may start.
 func (svs *Services) Admit(ctx context.Context, req bwadmit.Request) (bwadmit.Grant, error) {
 	svc := svs.own.Snapshot().services[req.Service]
@@ -414,11 +442,12 @@
 		next[up.Name] = fol
 	}
 	st.upstreams = next
-	st.watches.Set(ctx, ups)
+	st.withCache = len(ups) <= maxCacheStreams
+	st.watches.Set(ctx, ups, st.withCache)
 }
 
 func (st *servicesState) view() *servicesView {
-	return &servicesView{services: maps.Clone(st.services), upstreams: st.upstreams}
+	return &servicesView{services: maps.Clone(st.services), upstreams: st.upstreams, withCache: st.withCache}
 }
 
 // shareLimits gives each router an equal part of the teams' limits, at least one request.
--- a/io/bwrouter/watch.go
+++ b/io/bwrouter/watch.go
@@ -67,14 +67,15 @@
 }
 
 // Set opens streams to the upstreams that have none, and closes the streams to
-// those that are no longer listed or whose agent has moved.
-func (ws *Watches) Set(ctx context.Context, upstreams []bwmodel.Upstream) {
+// those that are no longer listed or whose agent has moved. Streams are opened
+// again when it changes whether they carry cache events.
+func (ws *Watches) Set(ctx context.Context, upstreams []bwmodel.Upstream, withCache bool) {
 	wanted := make(map[bwmodel.UpstreamID]bwmodel.Upstream, len(upstreams))
 	for _, ups := range upstreams {
 		wanted[ups.Name] = ups
 	}
 	for name, wtc := range ws.open {
-		if ups, ok := wanted[name]; !ok || ups.Agent != wtc.upstream.Agent {
+		if ups, ok := wanted[name]; !ok || ups.Agent != wtc.upstream.Agent || withCache != wtc.withCache {
 			wtc.cancel()
 			delete(ws.open, name)
 		}
@@ -84,7 +85,7 @@
 			continue
 		}
 		wctx, cancel := context.WithCancel(ctx)
-		wtc := &watch{cfg: ws.cfg, upstream: ups, cancel: cancel}
+		wtc := &watch{cfg: ws.cfg, upstream: ups, withCache: withCache, cancel: cancel}
 		ws.open[name] = wtc
 		go wtc.loop(wctx)
 	}
@@ -94,7 +95,9 @@
 type watch struct {
 	cfg      WatchesConfig
 	upstream bwmodel.Upstream
-	cancel   context.CancelFunc
+	// withCache asks for the upstream's cache events.
+	withCache bool
+	cancel    context.CancelFunc
 }
 
 func (wtc *watch) loop(ctx context.Context) {
@@ -127,7 +130,7 @@
 	if err != nil {
 		return false, err
 	}
-	req := &bwwire.StatusRequest{From: wtc.cfg.Self, StateNumber: wtc.cfg.StateNumber()}
+	req := &bwwire.StatusRequest{From: wtc.cfg.Self, StateNumber: wtc.cfg.StateNumber(), WithoutCache: !wtc.withCache}
 	if err := stm.Send(req); err != nil {
 		return false, err
 	}
--- a/io/bwwire/control.go
+++ b/io/bwwire/control.go
@@ -10,6 +10,8 @@
 type StatusRequest struct {
 	From        bwmodel.MemberID
 	StateNumber bwmodel.TicketNumber
+	// WithoutCache leaves cache events out of the reports.
+	WithoutCache bool
 }
 
 // OrderRequest tells an engine to load or unload a model or to change role.
