--- a/bench/bwbench/arrival.go
+++ b/bench/bwbench/arrival.go
@@ -37,6 +37,8 @@
 	// MinTokens and MaxTokens bound the output length, drawn uniformly.
 	MinTokens int
 	MaxTokens int
+	// Beginnings is the number of long texts that prompts begin with; 0 means none.
+	Beginnings int
 }
 
 // Arrival is one request of a plan.
--- a/bench/bwbench/catalog.go
+++ b/bench/bwbench/catalog.go
@@ -324,6 +324,32 @@
 	}
 }
 
+// Prompts of the experiment on cached prefixes: long beginnings that many share.
+const (
+	sharedBeginnings = 24
+	promptTokenTime  = 200 * time.Microsecond
+)
+
+func sharedPrefix(siz Size) Experiment {
+	stm := siz.generations(ShortGeneration, largeTeam, 0.4, shortMin, shortMax)
+	stm.Beginnings = sharedBeginnings
+	variant := func(policy string, route bwroute.Policy) Variant {
+		flt := siz.fleet()
+		flt.Route = route
+		flt.Engine.PromptTokenTime = promptTokenTime
+		return Variant{Policy: policy, Fleet: flt, Streams: []Stream{stm}, Length: siz.Length}
+	}
+	return Experiment{
+		Name: "SharedPrefix",
+		Goal: "prompts that begin alike go to engines that have computed the beginning",
+		Variants: []Variant{
+			variant(defaultPolicy, bwroute.LeastCost()),
+			variant(leastConnections, bwroute.LeastConnections()),
+			variant(roundRobin, bwroute.RoundRobin()),
+		},
+	}
+}
+
 func routerCost(siz Size) Experiment {
 	stm := siz.generations(ShortGeneration, largeTeam, 0.3, shortMin, shortMax)
 	through := Variant{Policy: "ThroughRouter", Fleet: siz.fleet(), Streams: []Stream{stm}, Length: siz.Length}
--- a/bench/bwbench/experiment.go
+++ b/bench/bwbench/experiment.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -284,10 +285,21 @@
 	return label
 }
 
+// beginning returns the long text that a prompt shares with others.
+func (stm Stream) beginning(ordinal int) string {
+	if stm.Beginnings == 0 {
+		return ""
+	}
+	const repeats = 40
+	// Fibonacci hashing, so that the order is unlike that of any policy.
+	text := (uint64(ordinal) * 0x9e3779b97f4a7c15 >> 32) % uint64(stm.Beginnings)
+	return strings.Repeat(fmt.Sprintf("Pravidlá dielne číslo %d. ", text), repeats)
+}
+
 func (jb *job) generate(ctx context.Context) {
 	ses := jb.ses
 	cal := ses.callers[jb.stm.Team]
-	prompt := fmt.Sprintf("Napíš venovanie číslo %d pre dom %s. ", jb.arr.Ordinal, jb.stm.Team)
+	prompt := jb.stm.beginning(jb.arr.Ordinal) + fmt.Sprintf("Napíš venovanie číslo %d pre dom %s. ", jb.arr.Ordinal, jb.stm.Team)
 	gen := bwcaller.Generation{Model: string(jb.stm.Service), Prompt: prompt, MaxTokens: jb.arr.Tokens, Class: jb.stm.Class}
 	due := ses.began.Add(jb.arr.At)
 	ans, err := cal.Generate(ctx, gen)
--- a/bench/bwbench/size.go
+++ b/bench/bwbench/size.go
@@ -55,6 +55,7 @@
 	{"SlowUpstream", slowUpstream},
 	{"TeamBurst", teamBurst},
 	{"ZoneLoss", zoneLoss},
+	{"SharedPrefix", sharedPrefix},
 	{"RouterCost", routerCost},
 }
 
