--- a/cmd/bilberrywick/main.go
+++ b/cmd/bilberrywick/main.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"bilberrywick/cmd/bwcommand"
 	"bilberrywick/cmd/bwlauncher"
@@ -16,14 +14,15 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	ctx, stop := bwlauncher.WithSignals(context.Background())
 	defer stop()
 	cfg := bwcommand.Config{
-		Version:  version,
-		Output:   os.Stdout,
-		Errors:   os.Stderr,
-		Getenv:   os.Getenv,
-		Commands: bwlauncher.Commands(bwlauncher.Config{Version: version, Logs: os.Stderr}),
+		Version:     version,
+		Output:      os.Stdout,
+		Errors:      os.Stderr,
+		Getenv:      os.Getenv,
+		CheckTicket: bwlauncher.CheckTicket,
+		Commands:    bwlauncher.Commands(bwlauncher.Config{Version: version, Logs: os.Stderr}),
 	}
 	return bwcommand.Run(ctx, cfg, os.Args[1:])
 }
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -20,7 +21,9 @@
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwprocess"
+	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwwire"
 )
 
 // Router is the router process: it serves callers, other routers and operators.
@@ -29,6 +32,7 @@
 	proc        *bwprocess.Process
 	services    *Services
 	records     *Records
+	duties      *Duties
 	generations *Generations
 	actions     *Actions
 	calls       *Calls
@@ -37,7 +41,6 @@
 	callers     *bwhttp.Server
 	operators   *bwhttp.Server
 	keys        keyIndex
-	stopping    stopFlag
 }
 
 // Config configures a Router.
@@ -53,8 +56,13 @@
 	Hedge func(bwretry.Latencies) (time.Duration, bool)
 	// NoResume ends a generation whose engine fails, as a baseline.
 	NoResume bool
+	// Duties are the times of control duties; the zero values are the defaults.
+	Duties DutyTiming
 	// Resumed is told of each resumed generation; may be nil.
 	Resumed func(cause string, took time.Duration, recomputed int)
+	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
+	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -65,16 +73,13 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	set := cfg.Settings
 	proc, err := bwprocess.New(bwprocess.Config{
 		Role:      bwmodel.RouterRole,
-		Identity:  set.Identity,
-		Peers:     set.Peers,
-		SeedPeers: set.SeedPeers,
-		Platform:  set.Platform,
-		Log:       set.Log,
+		Settings:  cfg.Settings.Common(),
 		Version:   cfg.Version,
 		LogOutput: cfg.LogOutput,
+		Dial:      cfg.Dial,
+		Listen:    cfg.Listen,
 		Now:       cfg.Now,
 	})
 	if err != nil {
@@ -123,22 +128,16 @@
 }
 
 // Ready returns why the router takes no new work, and nil when it does.
-func (rtr *Router) Ready() error {
-	if rtr.stopping.isSet() {
-		return errStopping
-	}
-	if !rtr.proc.Fleet.Snapshot().Ready {
-		return errNotCurrent
-	}
-	return nil
-}
+func (rtr *Router) Ready() error { return rtr.proc.Ready() }
+
+// StopRequested is closed when an operator has asked the router to end.
+func (rtr *Router) StopRequested() <-chan struct{} { return rtr.proc.StopRequested() }
 
 // Stop takes no new work, lets the work in progress end within the drain time
 // and then ends the router. Generations that are open shortly before the drain
 // time is over are handed over to other routers.
 func (rtr *Router) Stop(ctx context.Context) error {
-	rtr.stopping.set(rtr.cfg.Now())
-	rtr.proc.Metrics.Draining.Set(1)
+	rtr.proc.BeginStop()
 	drain, cancel := context.WithTimeout(ctx, rtr.cfg.Settings.DrainTime)
 	defer cancel()
 	patience := time.AfterFunc(rtr.cfg.Settings.DrainTime-handOverTime(rtr.cfg.Settings.DrainTime), rtr.generations.HandOver)
@@ -162,11 +161,6 @@
 	return errors.Join(rtr.callers.Close(), rtr.proc.Stop(), rtr.operators.Close())
 }
 
-var (
-	errStopping   = errors.New("the router is stopping")
-	errNotCurrent = errors.New("neither the store nor a peer has confirmed the state within 3 s")
-)
-
 // listen opens the listeners for callers and operators.
 func (rtr *Router) listen() error {
 	set := rtr.cfg.Settings
@@ -181,12 +175,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
 	}
-	rtr.operators, err = rtr.proc.Listen(bwprocess.Listener{
-		Address: set.Operators.Address,
-		TLS:     set.Operators.TLS,
-		Bounds:  set.Operators.Bounds,
-		Handler: rtr.operatorHandler(),
-	})
+	rtr.operators, err = rtr.proc.ListenOperators(rtr.administration())
 	if err != nil {
 		return errors.Join(fmt.Errorf("listen for operators: %w", err), rtr.callers.Close())
 	}
@@ -209,13 +198,30 @@
 	})
 	rtr.records = NewRecords(RecordsConfig{Client: rtr.proc.Client, Now: rtr.cfg.Now, Log: rtr.proc.Log})
 	rtr.records.Register(rtr.proc.Server)
+	rtr.duties = NewDuties(DutiesConfig{
+		Self:       rtr.proc.Self,
+		Snapshot:   rtr.proc.Fleet.Snapshot,
+		Services:   rtr.services,
+		Table:      rtr.proc.Store.Table,
+		Order:      caller[bwwire.OrderRequest, bwwire.OrderResponse](rtr.proc.Client, bwwire.AgentOrder),
+		Report:     caller[bwwire.DemandReport, bwwire.DemandResponse](rtr.proc.Client, bwwire.PeerDemand),
+		Timing:     rtr.cfg.Duties,
+		WeightRate: float64(rtr.cfg.Settings.Placement.WeightBytesPerSecond),
+		Now:        rtr.cfg.Now,
+		Log:        rtr.proc.Log,
+	})
+	bwrpc.HandleUnary(rtr.proc.Server, bwwire.PeerDemand, rtr.duties.Demand)
 	return rtr.buildTraffic()
 }
 
 // heardAgent takes the evidence that an agent's report carries.
 func (rtr *Router) heardAgent(rep Report) {
-	rtr.proc.Fleet.Hear(rep.Event.Member)
-	rtr.proc.Fleet.Learn(rep.Event.StateNumber, rep.Upstream.Agent)
+	mem := rep.Member
+	// An agent whose upstream a ticket drains may return, while a member that is
+	// leaving never does; it says so itself in an exchange.
+	mem.Leaving = false
+	rtr.proc.Fleet.Hear(mem, rep.StateNumber)
+	rtr.proc.Fleet.Learn(rep.StateNumber, rep.Upstream.Agent)
 }
 
 // holder returns the router that holds a request's copy.
@@ -281,10 +287,12 @@
 		objects.Upstreams = append(objects.Upstreams, ent.Object)
 	}
 	rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
-	rtr.proc.Metrics.TicketNumber.Set(float64(snap.State.Number()))
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
 	}
+	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
+		rtr.proc.Log.Error("starting control duties failed", "Error", err)
+	}
 }
 
 func newRequestID() bwmodel.RequestID {
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -63,7 +63,9 @@
 	chooser *bwroute.Chooser
 	queue   *bwadmit.Queue
 	hedge   *bwretry.Hedge
-	cancel  context.CancelFunc
+	// demand counts what is asked of each model in the service's list.
+	demand map[string]*modelDemand
+	cancel context.CancelFunc
 }
 
 // followed is one upstream with the last reading of its agent's clock.
@@ -72,11 +74,14 @@
 	reading  *atomic.Pointer[clockReading]
 }
 
-// clockReading is an agent's clock as its report carried it.
+// clockReading is an agent's clock as its report carried it, with the engine's
+// load and whether the agent is leaving.
 type clockReading struct {
 	incarnation bwmodel.Incarnation
 	clock       time.Duration
 	arrived     time.Time
+	load        bwmodel.LoadReport
+	leaving     bool
 }
 
 // servicesState is changed by the control goroutine only.
@@ -191,6 +196,20 @@
 	return names
 }
 
+// Views returns what is known of each followed upstream.
+func (svs *Services) Views() map[bwmodel.UpstreamID]bwroute.View {
+	views := make(map[bwmodel.UpstreamID]bwroute.View)
+	for _, svc := range svs.own.Snapshot().services {
+		for _, vw := range svc.chooser.Views() {
+			views[vw.Upstream.Name] = vw
+		}
+	}
+	return views
+}
+
+// InProgress returns the number of this router's requests at an upstream.
+func (svs *Services) InProgress(name bwmodel.UpstreamID) int { return svs.Views()[name].InFlight }
+
 // Choose waits for an upstream and logs the decision.
 func (svs *Services) Choose(ctx context.Context, req bwroute.Request) (bwroute.Choice, error) {
 	svc := svs.own.Snapshot().services[req.Service]
@@ -287,7 +306,9 @@
 		// A copy, since traffic goroutines read the published one.
 		next := *svc
 		next.spec = spec
+		next.demand = newDemand(spec, next.demand)
 		st.services[spec.Name] = &next
+		next.chooser.SetRouters(objects.Routers)
 		next.chooser.Update(ups)
 		next.queue.Update(spec, teams)
 		follow = append(follow, ups...)
@@ -312,6 +333,7 @@
 		Now:      svs.cfg.Now,
 		Policy:   svs.cfg.Order,
 		Capacity: func() int { total, _ := chooser.Capacity(); return total },
+		Share:    chooser.Share,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("queue of service %q: %w", spec.Name, err)
@@ -347,19 +369,20 @@
 	if !ok || svc == nil {
 		return
 	}
-	event := rep.Event
 	fol.reading.Store(&clockReading{
-		incarnation: event.Member.Incarnation,
-		clock:       event.Clock,
+		incarnation: rep.Member.Incarnation,
+		clock:       rep.Clock,
 		arrived:     rep.Arrived,
+		load:        rep.Load,
+		leaving:     rep.Member.Leaving,
 	})
 	svc.chooser.Observe(bwroute.Status{
 		Upstream:    rep.Upstream.Name,
-		Incarnation: event.Member.Incarnation,
+		Incarnation: rep.Member.Incarnation,
 		Connected:   true,
-		Leaving:     event.Member.Leaving,
-		Load:        event.Load,
-		Cache:       event.Cache,
+		Leaving:     rep.Member.Leaving,
+		Load:        rep.Load,
+		Cache:       rep.Cache,
 	})
 }
 
