--- a/cmd/bwcommand/check.go
+++ b/cmd/bwcommand/check.go
@@ -28,8 +28,9 @@
 		Long: "Report every fault of a settings file or a ticket. The kind of the file follows from its\n" +
 			"fields (Callers: router, Upstream: agent, Number: ticket) unless --kind names it.\n" +
 			"A ticket is checked as the first one, unless --state gives the state that it would follow.",
-		Example: "  bilberrywick check router.json\n  bilberrywick check --kind agent agent.json --output json\n" + stateExample,
-		Args:    exactArgs("FILE"),
+		Example:           "  bilberrywick check router.json\n  bilberrywick check --kind agent agent.json --output json\n" + stateExample,
+		Args:              exactArgs("FILE"),
+		ValidArgsFunction: completeJSONFile,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return cfg.validate(cmd.OutOrStdout(), pr, args[0], chk)
 		},
@@ -55,6 +56,7 @@
 func (chk *checkFlags) addStateFlag(cmd *cobra.Command) {
 	const usage = "file with the state that a ticket would follow, as ticket show --output json prints it; the empty state when not set"
 	cmd.Flags().StringVar(&chk.state, "state", "", usage)
+	completeFlag(cmd, "state", "json")
 }
 
 // stateDocument returns the state to check against, or nil for the empty one.
--- a/cmd/bwcommand/command_test.go
+++ b/cmd/bwcommand/command_test.go
@@ -17,6 +17,9 @@
 	"bilberrywick/io/bwwire"
 )
 
+const liveState = "Live"
+
+// startAPI serves a fleet whose second router is live only where apply is set.
 func startAPI(t *testing.T, apply error) string {
 	t.Helper()
 	srv := httptest.NewServer(bwadmin.NewHandler(bwadmin.Config{
@@ -39,12 +42,17 @@
 			return &bwwire.StateDocument{Number: 7, Teams: []bwwire.TeamEntry{{SetBy: 3}}}, nil
 		},
 		Members: func(context.Context, *struct{}) (*bwadmin.MemberList, error) {
-			list := []bwadmin.MemberStatus{{ID: "r1", Role: "Router", Zone: "brezno", State: "Live", StateNumber: 7}, {ID: "r2", Role: "Router", Zone: "brezno", State: "Suspect", StateNumber: 6}}
+			second := "Suspect"
+			if apply != nil {
+				second = liveState
+			}
+			list := []bwadmin.MemberStatus{{ID: "r1", Role: "Router", Zone: "brezno", State: "Live", StateNumber: 7}, {ID: "r2", Role: "Router", Zone: "brezno", State: second, StateNumber: 6}}
 			return &bwadmin.MemberList{Self: "r1", Head: 7, Members: list}, nil
 		},
 		Upstreams: func(context.Context, *struct{}) (*bwadmin.UpstreamList, error) {
 			return &bwadmin.UpstreamList{Upstreams: []bwadmin.UpstreamStatus{{Name: "pisar-1", Service: "pisar-model", Health: "Slow", Reason: "4 times the median", Slots: 16}}}, nil
 		},
+		Ready:  func() error { return nil },
 		Drains: func(context.Context, *struct{}) (*bwadmin.DrainList, error) { return &bwadmin.DrainList{}, nil },
 	}))
 	t.Cleanup(srv.Close)
@@ -136,6 +144,34 @@
 	}
 }
 
+// Guards against a status that hides a process without an answer, or that shows
+// the view of one process where several differ.
+func TestStatusOfSeveralProcesses(t *testing.T) {
+	one, two := startAPI(t, nil), startAPI(t, bwadmin.ErrUnknown)
+	code, out := run(t, "status", "--address", one+","+two+",127.0.0.1:1")
+	if code != bwcommand.ExitUnreachable {
+		t.Errorf("exit code %d, want %d", code, bwcommand.ExitUnreachable)
+	}
+	for _, want := range []string{"Ticket 7 in force", "127.0.0.1:1", "No answer", "1 Live, 1 Suspect", "Live at 1, Suspect at 1", "1 Slow"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("output lacks %q:\n%s", want, out)
+		}
+	}
+}
+
+// Guards against completions that offer nothing.
+func TestCompletion(t *testing.T) {
+	if code, out := run(t, "completion", "bash"); code != bwcommand.ExitOK || !strings.Contains(out, "bilberrywick") {
+		t.Errorf("exit code %d, script of %d bytes", code, len(out))
+	}
+	if _, out := run(t, "__complete", "ticket", "apply", ""); !strings.HasPrefix(out, "json\n") {
+		t.Errorf("ticket apply completes %q, want JSON files", out)
+	}
+	if _, out := run(t, "__complete", "status", "--output", ""); !strings.HasPrefix(out, "text\njson\n") {
+		t.Errorf("--output completes %q", out)
+	}
+}
+
 // Guards against commands without help, an example or --output.
 func TestHelp(t *testing.T) {
 	for _, cmd := range allCommands(bwcommand.New(bwcommand.Config{})) {
--- a/cmd/bwcommand/connection.go
+++ b/cmd/bwcommand/connection.go
@@ -23,28 +23,60 @@
 
 // connection says how to reach the administration API of a process.
 type connection struct {
-	cfg       *Config
-	address   string
+	cfg     *Config
+	address string
+	// addresses replaces address for a command that asks several processes.
+	addresses []string
 	keyFile   string
 	authority string
 	name      string
 	timeout   time.Duration
 }
 
+const defaultAddress = "127.0.0.1:7002"
+
 func (cn *connection) addFlags(cmd *cobra.Command) {
+	cmd.Flags().StringVar(&cn.address, "address", defaultAddress, "address and port of a process's operators' listener")
+	cn.addCommonFlags(cmd)
+}
+
+// addListFlags takes several addresses.
+func (cn *connection) addListFlags(cmd *cobra.Command) {
+	const usage = "addresses and ports of processes' operators' listeners, separated by commas"
+	cmd.Flags().StringSliceVar(&cn.addresses, "address", []string{defaultAddress}, usage)
+	cn.addCommonFlags(cmd)
+}
+
+func (cn *connection) addCommonFlags(cmd *cobra.Command) {
 	flags := cmd.Flags()
-	flags.StringVar(&cn.address, "address", "127.0.0.1:7002", "address and port of a process's operators' listener")
 	flags.StringVar(&cn.keyFile, "key-file", "", "file with the operator's key; "+keyVariable+" when not set")
 	flags.StringVar(&cn.authority, "authority-file", "", "PEM file of the authority that signed the server's certificate; turns TLS on")
 	flags.StringVar(&cn.name, "server-name", "bilberrywick", "name in the server's certificate")
 	flags.DurationVar(&cn.timeout, "timeout", 10*time.Second, "longest wait for the answer")
+	completeFlag(cmd, "key-file")
+	completeFlag(cmd, "authority-file", "pem")
 }
 
 // client returns a client, or a *UsageError, or the error of reading a file.
-func (cn *connection) client() (*bwadmin.Client, error) {
-	addr, err := netip.ParseAddrPort(cn.address)
+func (cn *connection) client() (*bwadmin.Client, error) { return cn.clientOf(cn.address) }
+
+// clients returns a client for each address.
+func (cn *connection) clients() ([]*bwadmin.Client, error) {
+	cls := make([]*bwadmin.Client, 0, len(cn.addresses))
+	for _, txt := range cn.addresses {
+		cl, err := cn.clientOf(txt)
+		if err != nil {
+			return nil, err
+		}
+		cls = append(cls, cl)
+	}
+	return cls, nil
+}
+
+func (cn *connection) clientOf(address string) (*bwadmin.Client, error) {
+	addr, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return nil, &UsageError{Err: fmt.Errorf("--address %q: want an address and port such as 192.0.2.1:7002", cn.address)}
+		return nil, &UsageError{Err: fmt.Errorf("--address %q: want an address and port such as 192.0.2.1:7002", address)}
 	}
 	key, err := cn.key()
 	if err != nil {
--- a/cmd/bwcommand/status.go
+++ b/cmd/bwcommand/status.go
@@ -1,171 +1,136 @@
 package bwcommand
 
 import (
-	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"io"
-	"slices"
-	"strconv"
-	"strings"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwadmin"
 )
 
-// fleetStatus is what status prints.
-type fleetStatus struct {
-	Members   *bwadmin.MemberList
-	Upstreams *bwadmin.UpstreamList
-	Drains    *bwadmin.DrainList
+// fleetStatus is what status prints: each process's own view.
+type fleetStatus struct{ Processes []processStatus }
+
+// processStatus is the answer of one process.
+type processStatus struct {
+	Address string
+	// Error says why the process did not answer; the rest is then absent.
+	Error     string `json:",omitempty"`
+	Ready     bool
+	Reason    string                `json:",omitempty"`
+	Members   *bwadmin.MemberList   `json:",omitempty"`
+	Upstreams *bwadmin.UpstreamList `json:",omitempty"`
+	Drains    *bwadmin.DrainList    `json:",omitempty"`
+
+	err error
+}
+
+// statusCommand is the state of one run of status.
+type statusCommand struct {
+	cn    *connection
+	pr    *printer
+	watch time.Duration
+	out   io.Writer
 }
 
 func newStatusCommand(cfg *Config) *cobra.Command {
-	cn, pr := &connection{cfg: cfg}, &printer{}
+	stc := &statusCommand{cn: &connection{cfg: cfg}, pr: &printer{}}
 	cmd := &cobra.Command{
-		Use:     "status",
-		Short:   "Show the fleet at a glance, as one process sees it",
-		Example: "  bilberrywick status --address 127.0.0.1:7002",
-		Args:    exactArgs(),
+		Use:   "status",
+		Short: "Show the fleet at a glance, as one or several processes see it",
+		Long: "Show the fleet at a glance, as one or several processes see it. With several addresses the\n" +
+			"views are joined, and differences between them are listed. The exit code is 5 when one of\n" +
+			"the processes does not answer.",
+		Example: "  bilberrywick status --address 127.0.0.1:7002\n" +
+			"  bilberrywick status --address 192.0.2.10:7002,192.0.2.11:7002 --watch 2s",
+		Args: exactArgs(),
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if err := pr.check(); err != nil {
-				return err
-			}
-			cl, err := cn.client()
-			if err != nil {
-				return err
-			}
-			defer cl.Close()
-			sts, err := readStatus(cmd.Context(), cl)
-			if err != nil {
-				return classify(err)
-			}
-			return pr.print(cmd.OutOrStdout(), sts, sts.write)
+			stc.out = cmd.OutOrStdout()
+			return stc.show(cmd.Context())
 		},
 	}
-	cn.addFlags(cmd)
-	pr.addFlags(cmd)
+	stc.cn.addListFlags(cmd)
+	stc.pr.addFlags(cmd)
+	cmd.Flags().DurationVar(&stc.watch, "watch", 0, "show the status again after each such time, until interrupted")
 	return cmd
 }
 
-func readStatus(ctx context.Context, cl *bwadmin.Client) (*fleetStatus, error) {
-	sts := &fleetStatus{}
-	var err error
-	if sts.Members, err = cl.Members(ctx); err != nil {
-		return nil, err
+func (stc *statusCommand) show(ctx context.Context) error {
+	if err := stc.pr.check(); err != nil {
+		return err
 	}
-	if sts.Upstreams, err = cl.Upstreams(ctx); err != nil {
-		return nil, err
+	cls, err := stc.cn.clients()
+	if err != nil {
+		return err
 	}
-	sts.Drains, err = cl.Drains(ctx)
-	return sts, err
-}
-
-func (sts *fleetStatus) write(out io.Writer) {
-	mbs := sts.Members
-	writeLine(out, "Ticket %d in force at %s", mbs.Head, mbs.Self)
-	sts.writeMembers(out)
-	sts.writeServices(out)
-	sts.writeTroubles(out)
-}
-
-// zoneRole groups members for one line.
-type zoneRole struct {
-	zone bwmodel.ZoneID
-	role string
-}
-
-func (sts *fleetStatus) writeMembers(out io.Writer) {
-	counts := make(map[zoneRole]map[string]int)
-	for _, mbr := range sts.Members.Members {
-		key := zoneRole{mbr.Zone, mbr.Role}
-		if counts[key] == nil {
-			counts[key] = make(map[string]int)
-		}
-		counts[key][mbr.State]++
+	for _, cl := range cls {
+		defer cl.Close()
 	}
-	keys := make([]zoneRole, 0, len(counts))
-	for key := range counts {
-		keys = append(keys, key)
+	if stc.watch <= 0 {
+		return stc.showOnce(ctx, cls)
 	}
-	slices.SortFunc(keys, compareZoneRoles)
-	writeLine(out, "\nZONE\tROLE\tMEMBERS")
-	for _, key := range keys {
-		writeLine(out, "%s\t%s\t%s", key.zone, key.role, countsText(counts[key]))
-	}
-}
-
-func compareZoneRoles(one, two zoneRole) int {
-	return cmp.Or(cmp.Compare(one.zone, two.zone), cmp.Compare(one.role, two.role))
-}
-
-// serviceSum adds up the upstreams of one service.
-type serviceSum struct {
-	health                  map[string]int
-	running, waiting, slots int
-}
-
-func (sts *fleetStatus) writeServices(out io.Writer) {
-	sums := make(map[bwmodel.ServiceID]*serviceSum)
-	var names []bwmodel.ServiceID
-	for _, ups := range sts.Upstreams.Upstreams {
-		sum := sums[ups.Service]
-		if sum == nil {
-			sum = &serviceSum{health: make(map[string]int)}
-			sums[ups.Service] = sum
-			names = append(names, ups.Service)
+	tick := time.NewTicker(stc.watch)
+	defer tick.Stop()
+	for {
+		if stc.pr.form == textOutput {
+			// Clears the terminal and moves to its first line.
+			_, _ = io.WriteString(stc.out, "\x1b[2J\x1b[H")
+		}
+		// A process that does not answer shows in the table.
+		if err := stc.showOnce(ctx, cls); err != nil && !isUnreachable(err) {
+			return err
+		}
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
 		}
-		sum.health[ups.Health]++
-		sum.running += ups.Running
-		sum.waiting += ups.Waiting
-		sum.slots += ups.Slots
-	}
-	slices.Sort(names)
-	writeLine(out, "\nSERVICE\tUPSTREAMS\tRUNNING/SLOTS\tWAITING")
-	for _, name := range names {
-		sum := sums[name]
-		writeLine(out, "%s\t%s\t%d/%d\t%d", name, countsText(sum.health), sum.running, sum.slots, sum.waiting)
 	}
 }
 
-// writeTroubles lists everything that is not live or healthy, or that drains.
-func (sts *fleetStatus) writeTroubles(out io.Writer) {
-	writeLine(out, "\nNEEDS ATTENTION\tSTATE\tDETAIL")
-	none := true
-	for _, mbr := range sts.Members.Members {
-		if mbr.State != "Live" || mbr.StateNumber < sts.Members.Head {
-			none = false
-			writeLine(out, "%s\t%s\tticket %d, heard %v ago", mbr.ID, mbr.State, mbr.StateNumber, time.Duration(mbr.Age))
-		}
-	}
-	for _, ups := range sts.Upstreams.Upstreams {
-		if ups.Health != "Healthy" {
-			none = false
-			writeLine(out, "%s\t%s\t%s", ups.Name, ups.Health, ups.Reason)
+func (stc *statusCommand) showOnce(ctx context.Context, cls []*bwadmin.Client) error {
+	sts := &fleetStatus{}
+	var failed error
+	for ix, cl := range cls {
+		pst := readStatus(ctx, cl)
+		pst.Address = stc.cn.addresses[ix]
+		if pst.err != nil {
+			failed = errors.Join(failed, fmt.Errorf("%s: %w", pst.Address, pst.err))
 		}
+		sts.Processes = append(sts.Processes, pst)
 	}
-	for _, drn := range sts.Drains.Drains {
-		none = false
-		writeLine(out, "%s\tDraining\t%s, %d requests remain", drn.Name, drn.Cause, drn.Remaining)
+	if len(cls) == 1 && failed != nil {
+		return classify(sts.Processes[0].err)
 	}
-	if none {
-		writeLine(out, "(nothing)\t\t")
+	if err := stc.pr.print(stc.out, sts, sts.write); err != nil {
+		return err
 	}
+	return classify(failed)
 }
 
-// countsText returns "3 Live, 1 Suspect", the most frequent state first.
-func countsText(counts map[string]int) string {
-	names := make([]string, 0, len(counts))
-	for name := range counts {
-		names = append(names, name)
+func isUnreachable(err error) bool { return ExitCode(err) == ExitUnreachable }
+
+func readStatus(ctx context.Context, cl *bwadmin.Client) processStatus {
+	var pst processStatus
+	if pst.Members, pst.err = cl.Members(ctx); pst.err == nil {
+		pst.Upstreams, pst.err = cl.Upstreams(ctx)
+	}
+	if pst.err == nil {
+		pst.Drains, pst.err = cl.Drains(ctx)
+	}
+	if pst.err == nil {
+		var rdy *bwadmin.ReadyStatus
+		rdy, pst.err = cl.Ready(ctx)
+		if rdy != nil {
+			pst.Ready, pst.Reason = rdy.Ready, rdy.Reason
+		}
 	}
-	slices.SortFunc(names, func(one, two string) int {
-		return cmp.Or(cmp.Compare(counts[two], counts[one]), cmp.Compare(one, two))
-	})
-	for ix, name := range names {
-		names[ix] = strconv.Itoa(counts[name]) + " " + name
+	if pst.err != nil {
+		return processStatus{Error: pst.err.Error(), err: pst.err}
 	}
-	return strings.Join(names, ", ")
+	return pst
 }
--- a/cmd/bwcommand/ticket.go
+++ b/cmd/bwcommand/ticket.go
@@ -42,8 +42,9 @@
 		Short: "Report every fault of a ticket without a connection",
 		Long: "Report every fault of a ticket without a connection. The ticket is checked as the first\n" +
 			"one, unless --state gives the state that it would follow.",
-		Example: "  bilberrywick ticket validate change.json\n  bilberrywick ticket validate change.json --state state.json",
-		Args:    exactArgs("FILE"),
+		Example:           "  bilberrywick ticket validate change.json\n  bilberrywick ticket validate change.json --state state.json",
+		Args:              exactArgs("FILE"),
+		ValidArgsFunction: completeJSONFile,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			return cfg.validate(cmd.OutOrStdout(), pr, args[0], chk)
 		},
@@ -60,8 +61,9 @@
 		Short: "Submit a ticket and wait for the decision",
 		Long: "Submit a ticket and wait for the decision. A ticket that was accepted before gets\n" +
 			"the same answer, so after an unknown outcome (exit code 6) run the command again.",
-		Example: "  bilberrywick ticket apply change.json --dry-run\n  bilberrywick ticket apply change.json --output json",
-		Args:    exactArgs("FILE"),
+		Example:           "  bilberrywick ticket apply change.json --dry-run\n  bilberrywick ticket apply change.json --output json",
+		Args:              exactArgs("FILE"),
+		ValidArgsFunction: completeJSONFile,
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if err := pr.check(); err != nil {
 				return err
--- a/cmd/bwlauncher/process.go
+++ b/cmd/bwlauncher/process.go
@@ -77,7 +77,7 @@
 
 func addSettingsFlag(cmd *cobra.Command, path *string) {
 	cmd.Flags().StringVar(path, "settings", "", "settings file (JSON); check it with bilberrywick check")
-	if err := cmd.MarkFlagRequired("settings"); err != nil {
+	if err := errors.Join(cmd.MarkFlagRequired("settings"), cmd.MarkFlagFilename("settings", "json")); err != nil {
 		panic(fmt.Sprintf("flag of %s: %v", cmd.Name(), err))
 	}
 }
--- /dev/null
+++ b/cmd/bwlauncher/signal_test.go
@@ -0,0 +1,31 @@
+package bwlauncher_test
+
+import (
+	"context"
+	"os"
+	"syscall"
+	"testing"
+
+	"bilberrywick/cmd/bwlauncher"
+)
+
+// Guards against a process that can't be ended while it drains, and against one
+// that ends at the first signal.
+func TestSecondSignalExits(t *testing.T) {
+	ctx, end := context.WithCancel(t.Context())
+	defer end()
+	incoming, exits := make(chan os.Signal), make(chan int, 1)
+	sgs := &bwlauncher.Signals{Incoming: incoming, Exit: func(code int) { exits <- code }, End: end}
+	sgs.Start()
+	incoming <- syscall.SIGTERM
+	<-ctx.Done()
+	select {
+	case code := <-exits:
+		t.Errorf("the first signal exits with code %d", code)
+	default:
+	}
+	incoming <- syscall.SIGTERM
+	if code := <-exits; code != 130 {
+		t.Errorf("exit code %d, want 130", code)
+	}
+}
--- a/io/bwadmin/client.go
+++ b/io/bwadmin/client.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"net/url"
 	"strconv"
 
@@ -99,6 +100,20 @@
 	return get[ActionStatus](ctx, cl, ActionsPath, url.Values{"Team": {string(req.Team)}, "Key": {req.Key}})
 }
 
+// ReadyStatus says whether a process takes new work, and why not.
+type ReadyStatus = bwhttp.ReadyResponse
+
+// Ready reports whether the process takes new work; a process that does not is
+// no error.
+func (cl *Client) Ready(ctx context.Context) (*ReadyStatus, error) {
+	rdy, err := bwhttp.Get[ReadyStatus](ctx, cl.http, ReadyPath, nil)
+	var sts *bwhttp.StatusError
+	if errors.As(err, &sts) && sts.Status == http.StatusServiceUnavailable {
+		return bwhttp.DecodeJSON[ReadyStatus](sts.Body)
+	}
+	return rdy, translate(err)
+}
+
 // Version describes the program of the process.
 func (cl *Client) Version(ctx context.Context) (*VersionResponse, error) {
 	return get[VersionResponse](ctx, cl, VersionPath, nil)
