--- a/core/bwroute/chooser.go
+++ b/core/bwroute/chooser.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -21,10 +22,13 @@
 	turn    atomic.Uint64
 	freed   signal
 	holders *holderIndex
+	// selections holds the memory of ended choices.
+	selections sync.Pool
 	// meanTokens is the smoothed expected work of a request.
 	meanTokens number
 
 	// The rest belongs to the control goroutine.
+	routers   int
 	nodes     map[bwmodel.UpstreamID]*node
 	ordered   []*node
 	slots     slotTable
@@ -96,13 +100,19 @@
 	}
 	chs := &Chooser{
 		cfg: cfg, begin: cfg.Now(), nodes: map[bwmodel.UpstreamID]*node{},
-		holders: newHolderIndex(cfg.CacheBlocks),
+		holders: newHolderIndex(cfg.CacheBlocks), routers: 1,
 	}
 	chs.freed.reset()
-	chs.current.Store(&snapshot{})
+	chs.current.Store(&snapshot{routers: 1})
 	return chs, nil
 }
 
+// SetRouters sets the number of routers that share the slots of the upstreams,
+// in force from the next Update; below 1 means 1. Without it, routers that each
+// fill all slots queue work in the upstreams, out of the reach of admission.
+// Only the control goroutine calls it.
+func (chs *Chooser) SetRouters(count int) { chs.routers = max(1, count) }
+
 // Update replaces the upstreams of the service; work in flight on those that
 // remain stays counted. Only the control goroutine calls it.
 func (chs *Chooser) Update(ups []bwmodel.Upstream) {
@@ -112,7 +122,7 @@
 			continue
 		}
 		if old := chs.nodes[up.Name]; old != nil {
-			nodes[up.Name] = old.with(up)
+			nodes[up.Name] = old.with(up, chs.highest(up))
 		} else {
 			nodes[up.Name] = chs.newNode(up)
 		}
@@ -160,28 +170,28 @@
 // choice's Finish. It returns a *NoFreeError when every usable upstream is at
 // its limit and a *NoUpstreamError when none is usable.
 func (chs *Chooser) Choose(req Request) (Choice, Decision, error) {
-	sel := selection{
-		chs: chs, req: &req, now: chs.cfg.Now(), turn: chs.turn.Add(1), snap: chs.current.Load(),
-	}
+	sel := chs.selection(&req)
+	defer sel.end()
 	sel.collect()
 	if nd := sel.takeProbe(); nd != nil {
 		chc := chs.choice(&lease{nd: nd, tokens: req.Tokens, probe: true, claimed: true})
 		return chc, sel.decision(nd, ReasonProbe), nil
 	}
 	reason := ReasonPolicy
+	cands := sel.cands
 	if sel.slow == sel.seen {
-		sel.cands, reason = sel.suspended, ReasonAllSlow
+		cands, reason = sel.suspended, ReasonAllSlow
 	}
-	sel.record()
-	for len(sel.cands) > 0 {
-		idx := chs.cfg.Policy.Pick(sel.cands, sel.turn)
-		nd := sel.cands[idx].node
+	sel.record(cands)
+	for len(cands) > 0 {
+		idx := chs.cfg.Policy.Pick(cands, sel.turn)
+		nd := cands[idx].node
 		if nd.work.acquire(req.Tokens, sel.limit(nd)) {
 			chc := chs.choice(&lease{nd: nd, tokens: req.Tokens, probe: reason == ReasonAllSlow})
 			return chc, sel.decision(nd, reason), nil
 		}
 		sel.busy++
-		sel.cands = slices.Delete(sel.cands, idx, idx+1)
+		cands = slices.Delete(cands, idx, idx+1)
 	}
 	return Choice{}, sel.decision(nil, sel.failureReason()), sel.failure()
 }
@@ -231,6 +241,18 @@
 	return total, free
 }
 
+// Share returns this router's part of the slots of the usable upstreams, and the
+// number of routers that share them.
+func (chs *Chooser) Share() (slots float64, routers int) {
+	snap := chs.current.Load()
+	for _, nd := range snap.nodes {
+		if nd.usable() && !chs.suspended(nd) {
+			slots += float64(chs.maxLimit(nd.up)) / float64(snap.routers)
+		}
+	}
+	return slots, snap.routers
+}
+
 func (chs *Chooser) limit(nd *node) int {
 	if chs.cfg.Policy.Plain {
 		return chs.maxLimit(nd.up)
@@ -238,6 +260,12 @@
 	return nd.work.limit.now()
 }
 
+// highest returns the most requests that this router may have in flight to an
+// upstream: its part of the slots, rounded up.
+func (chs *Chooser) highest(up bwmodel.Upstream) int {
+	return (chs.maxLimit(up) + chs.routers - 1) / chs.routers
+}
+
 func (chs *Chooser) suspended(nd *node) bool {
 	return !chs.cfg.Policy.Plain && nd.work.health.suspended.Load()
 }
@@ -254,16 +282,19 @@
 	for _, nd := range chs.ordered {
 		nd.past.add(chs.refreshed, nd.work.tokens.Load())
 	}
-	chs.current.Store(newSnapshot(chs.ordered))
+	snap := newSnapshot(chs.ordered)
+	snap.routers = chs.routers
+	chs.current.Store(snap)
 	chs.freed.broadcast()
 }
 
 func (chs *Chooser) newNode(up bwmodel.Upstream) *node {
 	wk := &work{}
 	wk.health.firstPause = chs.cfg.ProbePause
-	wk.limit.start(min(chs.maxLimit(up), startLimit(up)))
+	highest := chs.highest(up)
+	wk.limit.start(min(highest, startLimit(up)))
 	return &node{
-		up: up, slot: chs.slots.take(), work: wk, report: &atomic.Pointer[report]{},
+		up: up, highest: highest, slot: chs.slots.take(), work: wk, report: &atomic.Pointer[report]{},
 		cache: newCacheView(chs.cfg.CacheBlocks), past: &past{},
 	}
 }
--- a/core/bwroute/view.go
+++ b/core/bwroute/view.go
@@ -36,14 +36,14 @@
 	return views
 }
 
-func (nd *node) view(median float64) View {
-	lat := nd.work.latency.load()
+func (nd *node) view(median time.Duration) View {
+	lat := fromSeconds(nd.work.latency.load())
 	vw := View{
 		Upstream:   nd.up,
 		Suspended:  nd.work.health.suspended.Load(),
 		InFlight:   int(nd.work.inFlight.Load()),
 		Limit:      nd.work.limit.now(),
-		Latency:    time.Duration(lat * float64(time.Second)),
+		Latency:    lat,
 		SlowFactor: relative(lat, median),
 	}
 	if rep := nd.report.Load(); rep != nil {
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -5,10 +5,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"time"
 
 	"bilberrywick/core/bwaction"
+	"bilberrywick/core/bwlease"
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwadmin"
 	"bilberrywick/io/bwengine"
@@ -16,6 +18,7 @@
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwprocess"
 	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwstore"
 	"bilberrywick/io/bwwire"
 )
 
@@ -24,8 +27,9 @@
 	cfg      Config
 	proc     *bwprocess.Process
 	reporter *Reporter
-	// generations is set beside a model engine, actions and calls beside a plain service.
+	// generations and orders are set beside a model engine, actions and calls beside a plain service.
 	generations *Generations
+	orders      *Orders
 	actions     *Actions
 	calls       *Calls
 	operators   *bwhttp.Server
@@ -37,6 +41,9 @@
 	Version  string
 	// LogOutput receives the log, one JSON object a line.
 	LogOutput io.Writer
+	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
+	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -56,6 +63,8 @@
 		Settings:  cfg.Settings.Common(),
 		Version:   cfg.Version,
 		LogOutput: cfg.LogOutput,
+		Dial:      cfg.Dial,
+		Listen:    cfg.Listen,
 		Refusing:  agt.refusing,
 		Now:       cfg.Now,
 	})
@@ -86,6 +95,7 @@
 	ctx, changes := agt.proc.Start(ctx)
 	if agt.generations != nil {
 		agt.generations.Start(ctx)
+		agt.orders.Start(ctx)
 	}
 	if agt.actions != nil {
 		agt.actions.Start(ctx)
@@ -98,13 +108,18 @@
 }
 
 // Stop refuses new work at once, lets the work in progress end within the drain
-// time and then ends the agent.
+// time and then ends the agent. Generations that run shortly before the drain
+// time is over are moved to other engines by their routers.
 func (agt *Agent) Stop(ctx context.Context) error {
 	drain, cancel := context.WithTimeout(ctx, agt.cfg.Settings.DrainTime)
 	defer cancel()
 	agt.proc.BeginStop()
 	err := agt.reporter.SetLeaving(drain, true)
-	err = errors.Join(err, agt.proc.Fleet.Leave(drain), agt.drain(drain))
+	err = errors.Join(err, agt.proc.Fleet.Leave(drain))
+	if agt.generations != nil {
+		err = errors.Join(err, agt.drainGenerations(drain))
+	}
+	err = errors.Join(err, agt.drain(drain))
 	err = errors.Join(err, agt.proc.Stop(), agt.operators.Close())
 	agt.proc.Log.Info("agent stopped", "Error", err)
 	return err
@@ -116,6 +131,22 @@
 // Leaving reports whether the agent refuses new work.
 func (agt *Agent) Leaving() bool { return agt.reporter.Snapshot().Leaving }
 
+// drainPart of drainParts of the drain time is left to generations to end.
+const (
+	drainPart  = 9
+	drainParts = 10
+)
+
+// drainGenerations lets generations end, and moves what remains.
+func (agt *Agent) drainGenerations(ctx context.Context) error {
+	patient, cancel := context.WithTimeout(ctx, agt.cfg.Settings.DrainTime*drainPart/drainParts)
+	defer cancel()
+	if agt.drain(patient) == nil {
+		return nil
+	}
+	return agt.generations.Move(ctx)
+}
+
 // drain waits until no work is in progress, or returns the context's error.
 func (agt *Agent) drain(ctx context.Context) error {
 	tick := time.NewTicker(drainPoll)
@@ -155,7 +186,7 @@
 		Log:         agt.proc.Log,
 	}
 	if ups.ServiceKind() == bwmodel.ModelService {
-		eng := bwengine.NewEngine(bwengine.EngineConfig{Address: ups.Address})
+		eng := bwengine.NewEngine(bwengine.EngineConfig{Address: ups.Address, Dial: agt.cfg.Dial})
 		report.Load, report.CacheEvents = eng.Load, eng.CacheEvents
 		agt.generations = NewGenerations(GenerationsConfig{
 			Generate:    eng.Generate,
@@ -166,10 +197,17 @@
 			Log:         agt.proc.Log,
 		})
 		agt.generations.Register(agt.proc.Server)
+		agt.orders = NewOrders(OrdersConfig{
+			Incarnation: agt.proc.Self.Incarnation,
+			Order:       eng.Order,
+			ReadLease:   agt.readLease,
+			Log:         agt.proc.Log,
+		})
+		agt.orders.Register(agt.proc.Server)
 		agt.reporter = NewReporter(report)
 		return
 	}
-	svc := bwengine.NewService(bwengine.ServiceConfig{Address: ups.Address})
+	svc := bwengine.NewService(bwengine.ServiceConfig{Address: ups.Address, Dial: agt.cfg.Dial})
 	agt.reporter = NewReporter(report)
 	agt.actions = NewActions(ActionsConfig{
 		Ledger:      bwaction.LedgerConfig{Incarnation: agt.proc.Self.Incarnation, Now: agt.cfg.Now, Start: agt.proc.Began},
@@ -187,6 +225,14 @@
 // notSent reports whether an error of an action says that nothing was sent.
 func notSent(err error) bool { return errors.Is(err, bwengine.ErrNotSent) }
 
+// readLease reads the lease row of a control duty.
+func (agt *Agent) readLease(ctx context.Context, duty string) (bwlease.Row, error) {
+	if agt.proc.Store.Table == nil {
+		return bwlease.Row{}, bwlease.ErrAway
+	}
+	return bwstore.NewLease(agt.proc.Store.Table, duty).Read(ctx)
+}
+
 // learn takes a ticket number that a router stated.
 func (agt *Agent) learn(num bwmodel.TicketNumber, from bwmodel.MemberID) {
 	for _, ent := range agt.proc.Fleet.Snapshot().Members {
--- a/io/bwprocess/process.go
+++ b/io/bwprocess/process.go
@@ -50,6 +50,9 @@
 	Version  string
 	// LogOutput receives the log, one JSON object a line.
 	LogOutput io.Writer
+	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
+	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// ReloadInterval separates two readings of certificate files; 0 means 30 s.
 	ReloadInterval time.Duration
 	// Refusing returns a reason of its own why the process takes no new work, and
@@ -65,6 +68,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Listen == nil {
+		cfg.Listen = bwhttp.ListenTCP
+	}
 	prc := &Process{
 		cfg:     cfg,
 		Began:   cfg.Now(),
@@ -72,7 +78,7 @@
 		stop:    newStopState(),
 		ended:   make(chan struct{}),
 	}
-	lis, err := net.Listen("tcp", cfg.Settings.Peers.Address.String())
+	lis, err := cfg.Listen(context.Background(), cfg.Settings.Peers.Address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for other processes: %w", err)
 	}
@@ -132,6 +138,7 @@
 		Handler: lst.Handler,
 		TLS:     conf,
 		Bounds:  bwhttp.Bounds(lst.Bounds),
+		Listen:  prc.cfg.Listen,
 		Fail:    lst.Fail,
 		Log:     prc.Log,
 	})
@@ -231,6 +238,7 @@
 	}
 	prc.Client, err = bwrpc.NewClient(bwrpc.ClientConfig{
 		TLS:     clientTLS,
+		Dial:    prc.cfg.Dial,
 		Observe: prc.measureCall,
 		Sent:    prc.measureSent,
 	})
@@ -244,6 +252,7 @@
 		return err
 	}
 	prc.Store, err = bwstore.New(bwstore.Config{
+		Dial:          prc.cfg.Dial,
 		Table:         set.Table.Address,
 		Objects:       set.Objects.Address,
 		List:          set.VMList.Address,
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"time"
@@ -10,6 +11,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwwire"
 )
 
@@ -32,6 +34,9 @@
 	retryAt  time.Time
 	exclude  []bwmodel.UpstreamID
 	loss     *loss
+	// paid says that the next attempt has been taken from the budget, spent that
+	// the running one was.
+	paid, spent bool
 
 	cpy *Copy
 	// held says that a holder has been looked for.
@@ -44,43 +49,61 @@
 	// askedAt is when the holder was first owed an acknowledgement; zero when it owes none.
 	askedAt time.Time
 	// refresh says that the caller needs a new handle.
-	refresh  bool
-	bad      []netip.AddrPort
-	produced int
+	refresh bool
+	bad     []netip.AddrPort
+	prm     permission
+	// timer is reused for each wait.
+	timer *time.Timer
 }
 
 // loss is the end of an attempt that has to be made up for.
 type loss struct {
 	cause string
+	// since is when the connection closed, or when the last token came before
+	// a stall; begun is when the resume may begin.
 	since time.Time
+	begun time.Time
+	// planned says that no engine failed, so that no budget is needed.
+	planned bool
 }
 
 // errGaveUp says that the attempts or the time for a resume are used up.
 var errGaveUp = errors.New("no engine could continue the generation")
 
+// errNotResumed says that the configuration ends a generation with its attempt.
+var errNotResumed = errors.New("the attempt was lost and is not resumed")
+
 // errNoHolder says that no other router acknowledges the generation's record.
 var errNoHolder = errors.New("no other router keeps a copy of the generation")
 
 func newSession(gns *Generations, rec *bwstream.Record, out *output) *session {
-	return &session{gns: gns, rec: rec, out: out}
+	return &session{gns: gns, rec: rec, out: out, timer: time.NewTimer(idleCheck)}
 }
 
 // serve runs the generation to its end and tells the caller of a failure.
 func (ses *session) serve(ctx context.Context) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer ses.timer.Stop()
 	err := ses.run(ctx)
-	ses.release(bwroute.Outcome{Canceled: true})
+	ses.end(attemptEnd{Outcome: bwroute.Outcome{Canceled: true}})
+	ses.refund()
+	ses.prm.finish()
 	if ses.cpy != nil {
 		_ = ses.cpy.Close(ctx)
 	}
 	if err == nil || ctx.Err() != nil {
 		return
 	}
+	if errors.Is(err, errStopped) {
+		// A caller that has gone reconnects without the event too.
+		_ = ses.out.handOver()
+		return
+	}
 	ses.gns.cfg.Log.Warn("generation ended early", "Request", ses.rec.Request(), "Error", err)
-	prb := problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: outcomeUnknown}
+	prb := bwhttp.Problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: bwhttp.OutcomeUnknown}
 	if ses.rec.Position() == 0 {
-		prb.Outcome = outcomeNotRun
+		prb.Outcome = bwhttp.OutcomeNotRun
 	}
 	ses.out.fail(prb)
 }
@@ -92,7 +115,7 @@
 		}
 	}
 	for {
-		if ses.att == nil && ses.rec.Finished() == "" && !ses.gns.cfg.Now().Before(ses.retryAt) {
+		if ses.idle() && !ses.gns.cfg.Now().Before(ses.retryAt) {
 			ses.begin(ctx)
 		}
 		if err := ses.forward(ctx); err != nil {
@@ -107,6 +130,11 @@
 	}
 }
 
+// idle reports whether the next attempt may be started.
+func (ses *session) idle() bool {
+	return ses.att == nil && ses.rec.Finished() == "" && ses.prm.asked == nil
+}
+
 // forward sends the holder and the caller what they may have.
 func (ses *session) forward(ctx context.Context) error {
 	if err := ses.note(ctx); err != nil {
@@ -121,7 +149,24 @@
 	if ses.refresh {
 		return nil
 	}
-	return ses.out.advance()
+	if err := ses.out.advance(); err != nil {
+		return err
+	}
+	if ses.out.asm.Stopped() && ses.rec.Finished() == "" {
+		// An engine that resumed has seen only the end of a stop text that
+		// began before it, so the router ends the generation itself.
+		ses.complete(bwmodel.FinishStop, true)
+		return ses.note(ctx)
+	}
+	return nil
+}
+
+// complete ends the generation, and the running attempt when it goes on.
+func (ses *session) complete(why bwmodel.FinishReason, cancel bool) {
+	ses.rec.Finish(why)
+	ses.loss = nil
+	ses.gns.lengths.Observe(ses.rec.Spec().Team, ses.rec.Spec().Service, int(ses.rec.Position()))
+	ses.end(attemptEnd{Cancel: cancel})
 }
 
 // wait takes the next event of the attempt, the holder or the clock.
@@ -135,8 +180,7 @@
 	if ses.cpy != nil {
 		acks, lost = ses.cpy.Acks(), ses.cpy.Lost()
 	}
-	timer := time.NewTimer(ses.nextCheck().Sub(ses.gns.cfg.Now()))
-	defer timer.Stop()
+	ses.timer.Reset(ses.nextCheck().Sub(ses.gns.cfg.Now()))
 	select {
 	case evt := <-events:
 		return ses.take(ctx, evt)
@@ -144,8 +188,15 @@
 		return ses.acknowledge(ctx, ack)
 	case <-lost:
 		return ses.replaceHolder(ctx, "connection closed")
-	case <-timer.C:
+	case <-ses.prm.pause():
+		ses.giveWay(ctx)
+		return nil
+	case adm := <-ses.prm.asked:
+		return ses.place(adm)
+	case <-ses.timer.C:
 		return ses.check(ctx)
+	case <-ses.gns.stopping.Done():
+		return errStopped
 	case <-ctx.Done():
 		return ctx.Err()
 	}
@@ -163,7 +214,7 @@
 	if !ses.askedAt.IsZero() {
 		next = earlier(next, ses.askedAt.Add(ses.gns.cfg.HolderTime))
 	}
-	if ses.att == nil && ses.rec.Finished() == "" {
+	if ses.idle() {
 		next = earlier(next, ses.retryAt)
 	}
 	if !ses.holdRetry.IsZero() {
@@ -172,8 +223,8 @@
 	if !ses.holdLost.IsZero() {
 		next = earlier(next, ses.holdLost.Add(ses.gns.cfg.ResumeTime))
 	}
-	if ses.loss != nil {
-		next = earlier(next, ses.loss.since.Add(ses.gns.cfg.ResumeTime))
+	if ses.loss != nil && ses.prm.asked == nil {
+		next = earlier(next, ses.loss.begun.Add(ses.gns.cfg.ResumeTime))
 	}
 	return next
 }
@@ -188,7 +239,7 @@
 	if ses.cpy != nil && len(ses.cpy.acks) > 0 {
 		return ses.acknowledge(ctx, <-ses.cpy.acks)
 	}
-	if ses.loss != nil && now.Sub(ses.loss.since) >= ses.gns.cfg.ResumeTime {
+	if ses.loss != nil && ses.prm.asked == nil && now.Sub(ses.loss.begun) >= ses.gns.cfg.ResumeTime {
 		return errGaveUp
 	}
 	if !ses.holdLost.IsZero() && now.Sub(ses.holdLost) >= ses.gns.cfg.ResumeTime {
@@ -200,10 +251,31 @@
 	if !ses.askedAt.IsZero() && now.Sub(ses.askedAt) >= ses.gns.cfg.HolderTime {
 		return ses.replaceHolder(ctx, "no acknowledgement")
 	}
-	if ses.pace != nil && !now.Before(ses.pace.Deadline()) {
-		return ses.lose(ctx, "stall", nil)
+	return ses.checkPace(now)
+}
+
+// latePace is how late a check may be before the router itself counts as
+// paused; a busy machine delays goroutines by a few tens of milliseconds.
+const latePace = 100 * time.Millisecond
+
+// checkPace ends an attempt that has stalled.
+func (ses *session) checkPace(now time.Time) error {
+	if ses.pace == nil {
+		return nil
+	}
+	late := now.Sub(ses.pace.Deadline())
+	switch {
+	case late < 0:
+		return nil
+	case late > latePace:
+		ses.pace.Excuse(now)
+		return nil
+	case !ses.pay():
+		// A stall may be a false alarm, so it waits for its part of the budget.
+		ses.pace.Excuse(now)
+		return nil
 	}
-	return nil
+	return ses.lose("stall", nil)
 }
 
 // take handles an event of the current attempt.
@@ -213,26 +285,21 @@
 		ses.choice = evt.Choice
 		ses.started = evt.At
 		ses.rec.Begin(evt.Choice.Upstream.Agent)
-		cfg := ses.gns.cfg.Pace
-		if wait := ses.gns.firsts.patience(ses.rec.Spec().Service); wait > 0 {
-			cfg.FirstToken = wait
-		}
-		ses.pace = bwstream.NewPace(cfg, evt.At)
+		ses.pace = bwstream.NewPace(ses.gns.paces.config(ses.rec.Spec().Service, ses.gns.cfg.Pace), evt.At)
 		return nil
 	case evt.Err != nil:
-		return ses.lose(ctx, causeOf(evt.Err), evt.Err)
+		return ses.lose(causeOf(evt.Err), evt.Err)
 	}
-	ses.rec.SetPromptTokens(evt.Output.PromptTokens)
+	ses.notePrompt(evt.Output.PromptTokens)
 	fresh, err := ses.rec.Take(evt.Output.Attempt, evt.Output.Position, evt.Output.Tokens)
 	if err != nil {
-		return ses.lose(ctx, "bad tokens", err)
+		return ses.lose("bad tokens", err)
 	}
 	if fresh > 0 {
 		ses.progress(ctx, evt, fresh)
 	}
 	if evt.Output.Finish != "" {
-		ses.rec.Finish(evt.Output.Finish)
-		ses.release(bwroute.Outcome{})
+		ses.complete(evt.Output.Finish, false)
 	}
 	return nil
 }
@@ -242,14 +309,18 @@
 	if ses.pace != nil {
 		ses.pace.Observe(evt.At, fresh)
 	}
-	ses.produced += fresh
+	ses.prm.progress(fresh)
 	ses.tokens += fresh
 	ses.failures = 0
 	ses.exclude = nil
 	if ses.first == 0 {
 		ses.first = max(evt.At.Sub(ses.started), 1)
-		ses.gns.firsts.observe(ctx, ses.rec.Spec().Service, ses.first)
+		ses.gns.paces.observeFirst(ctx, ses.rec.Spec().Service, ses.first)
+		if ses.choice != nil && ses.choice.Started != nil {
+			ses.choice.Started(ses.first)
+		}
 	}
+	ses.refund()
 	if ses.loss == nil {
 		return
 	}
@@ -271,15 +342,23 @@
 		ses.rec.Finish(bwmodel.FinishLength)
 		return
 	}
+	if ses.loss != nil && !ses.loss.planned && !ses.pay() && !ses.overdue() {
+		ses.retryAt = ses.gns.cfg.Now().Add(budgetPause/2 + rand.N(budgetPause/2))
+		return
+	}
+	ses.spent, ses.paid = ses.paid, false
 	att := newAttempt(ctx, ses.gns)
 	att.number = ses.rec.Attempt() + 1
+	expected := ses.gns.expected(spec, ses.rec.Position())
 	att.choose = bwroute.Request{
 		ID:      ses.rec.Request(),
 		Service: spec.Service,
 		Team:    spec.Team,
 		Model:   spec.Model,
-		Tokens:  left,
+		Tokens:  expected,
+		Prefix:  ses.prefix(),
 		Exclude: ses.exclude,
+		NoProbe: ses.loss != nil,
 	}
 	att.start = bwwire.GenerateRequest{
 		Request:      ses.rec.Request(),
@@ -290,26 +369,13 @@
 		Issued:       ses.rec.Tokens(),
 		PromptTokens: ses.rec.PromptTokens(),
 		Holder:       ses.rec.Holder(),
-		Priority:     priorityOf(spec.Class),
+		Priority:     priorityOf(spec.Class, ses.rec.Position() > 0, expected),
 	}
 	ses.att = att
 	ses.first, ses.tokens = 0, 0
 	go att.run()
 }
 
-// Priorities in the engine; a lower value runs first.
-const (
-	promptPriority     = 0
-	deferrablePriority = 100
-)
-
-func priorityOf(class bwmodel.WorkClass) int {
-	if class == bwmodel.Deferrable {
-		return deferrablePriority
-	}
-	return promptPriority
-}
-
 func earlier(ta, tb time.Time) time.Time {
 	if tb.Before(ta) {
 		return tb
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/netip"
 	"slices"
 	"time"
@@ -20,7 +21,9 @@
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwprocess"
+	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwsettings"
+	"bilberrywick/io/bwwire"
 )
 
 // Router is the router process: it serves callers, other routers and operators.
@@ -29,6 +32,7 @@
 	proc        *bwprocess.Process
 	services    *Services
 	records     *Records
+	duties      *Duties
 	generations *Generations
 	actions     *Actions
 	calls       *Calls
@@ -52,8 +56,13 @@
 	Hedge func(bwretry.Latencies) (time.Duration, bool)
 	// NoResume ends a generation whose engine fails, as a baseline.
 	NoResume bool
+	// Duties are the times of control duties; the zero values are the defaults.
+	Duties DutyTiming
 	// Resumed is told of each resumed generation; may be nil.
 	Resumed func(cause string, took time.Duration, recomputed int)
+	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
+	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -69,6 +78,8 @@
 		Settings:  cfg.Settings.Common(),
 		Version:   cfg.Version,
 		LogOutput: cfg.LogOutput,
+		Dial:      cfg.Dial,
+		Listen:    cfg.Listen,
 		Now:       cfg.Now,
 	})
 	if err != nil {
@@ -123,11 +134,14 @@
 func (rtr *Router) StopRequested() <-chan struct{} { return rtr.proc.StopRequested() }
 
 // Stop takes no new work, lets the work in progress end within the drain time
-// and then ends the router.
+// and then ends the router. Generations that are open shortly before the drain
+// time is over are handed over to other routers.
 func (rtr *Router) Stop(ctx context.Context) error {
 	rtr.proc.BeginStop()
 	drain, cancel := context.WithTimeout(ctx, rtr.cfg.Settings.DrainTime)
 	defer cancel()
+	patience := time.AfterFunc(rtr.cfg.Settings.DrainTime-handOverTime(rtr.cfg.Settings.DrainTime), rtr.generations.HandOver)
+	defer patience.Stop()
 	err := rtr.proc.Fleet.Leave(drain)
 	err = errors.Join(err, rtr.callers.Shutdown(drain))
 	err = errors.Join(err, rtr.proc.Stop(), rtr.operators.Close())
@@ -135,6 +149,13 @@
 	return err
 }
 
+// maxHandOver is twice the interval at which http.Server looks for connections
+// that have become idle.
+const maxHandOver = time.Second
+
+// handOverTime returns the part of the drain time kept for handing over.
+func handOverTime(drain time.Duration) time.Duration { return min(maxHandOver, drain/2) }
+
 // Kill ends the router at once, as the death of its VM would.
 func (rtr *Router) Kill() error {
 	return errors.Join(rtr.callers.Close(), rtr.proc.Stop(), rtr.operators.Close())
@@ -177,17 +198,30 @@
 	})
 	rtr.records = NewRecords(RecordsConfig{Client: rtr.proc.Client, Now: rtr.cfg.Now, Log: rtr.proc.Log})
 	rtr.records.Register(rtr.proc.Server)
+	rtr.duties = NewDuties(DutiesConfig{
+		Self:       rtr.proc.Self,
+		Snapshot:   rtr.proc.Fleet.Snapshot,
+		Services:   rtr.services,
+		Table:      rtr.proc.Store.Table,
+		Order:      caller[bwwire.OrderRequest, bwwire.OrderResponse](rtr.proc.Client, bwwire.AgentOrder),
+		Report:     caller[bwwire.DemandReport, bwwire.DemandResponse](rtr.proc.Client, bwwire.PeerDemand),
+		Timing:     rtr.cfg.Duties,
+		WeightRate: float64(rtr.cfg.Settings.Placement.WeightBytesPerSecond),
+		Now:        rtr.cfg.Now,
+		Log:        rtr.proc.Log,
+	})
+	bwrpc.HandleUnary(rtr.proc.Server, bwwire.PeerDemand, rtr.duties.Demand)
 	return rtr.buildTraffic()
 }
 
 // heardAgent takes the evidence that an agent's report carries.
 func (rtr *Router) heardAgent(rep Report) {
-	mem := rep.Event.Member
+	mem := rep.Member
 	// An agent whose upstream a ticket drains may return, while a member that is
 	// leaving never does; it says so itself in an exchange.
 	mem.Leaving = false
-	rtr.proc.Fleet.Hear(mem, rep.Event.StateNumber)
-	rtr.proc.Fleet.Learn(rep.Event.StateNumber, rep.Upstream.Agent)
+	rtr.proc.Fleet.Hear(mem, rep.StateNumber)
+	rtr.proc.Fleet.Learn(rep.StateNumber, rep.Upstream.Agent)
 }
 
 // holder returns the router that holds a request's copy.
@@ -256,6 +290,9 @@
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
 	}
+	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
+		rtr.proc.Log.Error("starting control duties failed", "Error", err)
+	}
 }
 
 func newRequestID() bwmodel.RequestID {
