Show generations to operators and write problems in one place

Cause: GET /v1/generations/{Request} was described but not served, and bwadmin had a second writer of problem details. Change: a session publishes its state, which a router shows while it serves the generation; otherwise the record held for another router is shown. bwadmin's problem embeds bwhttp.Problem and is written by bwhttp, so administration answers carry an Outcome too.

--- a/core/bwstream/store.go
+++ b/core/bwstream/store.go
@@ -152,6 +152,17 @@
 	return rec, nil
 }
 
+// Find returns a record without changing it, and whether there is one.
+func (str *Store) Find(req bwmodel.RequestID) (bwmodel.GenerationRecord, bool) {
+	hld := str.records[req]
+	if hld == nil {
+		return bwmodel.GenerationRecord{}, false
+	}
+	rec := hld.rec
+	rec.Issued = rec.Issued[:len(rec.Issued):len(rec.Issued)]
+	return rec, true
+}
+
 // Expire removes the records whose time has passed and returns their number.
 func (str *Store) Expire() int {
 	now := str.cfg.Now()
--- a/io/bwadmin/error.go
+++ b/io/bwadmin/error.go
@@ -43,37 +43,27 @@
 	return rep.Err()
 }
 
-// problem is an answer in the form of RFC 9457 with our extension members.
+// problem is a bwhttp.Problem with the members of this API.
 type problem struct {
-	Type   string               `json:"type"`
-	Title  string               `json:"title"`
-	Status int                  `json:"status"`
-	Detail string               `json:"detail"`
-	Head   bwmodel.TicketNumber `json:"Head,omitempty"`
-	Faults []bwsettings.Fault   `json:"Faults,omitempty"`
+	bwhttp.Problem
+	Head   bwmodel.TicketNumber `json:",omitempty"`
+	Faults []bwsettings.Fault   `json:",omitempty"`
 }
 
-const problemType = "application/problem+json"
-
 // conflictType tells a ticket's conflict from other ones with the same status.
 const conflictType = "urn:bilberrywick:ticket-conflict"
 
 // Fail answers an error with problem details.
 func Fail(rw http.ResponseWriter, _ *http.Request, err error) {
 	prob := newProblem(err)
-	data, encErr := bwhttp.EncodeJSON(prob)
-	if encErr != nil {
-		http.Error(rw, err.Error(), prob.Status)
-		return
-	}
-	rw.Header().Set("Content-Type", problemType)
-	rw.WriteHeader(prob.Status)
-	_, _ = rw.Write(data)
+	bwhttp.WriteProblemDocument(rw, &prob.Problem, prob)
 }
 
 func newProblem(err error) *problem {
-	prob := &problem{Type: "about:blank", Status: statusOf(err), Detail: err.Error()}
-	prob.Title = http.StatusText(prob.Status)
+	prob := &problem{Problem: bwhttp.Problem{Status: statusOf(err), Detail: err.Error(), Outcome: bwhttp.OutcomeNotRun}}
+	if errors.Is(err, ErrUnknown) {
+		prob.Outcome = bwhttp.OutcomeUnknown
+	}
 	var faults *bwsettings.Error
 	if errors.As(err, &faults) {
 		prob.Faults = faults.Faults
--- a/io/bwadmin/openapi.go
+++ b/io/bwadmin/openapi.go
@@ -110,7 +110,7 @@
 	if rt.response != nil {
 		opr.Responses["200"] = doc.jsonContent("Success", bwhttp.JSONType, rt.response)
 	}
-	opr.Responses["default"] = doc.jsonContent("Problem details", problemType, reflect.TypeFor[problem]())
+	opr.Responses["default"] = doc.jsonContent("Problem details", bwhttp.ProblemContentType, reflect.TypeFor[problem]())
 	return opr
 }
 
@@ -154,7 +154,7 @@
 	sch := schema{Type: "object", Properties: make(map[string]schema)}
 	doc.Components.Schemas[name] = sch
 	for _, sf := range reflect.VisibleFields(typ) {
-		if !sf.IsExported() {
+		if !sf.IsExported() || sf.Anonymous || sf.Tag.Get("json") == "-" {
 			continue
 		}
 		field, _, _ := strings.Cut(sf.Tag.Get("json"), ",")
--- a/io/bwadmin/types.go
+++ b/io/bwadmin/types.go
@@ -175,13 +175,22 @@
 // GenerationRequest names a generation.
 type GenerationRequest struct{ Request bwmodel.RequestID }
 
+// States of a generation.
+const (
+	RunningGeneration  = "Running"
+	ResumingGeneration = "Resuming"
+	// HeldGeneration says that another router serves it and that its record is held here.
+	HeldGeneration     = "Held"
+	FinishedGeneration = "Finished"
+)
+
 // GenerationStatus is what this process knows of one generation.
 type GenerationStatus struct {
 	Request bwmodel.RequestID
 	Team    bwmodel.TeamID
 	Service bwmodel.ServiceID
 	Class   string
-	// State is Queued, Running, Resuming, Paused, Held or Finished.
+	// State is Running, Resuming, Held or Finished.
 	State    string
 	Epoch    bwmodel.Epoch
 	Attempt  bwmodel.Attempt
--- a/io/bwhttp/problem.go
+++ b/io/bwhttp/problem.go
@@ -1,7 +1,6 @@
 package bwhttp
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -37,7 +36,11 @@
 const ProblemContentType = "application/problem+json"
 
 // WriteProblem sends a problem as the whole response.
-func WriteProblem(wr http.ResponseWriter, prb Problem) {
+func WriteProblem(wr http.ResponseWriter, prb Problem) { WriteProblemDocument(wr, &prb, &prb) }
+
+// WriteProblemDocument sends a document that embeds the problem and has members
+// of its own as the whole response.
+func WriteProblemDocument(wr http.ResponseWriter, prb *Problem, doc any) {
 	if prb.Title == "" {
 		prb.Title = http.StatusText(prb.Status)
 	}
@@ -47,6 +50,12 @@
 		secs := (prb.RetryAfter + time.Second - 1) / time.Second
 		hdr.Set("Retry-After", strconv.FormatInt(int64(secs), 10))
 	}
+	data, err := EncodeJSON(doc)
+	if err != nil {
+		http.Error(wr, prb.Detail, prb.Status)
+		return
+	}
 	wr.WriteHeader(prb.Status)
-	_ = json.NewEncoder(wr).Encode(prb)
+	// A failed write means that the caller has gone.
+	_, _ = wr.Write(data)
 }
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -25,7 +25,8 @@
 // Generations serves callers' generations. It resumes them on another engine
 // when one fails, and takes over those of a router that died.
 type Generations struct {
-	cfg GenerationsConfig
+	open openGenerations
+	cfg  GenerationsConfig
 	// paces learns the time to the first token and between tokens of each service.
 	paces  *paces
 	budget *bwretry.Budget
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -52,6 +52,8 @@
 	refresh bool
 	bad     []netip.AddrPort
 	prm     permission
+	// opn shows the session to operators.
+	opn *openGeneration
 	// timer is reused for each wait.
 	timer *time.Timer
 }
@@ -85,6 +87,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer ses.timer.Stop()
+	ses.opn = ses.gns.open.add(ses)
+	defer ses.gns.open.remove(ses.rec.Request(), ses.opn)
 	err := ses.run(ctx)
 	ses.end(attemptEnd{Outcome: bwroute.Outcome{Canceled: true}})
 	ses.refund()
@@ -118,6 +122,7 @@
 		if ses.idle() && !ses.gns.cfg.Now().Before(ses.retryAt) {
 			ses.begin(ctx)
 		}
+		ses.opn.observe(ses)
 		if err := ses.forward(ctx); err != nil {
 			return err
 		}
--- a/io/bwrouter/records.go
+++ b/io/bwrouter/records.go
@@ -90,6 +90,12 @@
 // View returns the published state; it never blocks.
 func (rcs *Records) View() RecordsView { return *rcs.control.Snapshot() }
 
+// Find returns a record held for another router, and whether there is one.
+func (rcs *Records) Find(ctx context.Context, req bwmodel.RequestID) (rec bwmodel.GenerationRecord, found bool, err error) {
+	err = rcs.control.Do(ctx, func(rst *recordsState) { rec, found = rst.store.Find(req) })
+	return rec, found, err
+}
+
 // Open returns a copy of one request's record at a holder, which needs the
 // whole record first.
 func (rcs *Records) Open(ctx context.Context, holder netip.AddrPort, req bwmodel.RequestID) (*Copy, error) {
--- a/io/bwrouter/router_admin.go
+++ b/io/bwrouter/router_admin.go
@@ -19,11 +19,12 @@
 func (rtr *Router) administration() bwprocess.Administration {
 	return bwprocess.Administration{
 		API: bwadmin.Config{
-			Apply:     rtr.applyTicket,
-			Tickets:   rtr.listTickets,
-			Ticket:    rtr.showTicket,
-			Upstreams: rtr.listUpstreams,
-			Action:    rtr.showAction,
+			Apply:      rtr.applyTicket,
+			Tickets:    rtr.listTickets,
+			Ticket:     rtr.showTicket,
+			Upstreams:  rtr.listUpstreams,
+			Action:     rtr.showAction,
+			Generation: rtr.showGeneration,
 		},
 		InProgress:         rtr.inProgress,
 		UpstreamInProgress: rtr.services.InProgress,
