End actions in time when agents leave, return or vanish

Causes: the ledger stayed leaving after a drain had been undone, so that its upstream got no more actions; a dispatch to an agent that vanished silently, and a question to one, lasted up to 2 min; Agent.Call did not say when nothing was sent, so such a retry cost budget; a stopping agent did not wait for lookups or for answers that were not yet sent. Change: the ledger follows the agent's state; Services.Connected ends with the status stream and cancels the dispatch, and one question to an agent is bounded to 2 s; Agent.Call answers Unsent; bwrpc.Server counts unary calls and Agent.Stop waits for them. Router.Stop already waits for actions in its handlers.

--- a/core/bwaction/coordinator.go
+++ b/core/bwaction/coordinator.go
@@ -41,6 +41,9 @@
 	// SettleTimeout bounds the wait for an agent that may have a dispatch and does
 	// not answer; 0 means 5 s.
 	SettleTimeout time.Duration
+	// CallTimeout bounds one question to an agent, so that one that has vanished
+	// silently is asked again or given up; 0 means 2 s.
+	CallTimeout time.Duration
 	// TableTimeout bounds one operation of the table; 0 means 2 s.
 	TableTimeout time.Duration
 	// RunTimeout bounds a request once its action may have been sent, whether the
@@ -54,6 +57,7 @@
 	defaultMaxMoves      = 3
 	defaultPollInterval  = 100 * time.Millisecond
 	defaultSettleTimeout = 5 * time.Second
+	defaultCallTimeout   = 2 * time.Second
 	defaultTableTimeout  = 2 * time.Second
 	defaultRunTimeout    = 2 * time.Minute
 )
@@ -83,6 +87,9 @@
 	if cfg.SettleTimeout == 0 {
 		cfg.SettleTimeout = defaultSettleTimeout
 	}
+	if cfg.CallTimeout == 0 {
+		cfg.CallTimeout = defaultCallTimeout
+	}
 	if cfg.TableTimeout == 0 {
 		cfg.TableTimeout = defaultTableTimeout
 	}
@@ -161,6 +168,8 @@
 
 // settleRow asks the row's agent what became of the dispatch that the row permits.
 func (co *Coordinator) settleRow(ctx context.Context, row Row, peek bool) (Settled, error) {
+	ctx, cancel := context.WithTimeout(ctx, co.cfg.CallTimeout)
+	defer cancel()
 	return co.cfg.Settle(ctx, row.Upstream, Settle{
 		Key:         row.Key,
 		Fence:       row.Fence,
--- a/core/bwaction/coordinator_test.go
+++ b/core/bwaction/coordinator_test.go
@@ -191,3 +191,29 @@
 		t.Errorf("outcome %s, sealed %d times", got, scr.sealed)
 	}
 }
+
+// Guards against a caller who waits for the whole time of an action while the
+// agent takes questions and never answers.
+func TestSilentAgentIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		scr := &script{dispatches: []scripted{{err: errLost}}}
+		co := bwaction.NewCoordinator(bwaction.CoordinatorConfig{
+			Read: scr.read, Insert: scr.insert, Swap: scr.swap, Choose: scr.choose, Dispatch: scr.dispatch,
+			Settle: waitForever, Now: time.Now, NewAttempt: scr.newAttempt,
+			CallTimeout: time.Second, SettleTimeout: 3 * time.Second, RunTimeout: time.Hour,
+		})
+		began := time.Now()
+		_, err := co.Run(t.Context(), scriptRequest)
+		if got := nameOf(err); got != "Unknown" {
+			t.Errorf("outcome %s (%v), want Unknown", got, err)
+		}
+		if took := time.Since(began); took > 5*time.Second {
+			t.Errorf("given up after %v of the virtual clock, want at most 5s", took)
+		}
+	})
+}
+
+func waitForever(ctx context.Context, _ bwmodel.UpstreamID, _ bwaction.Settle) (bwaction.Settled, error) {
+	<-ctx.Done()
+	return bwaction.Settled{}, ctx.Err()
+}
--- a/core/bwaction/ledger.go
+++ b/core/bwaction/ledger.go
@@ -96,8 +96,9 @@
 	return len(led.entries) - led.finished.Len() - led.sealed.Len()
 }
 
-// SetLeaving makes the ledger refuse all new work.
-func (led *Ledger) SetLeaving() { led.leaving = true }
+// SetLeaving makes the ledger refuse all new work, or take it again when a drain
+// has been undone.
+func (led *Ledger) SetLeaving(leaving bool) { led.leaving = leaving }
 
 // Begin records that the action is about to be sent to the upstream, or
 // returns a *RefusedError; it must be called before anything is sent.
--- a/core/bwaction/ledger_test.go
+++ b/core/bwaction/ledger_test.go
@@ -67,10 +67,14 @@
 		}, dispatchAt(1, 5*time.Second), ""},
 		{"not sent at the same fence", aborted, dispatchAt(1, 5*time.Second), bwaction.RefusedStale},
 		{"not sent at a lower fence", aborted, dispatchAt(2, 5*time.Second), ""},
-		{"leaving", func(led *bwaction.Ledger) { led.SetLeaving() }, dispatchAt(1, 5*time.Second), bwaction.RefusedLeaving},
+		{"leaving", func(led *bwaction.Ledger) { led.SetLeaving(true) }, dispatchAt(1, 5*time.Second), bwaction.RefusedLeaving},
+		{"no longer leaving", func(led *bwaction.Ledger) {
+			led.SetLeaving(true)
+			led.SetLeaving(false)
+		}, dispatchAt(1, 5*time.Second), ""},
 		{"leaving with the key done", func(led *bwaction.Ledger) {
 			finished(led)
-			led.SetLeaving()
+			led.SetLeaving(true)
 		}, dispatchAt(2, 5*time.Second), bwaction.RefusedDuplicate},
 	}
 	for _, tt := range tests {
--- a/io/bwagent/actions.go
+++ b/io/bwagent/actions.go
@@ -131,11 +131,8 @@
 // queued may be applied, and a started key that nobody runs would stay running.
 func (act *Actions) begin(ctx context.Context, dis bwaction.Dispatch) error {
 	var err error
-	leaving := act.cfg.Leaving()
 	post := act.own.Do(context.WithoutCancel(ctx), func(led *bwaction.Ledger) {
-		if leaving {
-			led.SetLeaving()
-		}
+		led.SetLeaving(act.cfg.Leaving())
 		err = led.Begin(dis)
 	})
 	if post != nil {
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -151,16 +151,20 @@
 func (agt *Agent) drain(ctx context.Context) error {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for agt.inProgress() > 0 {
+	for agt.unanswered() > 0 {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return fmt.Errorf("%d requests in progress after the drain time: %w", agt.inProgress(), ctx.Err())
+			return fmt.Errorf("%d requests in progress after the drain time: %w", agt.unanswered(), ctx.Err())
 		}
 	}
 	return nil
 }
 
+// unanswered counts what a stop waits for: the work in progress, and the lookups
+// and actions whose answers are not yet sent.
+func (agt *Agent) unanswered() int { return agt.inProgress() + agt.proc.Server.Open() }
+
 func (agt *Agent) inProgress() int {
 	count := 0
 	if agt.generations != nil {
@@ -217,7 +221,7 @@
 		StateNumber: agt.proc.StateNumber,
 		Slots:       ups.Slots,
 	})
-	agt.calls = NewCalls(CallsConfig{Call: svc.Call, Leaving: agt.Leaving, StateNumber: agt.proc.StateNumber})
+	agt.calls = NewCalls(CallsConfig{Call: svc.Call, NotSent: notSent, Leaving: agt.Leaving, StateNumber: agt.proc.StateNumber})
 	agt.actions.Register(agt.proc.Server)
 	agt.calls.Register(agt.proc.Server)
 }
--- a/io/bwagent/calls.go
+++ b/io/bwagent/calls.go
@@ -15,6 +15,9 @@
 type CallsConfig struct {
 	// Call runs an idempotent call, as bwengine.Service.Call does.
 	Call func(context.Context, bwmodel.HTTPRequest) (bwmodel.HTTPResponse, error)
+	// NotSent reports whether an error of Call says that nothing was sent; nil
+	// means never.
+	NotSent func(error) bool
 	// Leaving reports whether the agent refuses new work; nil means never.
 	Leaving func() bool
 	// StateNumber returns the number of the tickets in effect; nil means 0.
@@ -26,6 +29,9 @@
 	if cfg.Leaving == nil {
 		cfg.Leaving = never
 	}
+	if cfg.NotSent == nil {
+		cfg.NotSent = sentAlways
+	}
 	if cfg.StateNumber == nil {
 		cfg.StateNumber = noState
 	}
@@ -41,8 +47,14 @@
 		return nil, bwrpc.Refuse(bwwire.Leaving, "the agent is leaving")
 	}
 	rsp, err := cls.cfg.Call(ctx, req.HTTP)
+	if err != nil && cls.cfg.NotSent(err) {
+		// The router needs no budget to go elsewhere, since this cost no upstream anything.
+		return nil, bwrpc.Refuse(bwwire.Unsent, "call: %w", err)
+	}
 	if err != nil {
 		return nil, bwrpc.Refuse(bwwire.UpstreamFailed, "call: %w", err)
 	}
 	return &bwwire.CallResponse{HTTP: rsp, StateNumber: cls.cfg.StateNumber()}, nil
 }
+
+func sentAlways(error) bool { return false }
--- a/io/bwrouter/actions.go
+++ b/io/bwrouter/actions.go
@@ -30,6 +30,9 @@
 	Upstream func(bwmodel.UpstreamID) (bwmodel.Upstream, bool)
 	// AgentClock returns an agent's incarnation and the lowest possible value of its clock now.
 	AgentClock func(bwmodel.UpstreamID) (bwmodel.Incarnation, time.Duration, bool)
+	// Connected returns a context that ends when the agent's status stream is lost;
+	// nil means that it never does.
+	Connected func(bwmodel.UpstreamID) context.Context
 	// Dispatch and Settle call an agent through bwrpc.
 	Dispatch func(context.Context, netip.AddrPort, *bwwire.DispatchRequest) (*bwwire.DispatchResponse, error)
 	Settle   func(context.Context, netip.AddrPort, *bwwire.SettleRequest) (*bwwire.SettleResponse, error)
@@ -58,6 +61,9 @@
 	if cfg.MaxBodyBytes == 0 {
 		cfg.MaxBodyBytes = defaultMaxActionBody
 	}
+	if cfg.Connected == nil {
+		cfg.Connected = alwaysConnected
+	}
 	if cfg.StateNumber == nil {
 		cfg.StateNumber = noState
 	}
@@ -172,6 +178,12 @@
 	if !job.held || job.choice.Upstream.Name != ups {
 		return bwaction.Settled{}, &bwaction.RefusedError{Refusal: bwaction.RefusedUnsent, Err: errNoUpstream}
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The connection of an agent that has vanished silently stays open; once its
+	// reports are missing, the outcome is asked for instead of waited for.
+	stop := context.AfterFunc(job.act.cfg.Connected(ups), cancel)
+	defer stop()
 	began := job.act.cfg.Table.Now()
 	rsp, err := job.act.cfg.Dispatch(ctx, job.choice.Upstream.Agent, &bwwire.DispatchRequest{
 		Team:        dis.Key.Team,
@@ -228,3 +240,5 @@
 		job.choice.Finish(out)
 	}
 }
+
+func alwaysConnected(bwmodel.UpstreamID) context.Context { return context.Background() }
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -56,6 +56,7 @@
 		Service:    rtr.services.Service,
 		Upstream:   rtr.upstream,
 		AgentClock: rtr.services.AgentClock,
+		Connected:  rtr.services.Connected,
 		Dispatch:   caller[bwwire.DispatchRequest, bwwire.DispatchResponse](rtr.proc.Client, bwwire.AgentDispatch),
 		Settle:     caller[bwwire.SettleRequest, bwwire.SettleResponse](rtr.proc.Client, bwwire.AgentSettle),
 		Table: bwaction.CoordinatorConfig{
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -82,6 +82,9 @@
 	arrived     time.Time
 	load        bwmodel.LoadReport
 	leaving     bool
+	// connected ends when the status stream that brought the report is lost.
+	connected context.Context
+	lose      context.CancelFunc
 }
 
 // servicesState is changed by the control goroutine only.
@@ -184,6 +187,17 @@
 	return rdg.incarnation, rdg.clock + svs.cfg.Now().Sub(rdg.arrived), true
 }
 
+// Connected returns a context that ends when the status stream of an upstream's
+// agent is lost, or one that never ends when the upstream has not reported.
+func (svs *Services) Connected(name bwmodel.UpstreamID) context.Context {
+	if reading := svs.own.Snapshot().upstreams[name].reading; reading != nil {
+		if rdg := reading.Load(); rdg != nil {
+			return rdg.connected
+		}
+	}
+	return context.Background()
+}
+
 // Unconnected lists the followed upstreams whose agent has not reported yet.
 func (svs *Services) Unconnected() []bwmodel.UpstreamID {
 	var names []bwmodel.UpstreamID
@@ -367,13 +381,15 @@
 	if !ok || svc == nil {
 		return
 	}
-	fol.reading.Store(&clockReading{
+	next := &clockReading{
 		incarnation: rep.Member.Incarnation,
 		clock:       rep.Clock,
 		arrived:     rep.Arrived,
 		load:        rep.Load,
 		leaving:     rep.Member.Leaving,
-	})
+	}
+	next.connect(fol.reading.Load())
+	fol.reading.Store(next)
 	svc.chooser.Observe(bwroute.Status{
 		Upstream:    rep.Upstream.Name,
 		Incarnation: rep.Member.Incarnation,
@@ -389,11 +405,23 @@
 	if !ok {
 		return
 	}
+	if rdg := fol.reading.Load(); rdg != nil {
+		rdg.lose()
+	}
 	if svc := st.services[fol.upstream.Service]; svc != nil {
 		svc.chooser.Observe(bwroute.Status{Upstream: name})
 	}
 }
 
+// connect goes on with the connection of the last reading unless that was lost.
+func (rdg *clockReading) connect(last *clockReading) {
+	if last != nil && last.connected.Err() == nil {
+		rdg.connected, rdg.lose = last.connected, last.lose
+		return
+	}
+	rdg.connected, rdg.lose = context.WithCancel(context.Background())
+}
+
 func (st *servicesState) refresh() {
 	for _, svc := range st.services {
 		svc.chooser.Refresh()
--- a/io/bwrpc/server.go
+++ b/io/bwrpc/server.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"sync/atomic"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
@@ -18,6 +19,8 @@
 	log      *slog.Logger
 	sent     func(method string, size int)
 	handlers map[string]func(drpc.Stream) error
+	// open counts the unary calls that are not answered.
+	open atomic.Int64
 }
 
 // ServerConfig configures a Server.
@@ -53,6 +56,8 @@
 func HandleUnary[Req, Rsp any](srv *Server, method string, fn func(context.Context, *Req) (*Rsp, error)) {
 	enc := meter(srv.codec, method, srv.sent)
 	srv.handlers[method] = func(stm drpc.Stream) error {
+		srv.open.Add(1)
+		defer srv.open.Add(-1)
 		req := new(Req)
 		if err := stm.MsgRecv(req, enc); err != nil {
 			return err
@@ -74,6 +79,9 @@
 	}
 }
 
+// Open returns the number of unary calls that are not answered.
+func (srv *Server) Open() int { return int(srv.open.Load()) }
+
 // HandleRPC runs one call; drpc calls it.
 func (srv *Server) HandleRPC(stm drpc.Stream, method string) error {
 	handler, ok := srv.handlers[method]
