Report a router ready only once its services are open

Cause: TestRouterStopHandsOver saw a router that was ready and refused with "service is not in force": readiness followed the state, which the control goroutine opens a moment later. Change: the router is ready after the services of a current state were opened. Conclusion: a load balancer sends nothing before the router can serve it.

--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bilberrywick/core/bwaction"
@@ -41,6 +42,8 @@
 	callers     *bwhttp.Server
 	operators   *bwhttp.Server
 	keys        keyIndex
+	// inForce is set once the services of a current state have been opened.
+	inForce atomic.Bool
 }
 
 // Config configures a Router.
@@ -73,6 +76,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	rtr := &Router{cfg: cfg}
 	proc, err := bwprocess.New(bwprocess.Config{
 		Role:      bwmodel.RouterRole,
 		Settings:  cfg.Settings.Common(),
@@ -80,12 +84,13 @@
 		LogOutput: cfg.LogOutput,
 		Dial:      cfg.Dial,
 		Listen:    cfg.Listen,
+		Refusing:  rtr.refusing,
 		Now:       cfg.Now,
 	})
 	if err != nil {
 		return nil, err
 	}
-	rtr := &Router{cfg: cfg, proc: proc}
+	rtr.proc = proc
 	if err := rtr.build(); err != nil {
 		return nil, errors.Join(err, proc.Close())
 	}
@@ -130,6 +135,17 @@
 // Ready returns why the router takes no new work, and nil when it does.
 func (rtr *Router) Ready() error { return rtr.proc.Ready() }
 
+// refusing returns why the router takes no new work although its process does:
+// the state is known before the services in it have been opened.
+func (rtr *Router) refusing() error {
+	if rtr.inForce.Load() {
+		return nil
+	}
+	return errNotInForce
+}
+
+var errNotInForce = errors.New("the state is known but not in force yet")
+
 // StopRequested is closed when an operator has asked the router to end.
 func (rtr *Router) StopRequested() <-chan struct{} { return rtr.proc.StopRequested() }
 
@@ -289,6 +305,8 @@
 	rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
+	} else if snap.Ready {
+		rtr.inForce.Store(true)
 	}
 	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
 		rtr.proc.Log.Error("starting control duties failed", "Error", err)
