Tell routers of changes among members instead of heartbeats

Cause: an exchange carried up to 64 member summaries of about 130 bytes a second, and with 4,000 processes a given member was heard of less than once in 3 s, so that live routers counted as suspect. All processes read the VM list of 4,000 VMs every 5 s.

Change: routers tell each other of members that come, fall silent or leave. Three overseers, two in other zones, call a router each second; a digest in each exchange shows what was missed. Agents know the routers of their region and call one of their zone each second. Routers push tickets across regions, zones and to agents that called lately. Only watchers read the VM list. Record holders in other regions come last.

--- a/core/bwmember/selection.go
+++ b/core/bwmember/selection.go
@@ -55,42 +55,67 @@
 	return routers[:min(count, len(routers))]
 }
 
-// PushTargets returns up to fanout members to push a new ticket number to. One
-// live member of each other zone comes first, so that a push crosses zones
-// even when most members are near; the rest are random members of the own zone,
-// then random others.
+// PushTargets returns up to fanout members to push news to. The first is in
+// another region and the next ones in the other zones of the own region, so that
+// a push crosses both even when most members are near; the rest are random
+// members of the own zone, then of the own region, then others.
 func PushTargets(self bwmodel.Member, entries []Entry, fanout int, rng *rand.Rand) []bwmodel.Member {
 	near, far := split(self, entries, rng)
-	zones := make(map[bwmodel.ZoneID]bool)
-	var first, rest []bwmodel.Member
-	for _, mem := range far {
-		if zones[mem.Zone] {
+	zones := map[bwmodel.ZoneID]bool{self.Zone: true}
+	var first, own, rest []bwmodel.Member
+	for _, mem := range near {
+		switch {
+		case mem.Zone == self.Zone:
+			own = append(own, mem)
+		case zones[mem.Zone]:
 			rest = append(rest, mem)
-			continue
+		default:
+			zones[mem.Zone] = true
+			first = append(first, mem)
 		}
-		zones[mem.Zone] = true
-		first = append(first, mem)
 	}
 	// Half of the fan-out stays for the own zone when there are many zones.
-	if half := fanout / 2; len(first) > half && len(near) >= fanout-half {
-		first = first[:half]
-	}
-	targets := slices.Concat(first, near, rest)
+	first = first[:min(len(first), max(1, fanout/2))]
+	lead := far[:min(1, len(far))]
+	targets := slices.Concat(lead, first, own, rest, far[len(lead):])
 	return targets[:min(fanout, len(targets))]
 }
 
-// ExchangePeer returns a random member to exchange with, or false when none is
-// known. Suspect members take part, since an exchange is how they become live again.
-func ExchangePeer(entries []Entry, rng *rand.Rand) (bwmodel.Member, bool) {
-	if len(entries) == 0 {
+// farShare is the part of exchanges that cross regions: 167 routers of a region
+// then make 20 of them a second.
+const farShare = 0.125
+
+// ExchangePeer returns a random router to exchange with, or false when none is
+// known. A router mostly takes one of its region, an agent one of its zone, so
+// that each router hears as many agents. Suspect members take part, since an
+// exchange is how they become live again; those that left do not.
+func ExchangePeer(self bwmodel.Member, entries []Entry, rng *rand.Rand) (bwmodel.Member, bool) {
+	var near, far []bwmodel.Member
+	for _, ent := range entries {
+		mem := ent.Member
+		if mem.Role != bwmodel.RouterRole || ent.Status == Leaving || ent.Status == Suspect && self.Role == bwmodel.AgentRole {
+			continue
+		}
+		if mem.Region == self.Region && (self.Role == bwmodel.RouterRole || mem.Zone == self.Zone) {
+			near = append(near, mem)
+		} else {
+			far = append(far, mem)
+		}
+	}
+	pool := near
+	if len(near) == 0 || self.Role == bwmodel.RouterRole && len(far) > 0 && rng.Float64() < farShare {
+		pool = far
+	}
+	if len(pool) == 0 {
 		return bwmodel.Member{}, false
 	}
-	return entries[rng.IntN(len(entries))].Member, true
+	return pool[rng.IntN(len(pool))], true
 }
 
 // RecordHolders returns the live routers that may hold copies of a request's
-// record, the first choice first. Routers in another zone come before those in
-// the own one, because a zone is lost as a whole.
+// record, the first choice first. Routers in another zone of the region come
+// before those in the own zone, because a zone is lost as a whole; other regions
+// come last, because each token waits for the holder.
 func RecordHolders(self bwmodel.Member, entries []Entry, id bwmodel.RequestID) []bwmodel.Member {
 	routers := liveRouters(entries, func(bwmodel.Member) bool { return true })
 	weights := make(map[bwmodel.MemberID]uint64, len(routers))
@@ -98,11 +123,8 @@
 		weights[mem.ID] = weight(string(id[:]), string(mem.ID))
 	}
 	slices.SortFunc(routers, func(aa, bb bwmodel.Member) int {
-		if near := aa.Zone == self.Zone; near != (bb.Zone == self.Zone) {
-			if near {
-				return 1
-			}
-			return -1
+		if order := cmp.Compare(distance(self, aa), distance(self, bb)); order != 0 {
+			return order
 		}
 		return compareWeights(weights[aa.ID], aa.ID, weights[bb.ID], bb.ID)
 	})
@@ -136,11 +158,23 @@
 	return chosen
 }
 
+// distance orders the places of record holders.
+func distance(self, mem bwmodel.Member) int {
+	switch {
+	case mem.Region != self.Region:
+		return 2
+	case mem.Zone == self.Zone:
+		return 1
+	}
+	return 0
+}
+
+// split returns the routers of the own region and those of others, shuffled.
 func split(self bwmodel.Member, entries []Entry, rng *rand.Rand) (near, far []bwmodel.Member) {
 	for _, ent := range entries {
 		switch {
-		case ent.Status == Suspect:
-		case ent.Member.Zone == self.Zone:
+		case ent.Status == Suspect || ent.Member.Role != bwmodel.RouterRole:
+		case ent.Member.Region == self.Region:
 			near = append(near, ent.Member)
 		default:
 			far = append(far, ent.Member)
--- a/io/bwfleet/control.go
+++ b/io/bwfleet/control.go
@@ -2,13 +2,13 @@
 
 import (
 	"errors"
+	"net/netip"
 	"slices"
 	"time"
 
 	"bilberrywick/core/bwmember"
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwticket"
-	"bilberrywick/io/bwwire"
 )
 
 // maxRecent is the number of tickets kept to pass on; a peer that is further
@@ -28,9 +28,20 @@
 	// started says that the state was read from the store or from enough seeds.
 	started bool
 	// contact is when the store or a peer was last heard from.
-	contact  time.Time
-	revision uint64
-	last     Snapshot
+	contact time.Time
+	// peers is when a peer was last heard from.
+	peers time.Time
+	// agents are those that lately called this router, to push tickets to.
+	agents map[netip.AddrPort]time.Time
+	// differed is since when the digests of peers have differed, and synced when
+	// the routers were last fetched from a peer; see differs.
+	differed time.Time
+	synced   time.Time
+	// suspected is when this process last said of a router that it is silent.
+	suspected map[bwmodel.MemberID]time.Time
+	revision  uint64
+	seen      membersView
+	last      Snapshot
 }
 
 func newControl(cfg Config) *control {
@@ -38,18 +49,31 @@
 		now:   cfg.Now,
 		dir:   bwmember.NewDirectory(bwmember.Config{Self: cfg.Self, Now: cfg.Now}),
 		state: bwticket.NewState(bwticket.StateConfig{}),
+
+		agents:    make(map[netip.AddrPort]time.Time),
+		suspected: make(map[bwmodel.MemberID]time.Time),
 	}
 }
 
+// membersInterval bounds the age of the members in a view when nothing but the
+// time changes their status.
+const membersInterval = 250 * time.Millisecond
+
 func (ctl *control) view() *Snapshot {
+	now := ctl.now()
+	if ctl.seen.at.IsZero() || ctl.seen.version != ctl.dir.Version() || now.Sub(ctl.seen.at) >= membersInterval {
+		ctl.seen = newMembersView(ctl.dir, now)
+	}
 	snap := Snapshot{
 		Self:    ctl.dir.Self(),
 		State:   ctl.state,
-		Members: ctl.dir.Entries(),
-		Ready:   ctl.started && ctl.now().Sub(ctl.contact) <= contactTime,
+		Members: ctl.seen.entries,
+		Ready:   ctl.started && now.Sub(ctl.contact) <= contactTime,
 		Started: ctl.started,
 		Contact: ctl.contact,
 		recent:  ctl.recent,
+		peers:   ctl.peers,
+		seen:    ctl.seen,
 	}
 	if snap.differs(&ctl.last) {
 		ctl.revision++
@@ -59,20 +83,39 @@
 	return &snap
 }
 
-// touch records that the store or a peer was heard from.
-func (ctl *control) touch() { ctl.contact = ctl.now() }
+// membersView is what a view shows and an exchange carries of the members.
+type membersView struct {
+	at      time.Time
+	version uint64
+	entries []bwmember.Entry
+	record  bwmember.Record
+	// region and world are digests of the live routers.
+	region  uint64
+	world   uint64
+	changes []bwmember.Record
+	// flagged are the members that are told what is believed of them.
+	flagged []bwmember.Record
+}
 
-// hear records what a peer said in an exchange.
-func (ctl *control) hear(msg *bwwire.ExchangeMessage) {
-	ctl.touch()
-	ctl.dir.Hear(msg.From, 0)
-	ctl.dir.Learn(msg.From.ID, msg.From.Incarnation, msg.Head)
-	for _, sum := range msg.Members {
-		ctl.dir.Hear(sum.Member, sum.Age)
-		ctl.dir.Learn(sum.Member.ID, sum.Member.Incarnation, sum.StateNumber)
+func newMembersView(dir *bwmember.Directory, now time.Time) membersView {
+	seen := membersView{
+		at:      now,
+		entries: dir.Entries(),
+		version: dir.Version(),
+		record:  dir.SelfRecord(),
+		region:  dir.Digest(dir.Self().Region),
+		changes: dir.Changes(maxChanges),
+		flagged: dir.Flagged(),
 	}
+	if dir.Self().Role == bwmodel.RouterRole {
+		seen.world = dir.Digest("")
+	}
+	return seen
 }
 
+// touch records that the store or a peer was heard from.
+func (ctl *control) touch() { ctl.contact = ctl.now() }
+
 // follow applies the tickets that are above the state, and reports whether
 // there was a gap. A ticket at or below the state is passed over.
 func (ctl *control) follow(accs []bwticket.Accepted) (gap bool) {
@@ -101,24 +144,27 @@
 	ctl.recent = nil
 }
 
-func (snap *Snapshot) differs(old *Snapshot) bool {
-	if snap.State != old.State || snap.Ready != old.Ready || snap.Started != old.Started || snap.Self != old.Self {
+func (sn *Snapshot) differs(old *Snapshot) bool {
+	if sn.State != old.State || sn.Ready != old.Ready || sn.Started != old.Started || sn.Self != old.Self {
 		return true
 	}
-	return !slices.EqualFunc(snap.Members, old.Members, func(aa, bb bwmember.Entry) bool {
+	if sn.seen.at.Equal(old.seen.at) {
+		return false
+	}
+	return !slices.EqualFunc(sn.Members, old.Members, func(aa, bb bwmember.Entry) bool {
 		return aa.Member == bb.Member && aa.Status == bb.Status
 	})
 }
 
 // after returns the recent tickets above a number, or false when they don't
 // reach back to it.
-func (snap *Snapshot) after(num bwmodel.TicketNumber) ([]bwticket.Accepted, bool) {
-	if num >= snap.State.Number() {
+func (sn *Snapshot) after(num bwmodel.TicketNumber) ([]bwticket.Accepted, bool) {
+	if num >= sn.State.Number() {
 		return nil, true
 	}
-	ix := slices.IndexFunc(snap.recent, func(acc bwticket.Accepted) bool { return acc.Previous == num })
+	ix := slices.IndexFunc(sn.recent, func(acc bwticket.Accepted) bool { return acc.Previous == num })
 	if ix < 0 {
 		return nil, false
 	}
-	return snap.recent[ix:], true
+	return sn.recent[ix:], true
 }
--- a/io/bwfleet/exchange.go
+++ b/io/bwfleet/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/netip"
-	"slices"
 
 	"bilberrywick/core/bwmember"
 	"bilberrywick/core/bwmodel"
@@ -12,17 +11,12 @@
 	"bilberrywick/io/bwwire"
 )
 
-// maxSummaries bounds the members in one exchange, to keep its size bounded in
-// a large fleet.
-const maxSummaries = 64
-
 // HandleExchange answers a peer's exchange.
 func (fl *Fleet) HandleExchange(ctx context.Context, msg *bwwire.ExchangeMessage) (*bwwire.ExchangeMessage, error) {
-	if err := fl.update(ctx, func(ctl *control) { ctl.hear(msg) }); err != nil {
+	if err := fl.hear(ctx, msg, netip.AddrPort{}); err != nil {
 		return nil, fmt.Errorf("exchange: %w", err)
 	}
-	fl.hint(hint{number: msg.Head, from: msg.From.Address, source: FromExchange})
-	return fl.message(), nil
+	return fl.message(msg.From.Member.ID), nil
 }
 
 // HandleTickets answers a peer that is behind.
@@ -41,62 +35,87 @@
 	return rsp, nil
 }
 
-// message is what the process says in an exchange: itself, its number, and the
-// members heard most recently.
-func (fl *Fleet) message() *bwwire.ExchangeMessage {
+// message is what the process says in an exchange: itself, its number, digests
+// of the routers that it knows, and the changes among them.
+func (fl *Fleet) message(to bwmodel.MemberID) *bwwire.ExchangeMessage {
 	snap := fl.Snapshot()
-	msg := &bwwire.ExchangeMessage{From: snap.Self, Head: snap.State.Number(), Ready: snap.Ready}
-	heard := slices.DeleteFunc(slices.Clone(snap.Members), func(ent bwmember.Entry) bool { return ent.Heard.IsZero() })
-	slices.SortStableFunc(heard, func(aa, bb bwmember.Entry) int { return bb.Heard.Compare(aa.Heard) })
-	now := fl.cfg.Now()
-	for _, ent := range heard[:min(len(heard), maxSummaries)] {
-		msg.Members = append(msg.Members, bwwire.MemberSummary{Member: ent.Member, Age: now.Sub(ent.Heard), StateNumber: ent.StateNumber})
+	msg := &bwwire.ExchangeMessage{
+		From:    bwwire.NewMemberRecord(snap.seen.record),
+		Head:    snap.State.Number(),
+		Ready:   snap.Ready,
+		Region:  snap.seen.region,
+		World:   snap.seen.world,
+		Changes: bwwire.NewMemberRecords(snap.seen.changes),
+	}
+	for _, rec := range snap.seen.flagged {
+		if rec.Member.ID == to {
+			msg.Changes = append(msg.Changes, bwwire.NewMemberRecord(rec))
+		}
 	}
 	return msg
 }
 
-// exchange tells a peer what this process knows and records the answer.
-func (fl *Fleet) exchange(ctx context.Context, addr netip.AddrPort) (*bwwire.ExchangeMessage, error) {
-	ctx, cancel := context.WithTimeout(ctx, fl.cfg.CallTimeout)
+// exchange tells a peer what this process knows and records the answer. The
+// peer's name may be empty when only its address is known.
+func (fl *Fleet) exchange(ctx context.Context, to bwmodel.MemberID, addr netip.AddrPort) (*bwwire.ExchangeMessage, error) {
+	call, cancel := context.WithTimeout(ctx, fl.cfg.CallTimeout)
 	defer cancel()
-	rsp, err := fl.cfg.Peers.Exchange(ctx, addr, fl.message())
+	rsp, err := fl.cfg.Peers.Exchange(call, addr, fl.message(to))
 	if err != nil {
+		// A failed change means that the process is stopping.
+		_ = fl.update(ctx, func(ctl *control) { ctl.dir.Fail(to) })
 		return nil, fmt.Errorf("exchange with %v: %w", addr, err)
 	}
-	if err := fl.update(ctx, func(ctl *control) { ctl.hear(rsp) }); err != nil {
-		return nil, err
-	}
-	fl.hint(hint{number: rsp.Head, from: addr, source: FromExchange})
-	return rsp, nil
+	return rsp, fl.hear(ctx, rsp, addr)
 }
 
-// wakePush has the own number and state pushed; a push that waits already covers it.
-func (fl *Fleet) wakePush() {
+// wake sends to a channel of one place; a value that waits already covers it.
+func wake(ch chan<- struct{}) {
 	select {
-	case fl.pushes <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
 
-// push tells some peers of the own number; they fetch the tickets.
-func (fl *Fleet) push(ctx context.Context) {
+// push tells some peers of the own number and of changed members; they fetch
+// the tickets. A ticket goes to the agents that called lately, too.
+func (fl *Fleet) push(ctx context.Context, ticket bool) {
 	snap := fl.Snapshot()
-	targets := bwmember.PushTargets(snap.Self, snap.Members, fl.cfg.Fanout, newRandom(fl.cfg, snap.Revision))
-	for _, mem := range targets {
-		fl.running.Add(1)
-		tsk := task{done: fl.running.Done, loop: pushing{fl: fl, addr: mem.Address}.send}
-		go tsk.run(ctx)
+	fanout := fl.cfg.Fanout
+	if snap.Self.Role == bwmodel.AgentRole {
+		fanout = min(fanout, agentFanout)
+	}
+	for _, mem := range bwmember.PushTargets(snap.Self, snap.Members, fanout, newRandom(fl.cfg, snap.Revision)) {
+		fl.start(ctx, pushing{fl: fl, to: mem.ID, addr: mem.Address}.send)
 	}
+	if !ticket {
+		return
+	}
+	var agents []netip.AddrPort
+	if err := fl.update(ctx, func(ctl *control) { agents = ctl.callers() }); err != nil {
+		return
+	}
+	for _, addr := range agents {
+		fl.start(ctx, pushing{fl: fl, addr: addr}.send)
+	}
+}
+
+// start runs a task that Wait waits for.
+func (fl *Fleet) start(ctx context.Context, loop func(context.Context)) {
+	fl.running.Add(1)
+	tsk := task{done: fl.running.Done, loop: loop}
+	go tsk.run(ctx)
 }
 
 // pushing is one message of a push.
 type pushing struct {
 	fl   *Fleet
+	to   bwmodel.MemberID
 	addr netip.AddrPort
 }
 
 func (psh pushing) send(ctx context.Context) {
-	if _, err := psh.fl.exchange(ctx, psh.addr); err != nil {
+	if _, err := psh.fl.exchange(ctx, psh.to, psh.addr); err != nil {
 		psh.fl.cfg.Log.Debug("push failed", "Peer", psh.addr, "Error", err)
 	}
 }
@@ -155,7 +174,7 @@
 	if now := fl.Snapshot().State.Number(); now > before {
 		fl.cfg.Log.Info("state in effect", "Number", now, "Before", before, "Source", src)
 		fl.measure(src, accs, before, now)
-		fl.wakePush()
+		wake(fl.pushes)
 	}
 	if gap {
 		return fmt.Errorf("tickets after %d: %w", before, bwticket.ErrGap)
--- a/io/bwfleet/fleet.go
+++ b/io/bwfleet/fleet.go
@@ -24,8 +24,9 @@
 	own   *bwcontrol.Owner[control, Snapshot]
 	hints chan hint
 	heard chan evidence
-	// pushes wakes loopPush.
+	// pushes wakes loopPush for a ticket, and news for a change of members.
 	pushes chan struct{}
+	news   chan struct{}
 	// revision is the last one that subscribers were told of.
 	revision    atomic.Uint64
 	subscribers []chan struct{}
@@ -76,6 +77,9 @@
 	Revision uint64
 	// recent are the last tickets up to the state, to pass on to peers.
 	recent []bwticket.Accepted
+	// peers is when a peer was last heard from.
+	peers time.Time
+	seen  membersView
 }
 
 const (
@@ -93,8 +97,8 @@
 	if cfg.Self.ID == "" || !cfg.Self.Address.IsValid() || cfg.Self.Role == 0 {
 		return nil, errors.New("field Self needs ID, Address and Role")
 	}
-	if cfg.Peers.Exchange == nil || cfg.Peers.Tickets == nil {
-		return nil, errors.New("field Peers needs Exchange and Tickets")
+	if cfg.Peers.Exchange == nil || cfg.Peers.Tickets == nil || cfg.Peers.Members == nil {
+		return nil, errors.New("field Peers needs Exchange, Tickets and Members")
 	}
 	cfg.setDefaults()
 	fl := &Fleet{
@@ -102,6 +106,7 @@
 		hints:  make(chan hint, hintBacklog),
 		heard:  make(chan evidence, heardBacklog),
 		pushes: make(chan struct{}, 1),
+		news:   make(chan struct{}, 1),
 	}
 	ctl := newControl(cfg)
 	fl.own = bwcontrol.New(bwcontrol.Config[control, Snapshot]{State: ctl, View: (*control).view})
@@ -112,6 +117,7 @@
 func (fl *Fleet) Register(srv *bwrpc.Server) {
 	bwrpc.HandleUnary(srv, bwwire.PeerExchange, fl.HandleExchange)
 	bwrpc.HandleUnary(srv, bwwire.PeerTickets, fl.HandleTickets)
+	bwrpc.HandleUnary(srv, bwwire.PeerMembers, fl.HandleMembers)
 }
 
 // Changes returns a channel that gets a value after each change of the
@@ -126,7 +132,7 @@
 // Start runs the fleet until the context ends.
 func (fl *Fleet) Start(ctx context.Context) {
 	fl.own.Start(ctx)
-	loops := []func(context.Context){fl.loopStart, fl.loopPoll, fl.loopExchange, fl.loopList, fl.loopPull, fl.loopPush}
+	loops := []func(context.Context){fl.loopStart, fl.loopPoll, fl.loopExchange, fl.loopList, fl.loopPull, fl.loopPush, fl.loopOversee}
 	fl.running.Add(len(loops))
 	for _, loop := range loops {
 		tsk := task{loop: loop, done: fl.running.Done}
@@ -174,7 +180,7 @@
 	if err := fl.update(ctx, func(ctl *control) { ctl.dir.Leave() }); err != nil {
 		return err
 	}
-	fl.wakePush()
+	wake(fl.news)
 	return nil
 }
 
@@ -252,14 +258,14 @@
 }
 
 // NotReady returns why the process is not current, and nil when it is.
-func (snap *Snapshot) NotReady(now time.Time) error {
+func (sn *Snapshot) NotReady(now time.Time) error {
 	switch {
-	case snap.Ready:
+	case sn.Ready:
 		return nil
-	case !snap.Started:
+	case !sn.Started:
 		return errNotStarted
 	}
-	age := now.Sub(snap.Contact).Truncate(time.Second)
+	age := now.Sub(sn.Contact).Truncate(time.Second)
 	return fmt.Errorf("neither the store nor a peer was heard from for %v, at most %v are allowed", age, contactTime)
 }
 
--- a/io/bwfleet/loop.go
+++ b/io/bwfleet/loop.go
@@ -94,7 +94,7 @@
 
 // ask answers with a zero hint when the seed doesn't know the state.
 func (ask asking) ask(ctx context.Context) {
-	rsp, err := ask.fl.exchange(ctx, ask.addr)
+	rsp, err := ask.fl.exchange(ctx, "", ask.addr)
 	if err != nil || !rsp.Ready {
 		ask.answers <- hint{}
 		return
@@ -125,7 +125,7 @@
 // poll reads the head when the process is a watcher or hears from no peer.
 func (fl *Fleet) poll(ctx context.Context) error {
 	snap := fl.Snapshot()
-	alone := !hearsPeer(snap.Members)
+	alone := fl.cfg.Now().Sub(snap.peers) > contactTime
 	if fl.cfg.Store.Head == nil || !alone && !bwmember.Watches(snap.Self, snap.Members) {
 		return nil
 	}
@@ -165,35 +165,65 @@
 	}
 }
 
-// loopExchange exchanges with one random peer at a time.
+// loopExchange exchanges with one random router at a time, and with another at
+// once when it does not answer.
 func (fl *Fleet) loopExchange(ctx context.Context) {
 	rng := newRandom(fl.cfg, 0)
+	// Processes that start together spread their exchanges over the interval.
+	tmr := time.NewTimer(time.Duration(rng.Int64N(int64(fl.cfg.ExchangeInterval))))
+	defer tmr.Stop()
 	tick := time.NewTicker(fl.cfg.ExchangeInterval)
 	defer tick.Stop()
 	for {
-		if addr, ok := fl.pickPeer(rng); ok {
-			if _, err := fl.exchange(ctx, addr); err != nil {
-				fl.cfg.Log.Debug("exchange failed", "Peer", addr, "Error", err)
+		for range exchangeAttempts {
+			if ctx.Err() != nil || fl.exchangeAny(ctx, rng) {
+				break
 			}
 		}
 		select {
 		case <-tick.C:
+		case <-tmr.C:
+			tick.Reset(fl.cfg.ExchangeInterval)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// seedShare is the part of exchanges that go to a seed, so that two halves of a
-// fleet that have forgotten each other meet again.
-const seedShare = 0.1
+const (
+	// exchangeAttempts keeps a process in contact when some of its peers are dead.
+	exchangeAttempts = 3
+	// seedShare is the part of a router's exchanges that go to a seed in a small
+	// fleet, so that two halves that have forgotten each other meet again. In a
+	// large one it falls with the size, so that seeds get the same number a second.
+	seedShare = 0.1
+	seedFleet = 20
+)
+
+// exchangeAny exchanges with a random peer and reports whether one answered or none is known.
+func (fl *Fleet) exchangeAny(ctx context.Context, rng *rand.Rand) bool {
+	mem, ok := fl.pickPeer(rng)
+	if !ok {
+		return true
+	}
+	if _, err := fl.exchange(ctx, mem.ID, mem.Address); err != nil {
+		fl.cfg.Log.Debug("exchange failed", "Peer", mem.Address, "Error", err)
+		return false
+	}
+	return true
+}
 
-func (fl *Fleet) pickPeer(rng *rand.Rand) (netip.AddrPort, bool) {
-	mem, ok := bwmember.ExchangePeer(fl.Snapshot().Members, rng)
-	if len(fl.cfg.Seeds) > 0 && (!ok || rng.Float64() < seedShare) {
-		return fl.cfg.Seeds[rng.IntN(len(fl.cfg.Seeds))], true
+func (fl *Fleet) pickPeer(rng *rand.Rand) (bwmodel.Member, bool) {
+	snap := fl.Snapshot()
+	mem, ok := bwmember.ExchangePeer(snap.Self, snap.Members, rng)
+	share := seedShare * min(1, seedFleet/float64(len(snap.Members)+1))
+	if snap.Self.Role == bwmodel.AgentRole {
+		share = 0
+	}
+	if len(fl.cfg.Seeds) > 0 && (!ok || rng.Float64() < share) {
+		return bwmodel.Member{Address: fl.cfg.Seeds[rng.IntN(len(fl.cfg.Seeds))]}, true
 	}
-	return mem.Address, ok
+	return mem, ok
 }
 
 // loopList reads the platform's list.
@@ -204,7 +234,13 @@
 	tick := time.NewTicker(fl.cfg.ListInterval)
 	defer tick.Stop()
 	for {
-		fl.readList(ctx)
+		snap := fl.Snapshot()
+		alone := fl.cfg.Now().Sub(snap.peers) > contactTime
+		// The list of 4,000 VMs is too large for each process to read it; the
+		// watchers pass on what is news in it.
+		if alone || bwmember.Watches(snap.Self, snap.Members) {
+			fl.readList(ctx)
+		}
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
@@ -221,50 +257,42 @@
 		fl.cfg.Log.Debug("read of the VM list failed", "Error", err)
 		return
 	}
-	if err := fl.update(ctx, func(ctl *control) { ctl.dir.List(members) }); err != nil {
+	news := false
+	if err := fl.update(ctx, func(ctl *control) { news = ctl.dir.List(members) }); err != nil {
 		fl.cfg.Log.Debug("VM list not recorded", "Error", err)
+		return
 	}
-}
-
-// loopPull fetches the tickets behind each higher number that is heard of.
-func (fl *Fleet) loopPull(ctx context.Context) {
-	for {
-		select {
-		case hnt := <-fl.hints:
-			if hnt.number <= fl.Snapshot().State.Number() {
-				continue
-			}
-			if err := fl.pullPeer(ctx, hnt.from, hnt.source); err != nil {
-				fl.cfg.Log.Debug("pull failed", "Peer", hnt.from, "Error", err)
-			}
-		case <-ctx.Done():
-			return
-		}
+	if news {
+		wake(fl.news)
 	}
 }
 
-// loopPush tells peers of each higher number. It doesn't wait for their
-// answers, so that an unreachable peer doesn't delay the next push.
+// newsInterval separates pushes of changed members when many change, as in the
+// loss of a zone; a ticket never waits.
+const newsInterval = 250 * time.Millisecond
+
+// loopPush tells peers of each higher number and of changed members. It doesn't
+// wait for their answers, so that an unreachable peer doesn't delay the next push.
 func (fl *Fleet) loopPush(ctx context.Context) {
+	tmr := time.NewTimer(0)
+	defer tmr.Stop()
+	var news <-chan struct{}
 	for {
 		select {
 		case <-fl.pushes:
-			fl.push(ctx)
+			fl.push(ctx, true)
+		case <-tmr.C:
+			news = fl.news
+		case <-news:
+			fl.push(ctx, false)
+			news = nil
+			tmr.Reset(newsInterval)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func hearsPeer(entries []bwmember.Entry) bool {
-	for _, ent := range entries {
-		if ent.Status == bwmember.Live {
-			return true
-		}
-	}
-	return false
-}
-
 // newRandom mixes the member's name into the seed, so that members with the
 // same settings choose different peers.
 func newRandom(cfg Config, stream uint64) *rand.Rand {
--- a/io/bwfleet/seam.go
+++ b/io/bwfleet/seam.go
@@ -42,12 +42,13 @@
 type Peers struct {
 	Exchange func(ctx context.Context, addr netip.AddrPort, msg *bwwire.ExchangeMessage) (*bwwire.ExchangeMessage, error)
 	Tickets  func(ctx context.Context, addr netip.AddrPort, req *bwwire.TicketsRequest) (*bwwire.TicketsResponse, error)
+	Members  func(ctx context.Context, addr netip.AddrPort, req *bwwire.MembersRequest) (*bwwire.MembersResponse, error)
 }
 
 // NewPeers returns the functions over an rpc client.
 func NewPeers(cl *bwrpc.Client) Peers {
 	cal := &caller{client: cl}
-	return Peers{Exchange: cal.exchange, Tickets: cal.tickets}
+	return Peers{Exchange: cal.exchange, Tickets: cal.tickets, Members: cal.members}
 }
 
 type caller struct{ client *bwrpc.Client }
@@ -59,3 +60,7 @@
 func (cal *caller) tickets(ctx context.Context, addr netip.AddrPort, req *bwwire.TicketsRequest) (*bwwire.TicketsResponse, error) {
 	return bwrpc.Call[bwwire.TicketsRequest, bwwire.TicketsResponse](ctx, cal.client, addr, bwwire.PeerTickets, req)
 }
+
+func (cal *caller) members(ctx context.Context, addr netip.AddrPort, req *bwwire.MembersRequest) (*bwwire.MembersResponse, error) {
+	return bwrpc.Call[bwwire.MembersRequest, bwwire.MembersResponse](ctx, cal.client, addr, bwwire.PeerMembers, req)
+}
--- a/io/bwwire/control.go
+++ b/io/bwwire/control.go
@@ -1,10 +1,6 @@
 package bwwire
 
-import (
-	"time"
-
-	"bilberrywick/core/bwmodel"
-)
+import "bilberrywick/core/bwmodel"
 
 // StatusRequest subscribes to an agent's status.
 type StatusRequest struct {
@@ -27,25 +23,6 @@
 // OrderResponse answers an OrderRequest that was carried out.
 type OrderResponse struct{ Fence bwmodel.Fence }
 
-// ExchangeMessage is both the request and the response of an exchange between peers.
-type ExchangeMessage struct {
-	From bwmodel.Member
-	Head bwmodel.TicketNumber
-	// Ready says that the sender knows the state in effect, so that its head counts
-	// for a process that starts without the store.
-	Ready   bool
-	Members []MemberSummary
-}
-
-// MemberSummary is what one process knows of another.
-type MemberSummary struct {
-	Member bwmodel.Member
-	// Age is the time since the member itself was heard.
-	Age time.Duration
-	// StateNumber is the ticket number that the member was known to have in force.
-	StateNumber bwmodel.TicketNumber
-}
-
 // TicketsRequest asks for what follows a number.
 type TicketsRequest struct{ After bwmodel.TicketNumber }
 
--- a/io/bwwire/method.go
+++ b/io/bwwire/method.go
@@ -21,6 +21,7 @@
 	PeerTakeOver = "Peer.TakeOver"
 	PeerExchange = "Peer.Exchange"
 	PeerTickets  = "Peer.Tickets"
+	PeerMembers  = "Peer.Members"
 	PeerDemand   = "Peer.Demand"
 )
 
