--- a/bench/bwbench/job.go
+++ b/bench/bwbench/job.go
@@ -56,7 +56,7 @@
 func (jb *job) generate(ctx context.Context) {
 	ses := jb.ses
 	cal := ses.callers[jb.stm.Team]
-	prompt := fmt.Sprintf("Napíš venovanie číslo %d pre dom %s. ", jb.arr.Ordinal, jb.stm.Team)
+	prompt := jb.stm.beginning(jb.arr.Ordinal) + fmt.Sprintf("Napíš venovanie číslo %d pre dom %s. ", jb.arr.Ordinal, jb.stm.Team)
 	gen := bwcaller.Generation{Model: string(jb.stm.Service), Prompt: prompt, MaxTokens: jb.arr.Tokens, Class: jb.stm.Class}
 	due := ses.began.Add(jb.arr.At)
 	// The wait of this goroutine for a processor counts as latency too.
--- a/bench/bwbench/size.go
+++ b/bench/bwbench/size.go
@@ -56,6 +56,7 @@
 	{"SlowEngine", slowEngine},
 	{"TeamBurst", teamBurst},
 	{"ZoneLoss", zoneLoss},
+	{"SharedPrefix", sharedPrefix},
 	{"RouterCost", routerCost},
 }
 
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -108,13 +108,18 @@
 }
 
 // Stop refuses new work at once, lets the work in progress end within the drain
-// time and then ends the agent.
+// time and then ends the agent. Generations that run shortly before the drain
+// time is over are moved to other engines by their routers.
 func (agt *Agent) Stop(ctx context.Context) error {
 	drain, cancel := context.WithTimeout(ctx, agt.cfg.Settings.DrainTime)
 	defer cancel()
 	agt.proc.BeginStop()
 	err := agt.reporter.SetLeaving(drain, true)
-	err = errors.Join(err, agt.proc.Fleet.Leave(drain), agt.drain(drain))
+	err = errors.Join(err, agt.proc.Fleet.Leave(drain))
+	if agt.generations != nil {
+		err = errors.Join(err, agt.drainGenerations(drain))
+	}
+	err = errors.Join(err, agt.drain(drain))
 	err = errors.Join(err, agt.proc.Stop(), agt.operators.Close())
 	agt.proc.Log.Info("agent stopped", "Error", err)
 	return err
@@ -126,20 +131,40 @@
 // Leaving reports whether the agent refuses new work.
 func (agt *Agent) Leaving() bool { return agt.reporter.Snapshot().Leaving }
 
+// drainPart of drainParts of the drain time is left to generations to end.
+const (
+	drainPart  = 9
+	drainParts = 10
+)
+
+// drainGenerations lets generations end, and moves what remains.
+func (agt *Agent) drainGenerations(ctx context.Context) error {
+	patient, cancel := context.WithTimeout(ctx, agt.cfg.Settings.DrainTime*drainPart/drainParts)
+	defer cancel()
+	if agt.drain(patient) == nil {
+		return nil
+	}
+	return agt.generations.Move(ctx)
+}
+
 // drain waits until no work is in progress, or returns the context's error.
 func (agt *Agent) drain(ctx context.Context) error {
 	tick := time.NewTicker(drainPoll)
 	defer tick.Stop()
-	for agt.inProgress() > 0 {
+	for agt.unanswered() > 0 {
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return fmt.Errorf("%d requests in progress after the drain time: %w", agt.inProgress(), ctx.Err())
+			return fmt.Errorf("%d requests in progress after the drain time: %w", agt.unanswered(), ctx.Err())
 		}
 	}
 	return nil
 }
 
+// unanswered counts what a stop waits for: the work in progress, and the lookups
+// and actions whose answers are not yet sent.
+func (agt *Agent) unanswered() int { return agt.inProgress() + agt.proc.Server.Open() }
+
 func (agt *Agent) inProgress() int {
 	count := 0
 	if agt.generations != nil {
@@ -196,7 +221,7 @@
 		StateNumber: agt.proc.StateNumber,
 		Slots:       ups.Slots,
 	})
-	agt.calls = NewCalls(CallsConfig{Call: svc.Call, Leaving: agt.Leaving, StateNumber: agt.proc.StateNumber})
+	agt.calls = NewCalls(CallsConfig{Call: svc.Call, NotSent: notSent, Leaving: agt.Leaving, StateNumber: agt.proc.StateNumber})
 	agt.actions.Register(agt.proc.Server)
 	agt.calls.Register(agt.proc.Server)
 }
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -17,6 +17,7 @@
 	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwengine"
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwrpc"
 )
@@ -24,10 +25,18 @@
 // Generations serves callers' generations. It resumes them on another engine
 // when one fails, and takes over those of a router that died.
 type Generations struct {
-	cfg GenerationsConfig
+	open openGenerations
+	cfg  GenerationsConfig
 	// paces learns the time to the first token and between tokens of each service.
 	paces  *paces
 	budget *bwretry.Budget
+	// lengths expects the length of outputs by team and service.
+	lengths *bwadmit.Predictor
+	// prefixes knows the cached blocks of prompts' beginnings.
+	prefixes *bwroute.PrefixIndex
+	// stopping ends when the router lets its open generations go.
+	stopping context.Context
+	handOver context.CancelFunc
 }
 
 // GenerationsConfig configures a Generations.
@@ -61,6 +70,9 @@
 	Client  *bwrpc.Client
 	// Pace configures the detection of stalled streams.
 	Pace bwstream.PaceConfig
+	// Blocks returns the hashes that engines publish for a prompt's blocks; nil
+	// means bwengine.BlockHashes.
+	Blocks func([]bwmodel.TokenID) []uint64
 	// Resume reports whether a generation that lost an attempt after its first
 	// token goes on with another one; nil means always.
 	Resume func(cause string) bool
@@ -93,7 +105,15 @@
 		return nil, errors.New("generations: records or client are unset")
 	}
 	cfg.setDefaults()
-	return &Generations{cfg: cfg, paces: newPaces(), budget: newResumeBudget(cfg.ResumeBudget)}, nil
+	gns := &Generations{
+		cfg:      cfg,
+		paces:    newPaces(),
+		budget:   newResumeBudget(cfg.ResumeBudget),
+		lengths:  new(bwadmit.Predictor),
+		prefixes: bwroute.NewPrefixIndex(bwroute.PrefixIndexConfig{}),
+	}
+	gns.stopping, gns.handOver = context.WithCancel(context.Background())
+	return gns, nil
 }
 
 // Start runs the control goroutine until the context ends.
@@ -123,6 +143,9 @@
 	if cfg.Resumed == nil {
 		cfg.Resumed = func(string, time.Duration, int) {}
 	}
+	if cfg.Blocks == nil {
+		cfg.Blocks = bwengine.BlockHashes
+	}
 	if cfg.Resume == nil {
 		cfg.Resume = func(string) bool { return true }
 	}
@@ -158,62 +181,52 @@
 func (gns *Generations) serveNew(wrt http.ResponseWriter, req *http.Request, chat bool) {
 	team, ok := bwhttp.TeamFrom(req.Context())
 	if !ok {
-		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	body, prb := readCompletion(wrt, req, chat)
 	if prb != nil {
-		writeProblem(wrt, *prb)
+		bwhttp.WriteProblem(wrt, *prb)
 		return
 	}
 	svc, ok := gns.cfg.Service(body.Model)
 	if !ok || svc.Kind != bwmodel.ModelService {
-		writeProblem(wrt, problem{Status: http.StatusNotFound, Title: "Unknown model", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusNotFound, Title: "Unknown model", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	if !team.MayCall(svc.Name) {
-		writeProblem(wrt, problem{Status: http.StatusForbidden, Title: "Service is not open to the team", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusForbidden, Title: "Service is not open to the team", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	spec, prb := body.spec(team, svc, req.Header.Get(classHeader), gns.cfg.Now())
 	if prb != nil {
-		writeProblem(wrt, *prb)
+		bwhttp.WriteProblem(wrt, *prb)
 		return
 	}
 	id := gns.cfg.NewRequestID()
 	gns.cfg.Asked(spec)
-	grant, err := gns.cfg.Admit(req.Context(), bwadmit.Request{
+	ctx, cancel := gns.until(req.Context())
+	defer cancel()
+	grant, err := gns.cfg.Admit(ctx, bwadmit.Request{
 		ID:      id,
 		Service: spec.Service,
 		Team:    spec.Team,
 		Class:   spec.Class,
-		Tokens:  spec.MaxTokens,
+		Tokens:  gns.expected(spec, 0),
 	})
 	if err != nil {
-		writeProblem(wrt, admitProblem(err))
+		bwhttp.WriteProblem(wrt, admitProblem(err))
 		return
 	}
 	rec := bwstream.NewRecord(bwmodel.GenerationRecord{Request: id, Epoch: 1, Spec: spec})
 	out := newOutput(wrt, gns.cfg.Now(), body.Stream, body.ReturnTokenIDs, rec, bwstream.Mark{})
 	ses := newSession(gns, rec, out)
-	defer func() {
-		grant.Finish(ses.produced)
-		gns.cfg.Produced(spec, ses.produced)
-	}()
+	defer func() { gns.cfg.Produced(spec, int(ses.rec.Position())) }()
+	ses.prm.take(grant)
 	gns.budget.Request()
 	ses.serve(req.Context())
 }
 
-// admitProblem tells a caller why its work was not started.
-func admitProblem(err error) problem {
-	prb := problem{Status: http.StatusServiceUnavailable, Title: "Not admitted", Detail: err.Error(), Outcome: outcomeNotRun}
-	if ref, ok := errors.AsType[*bwadmit.RefusedError](err); ok {
-		prb.Status = http.StatusTooManyRequests
-		prb.RetryAfter = ref.RetryAfter
-	}
-	return prb
-}
-
 func randomRequestID() bwmodel.RequestID {
 	var id bwmodel.RequestID
 	// crypto/rand.Read never returns an error.
@@ -225,23 +238,23 @@
 func (gns *Generations) serveRest(wrt http.ResponseWriter, req *http.Request) {
 	team, ok := bwhttp.TeamFrom(req.Context())
 	if !ok {
-		writeProblem(wrt, problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: outcomeNotRun})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusUnauthorized, Title: "No team", Outcome: bwhttp.OutcomeNotRun})
 		return
 	}
 	hd, err := restHandle(mux.Vars(req)["handle"], req.Header.Get("Last-Event-ID"))
 	if err != nil {
-		writeProblem(wrt, problem{Status: http.StatusBadRequest, Title: "Malformed handle", Detail: err.Error(), Outcome: outcomeUnknown})
+		bwhttp.WriteProblem(wrt, bwhttp.Problem{Status: http.StatusBadRequest, Title: "Malformed handle", Detail: err.Error(), Outcome: bwhttp.OutcomeUnknown})
 		return
 	}
 	tko := &takeover{gns: gns, team: team.Name, hd: hd}
 	if prb := tko.run(req.Context()); prb != nil {
-		writeProblem(wrt, *prb)
+		bwhttp.WriteProblem(wrt, *prb)
 		return
 	}
 	ids := req.FormValue("return_token_ids") == "true"
 	out := newOutput(wrt, gns.cfg.Now(), true, ids, tko.rec, hd.Mark)
 	ses := newSession(gns, tko.rec, out)
-	ses.adopt(tko)
+	ses.adopt(req.Context(), tko)
 	ses.serve(req.Context())
 }
 
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -328,17 +328,26 @@
 }
 
 func (cal *caller) open(req *http.Request, team string) {
+	cal.t.Helper()
+	if status := cal.tryOpen(req, team); status != http.StatusOK {
+		cal.t.Fatalf("status %d", status)
+	}
+}
+
+// tryOpen returns the status, or 0 when the router can't be reached.
+func (cal *caller) tryOpen(req *http.Request, team string) int {
 	cal.t.Helper()
 	req.Header.Set("Team", team)
 	rsp, err := http.DefaultClient.Do(req)
-	must(cal.t, err)
-	cal.t.Cleanup(func() { _ = rsp.Body.Close() })
-	if rsp.StatusCode != http.StatusOK {
-		cal.t.Fatalf("status %d", rsp.StatusCode)
+	if err != nil {
+		cal.t.Log(err)
+		return 0
 	}
+	cal.t.Cleanup(func() { _ = rsp.Body.Close() })
 	cal.rsp = rsp
 	cal.body = bufio.NewScanner(rsp.Body)
 	cal.body.Buffer(nil, 1<<20)
+	return rsp.StatusCode
 }
 
 // read takes events until the answer holds a number of tokens or ends.
@@ -359,6 +368,7 @@
 		var msg struct {
 			Choices []struct {
 				Text   string            `json:"text"`
+				Delta  map[string]string `json:"delta"`
 				IDs    []bwmodel.TokenID `json:"token_ids"`
 				Finish string            `json:"finish_reason"`
 			} `json:"choices"`
@@ -370,7 +380,7 @@
 			return
 		}
 		cal.events++
-		cal.text.WriteString(msg.Choices[0].Text)
+		cal.text.WriteString(msg.Choices[0].Text + msg.Choices[0].Delta["content"])
 		cal.ids = append(cal.ids, msg.Choices[0].IDs...)
 		cal.finish = msg.Choices[0].Finish
 	}
