--- a/bench/bwbench/job.go
+++ b/bench/bwbench/job.go
@@ -32,9 +32,11 @@
 	}
 }
 
-// count adds the request to a count when it is due within the window.
-func (jb *job) count(measure string, by int) {
-	if jb.ses.variant.Window.holds(jb.arr.At) {
+// count adds the request to a count when a time since the start lies within the
+// window. Work done is counted by its first token: counted by its arrival, work
+// that queues at the window's end would count against capacity after it.
+func (jb *job) count(measure string, since time.Duration, by int) {
+	if jb.ses.variant.Window.holds(since) {
 		jb.ses.Rec.Add(jb.name(measure), int64(by))
 	}
 }
@@ -61,7 +63,7 @@
 	due := ses.began.Add(jb.arr.At)
 	// The wait of this goroutine for a processor counts as latency too.
 	late := ses.cfg.Now().Sub(due)
-	jb.count("Window.Offered", jb.arr.Tokens)
+	jb.count("Window.Offered", jb.arr.At, jb.arr.Tokens)
 	ans, err := cal.Generate(ctx, gen)
 	if err != nil && ses.variant.Restart && ans.Tokens > 0 {
 		jb.restart(ctx, gen, ans)
@@ -79,11 +81,11 @@
 	ses.Rec.Observe(jb.name("FirstToken"), late+ans.FirstToken)
 	if jb.stm.Deadline > 0 && late+ans.FirstToken <= jb.stm.Deadline {
 		ses.Rec.Add(jb.name("InTime"), 1)
-		jb.count("Window.InTime", jb.arr.Tokens)
+		jb.count("Window.InTime", jb.arr.At+late+ans.FirstToken, jb.arr.Tokens)
 	}
 	ses.Rec.Observe(jb.name("Elapsed"), late+ans.Elapsed)
 	ses.Rec.Observe(jb.name("LongestGap"), ans.LongestGap)
-	jb.count("Window.Done", jb.arr.Tokens)
+	jb.count("Window.Done", jb.arr.At+late+ans.FirstToken, jb.arr.Tokens)
 	ses.Rec.Add("TokensDelivered", int64(ans.Tokens))
 	ses.Rec.Add("Reconnects", int64(ans.Reconnects))
 	ses.Rec.Add(jb.name("Done"), 1)
--- a/core/bwadmit/bench_test.go
+++ b/core/bwadmit/bench_test.go
@@ -1,6 +1,7 @@
 package bwadmit_test
 
 import (
+	"context"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -44,3 +45,44 @@
 		})
 	}
 }
+
+// BenchmarkFullQueue refuses one request of a queue that is full, in which each
+// of many teams has work waiting.
+func BenchmarkFullQueue(b *testing.B) {
+	for _, teams := range []int{10, 100, 1000, 3100} {
+		b.Run(fmt.Sprintf("teams=%d", teams), func(b *testing.B) {
+			qu, err := bwadmit.New(bwadmit.Config{
+				Service: bwmodel.Service{QueueLimit: 2 * teams, Class: bwmodel.Prompt},
+				Now:     time.Now, Capacity: func() int { return 1 },
+			})
+			if err != nil {
+				b.Fatal(err)
+			}
+			qu.Start(b.Context())
+			if _, err := qu.Admit(b.Context(), request("first", bwmodel.Prompt)); err != nil {
+				b.Fatal(err)
+			}
+			for idx := range 2 * teams {
+				wt := &waiting{qu: qu, team: bwmodel.TeamID(fmt.Sprintf("team-%d", idx%teams))}
+				go wt.run(b.Context())
+			}
+			for qu.Load().Prompt < 2*teams {
+				time.Sleep(time.Millisecond)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := qu.Admit(b.Context(), request("team-0", bwmodel.Prompt)); err == nil {
+					b.Fatal("a full queue took work")
+				}
+			}
+		})
+	}
+}
+
+// waiting is a request that waits until the benchmark ends.
+type waiting struct {
+	qu   *bwadmit.Queue
+	team bwmodel.TeamID
+}
+
+func (wt *waiting) run(ctx context.Context) { _, _ = wt.qu.Admit(ctx, request(wt.team, bwmodel.Prompt)) }
--- a/core/bwadmit/dispatch.go
+++ b/core/bwadmit/dispatch.go
@@ -170,11 +170,11 @@
 	if st.cfg.Policy.Plain || wt.req.Class != bwmodel.Prompt {
 		return false
 	}
-	if victim := st.newest(deferrableLong, deferrableShort); victim != nil {
+	if victim := st.crowds[deferrableGroup].newest(); victim != nil {
 		st.refuse(victim, &RefusedError{Reason: GaveWay, RetryAfter: st.waitFor(st.waitingTotal())})
 		return true
 	}
-	victim := st.newest(promptShort, promptLong)
+	victim := st.crowds[promptGroup].newest()
 	if victim == nil || victim.team == wt.team || victim.team.waiting <= wt.team.waiting+1 {
 		return false
 	}
@@ -182,22 +182,6 @@
 	return true
 }
 
-// newest returns the newest work, in lines of the given kinds, of the team that
-// has the most work waiting.
-func (st *state) newest(kinds ...int) *waiter {
-	var most *team
-	var found *waiter
-	for _, tm := range st.teams {
-		for _, kind := range kinds {
-			if tm.lines[kind].work.size() == 0 || (most != nil && tm.waiting <= most.waiting) {
-				continue
-			}
-			most, found = tm, tm.lines[kind].work.last()
-		}
-	}
-	return found
-}
-
 // hopeless returns the refusal of work that can't start before its deadline at
 // the rate at which work ends.
 func (st *state) hopeless(wt *waiter, now time.Time) *RefusedError {
--- a/core/bwadmit/state.go
+++ b/core/bwadmit/state.go
@@ -13,6 +13,7 @@
 	cfg      Config
 	teams    map[bwmodel.TeamID]*team
 	heaps    [lineCount]*lineHeap
+	crowds   [groupCount]*crowd
 	deadline deadlineHeap
 	running  map[*waiter]struct{}
 	long     int
@@ -30,7 +31,7 @@
 func newState(qu *Queue) *state {
 	st := &state{
 		qu: qu, cfg: qu.cfg, teams: map[bwmodel.TeamID]*team{},
-		running: map[*waiter]struct{}{},
+		running: map[*waiter]struct{}{}, crowds: newCrowds(),
 	}
 	for kind := range st.heaps {
 		st.heaps[kind] = &lineHeap{before: st.cfg.Policy.Before}
@@ -116,6 +117,7 @@
 	st.waiting[kind]++
 	tm.lines[kind].work.push(wt)
 	st.heaps[kind].sync(&tm.lines[kind])
+	st.crowds[groupOf(kind)].sync(tm)
 	if !wt.deadline.IsZero() {
 		heap.Push(&st.deadline, wt)
 	}
@@ -129,6 +131,7 @@
 	st.waiting[kind]--
 	wt.team.lines[kind].work.remove()
 	st.heaps[kind].sync(&wt.team.lines[kind])
+	st.crowds[groupOf(kind)].sync(wt.team)
 	if wt.heapIndex >= 0 {
 		heap.Remove(&st.deadline, wt.heapIndex)
 	}
--- a/core/bwadmit/team.go
+++ b/core/bwadmit/team.go
@@ -16,6 +16,8 @@
 	// virtual is the work received, in tokens for each unit of weight.
 	virtual float64
 	lines   [lineCount]line
+	// places are the team's indexes in the crowds, or -1.
+	places [groupCount]int
 }
 
 // line holds the waiting work of one team, class and length in order of arrival.
@@ -37,7 +39,7 @@
 )
 
 func newTeam(name bwmodel.TeamID) *team {
-	tm := &team{name: name, weight: 1}
+	tm := &team{name: name, weight: 1, places: [groupCount]int{-1, -1}}
 	for kind := range tm.lines {
 		ln := &tm.lines[kind]
 		ln.team, ln.index, ln.class = tm, -1, bwmodel.Prompt
@@ -59,6 +61,13 @@
 	return kind
 }
 
+func groupOf(kind int) int {
+	if kind >= deferrableShort {
+		return deferrableGroup
+	}
+	return promptGroup
+}
+
 func (tm *team) atLimit() bool { return tm.limit > 0 && tm.running >= tm.limit }
 
 func (ln *line) head() Head {
