--- /dev/null
+++ b/cmd/bwdev/admin_test.go
@@ -0,0 +1,176 @@
+package bwdev_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bilberrywick/cmd/bwdev"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwadmin"
+	"bilberrywick/io/bwhttp"
+	"bilberrywick/standin/bwfakeengine"
+)
+
+func startFleet(t *testing.T, cfg bwdev.Config) *bwdev.Fleet {
+	t.Helper()
+	flt, err := bwdev.Start(t.Context(), cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(flt.Close)
+	return flt
+}
+
+func operator(t *testing.T, addr netip.AddrPort) *bwadmin.Client {
+	t.Helper()
+	cl := bwadmin.NewClient(bwhttp.ClientConfig{Address: addr, Key: bwdev.OperatorKey})
+	t.Cleanup(cl.Close)
+	return cl
+}
+
+// eventually repeats check until it returns nil; the time only decides when a
+// failing test gives up.
+func eventually(t *testing.T, check func() error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a repeated ticket that looks like a new one, members without
+// their ticket number, and drains that no process shows.
+func TestAdministration(t *testing.T) {
+	flt := startFleet(t, bwdev.Config{Routers: 2, Engines: 1, Apps: 1})
+	cl, ctx := operator(t, flt.Routers[0].OperatorAddress()), t.Context()
+	first, err := cl.Apply(ctx, &bwadmin.TicketRequest{Ticket: flt.Ticket(1)})
+	if err != nil || first.Result != bwadmin.Repeated {
+		t.Errorf("first ticket again: %+v, %v, want Repeated", first, err)
+	}
+	doc := flt.Ticket(2)
+	doc.Services, doc.Teams = nil, nil
+	for ix := range doc.Upstreams {
+		doc.Upstreams[ix].Draining = doc.Upstreams[ix].Name == flt.Apps[0].Name
+	}
+	res, err := cl.Apply(ctx, &bwadmin.TicketRequest{Ticket: doc})
+	if err != nil || res.Result != bwadmin.Accepted {
+		t.Fatalf("second ticket: %+v, %v, want Accepted", res, err)
+	}
+	eventually(t, func() error { return membersAt(ctx, cl, 4, 2) })
+	list, err := cl.Drains(ctx)
+	want := bwadmin.DrainStatus{Kind: bwadmin.UpstreamDrain, Name: string(flt.Apps[0].Name), Cause: bwadmin.CauseTicket}
+	if err != nil || len(list.Drains) != 1 || list.Drains[0] != want {
+		t.Errorf("drains: %+v, %v, want %+v", list, err, want)
+	}
+	agent := operator(t, flt.Apps[0].Agent.OperatorAddress())
+	eventually(t, func() error {
+		rdy, err := agent.Ready(ctx)
+		if err != nil || rdy.Ready || rdy.Reason == "" {
+			return errors.Join(err, errors.New("the drained upstream's agent is ready"))
+		}
+		return nil
+	})
+	ups, err := agent.Upstreams(ctx)
+	if err != nil || len(ups.Upstreams) != 1 || ups.Upstreams[0].Health != bwadmin.LeavingUpstream {
+		t.Errorf("agent's upstream: %+v, %v", ups, err)
+	}
+}
+
+// membersAt checks that a process knows the number of members, all live with a
+// ticket number.
+func membersAt(ctx context.Context, cl *bwadmin.Client, count int, num bwmodel.TicketNumber) error {
+	list, err := cl.Members(ctx)
+	if err != nil {
+		return err
+	}
+	if len(list.Members) != count {
+		return errors.New("a member is missing")
+	}
+	for _, mem := range list.Members {
+		if mem.StateNumber != num || mem.State != "Live" {
+			return errors.New(string(mem.ID) + " is behind or not live")
+		}
+	}
+	return nil
+}
+
+// Guards against a drain that ends another process than the one named, and
+// against one that doesn't stop the process that answers.
+func TestDrainOfAProcess(t *testing.T) {
+	flt := startFleet(t, bwdev.Config{Routers: 1, Engines: 1})
+	rtr, ctx := flt.Routers[0], t.Context()
+	cl := operator(t, rtr.OperatorAddress())
+	var prob *bwadmin.ProblemError
+	if _, err := cl.Drain(ctx, &bwadmin.DrainRequest{Member: "another"}); !errors.As(err, &prob) || prob.Status != http.StatusConflict {
+		t.Errorf("drain of another member: %v", err)
+	}
+	if err := rtr.Ready(); err != nil {
+		t.Errorf("refused drain: %v", err)
+	}
+	list, err := cl.Drain(ctx, &bwadmin.DrainRequest{Member: rtr.Member().ID})
+	if err != nil || len(list.Drains) != 1 || list.Drains[0].Cause != bwadmin.CauseOperator {
+		t.Errorf("drain: %+v, %v", list, err)
+	}
+	select {
+	case <-rtr.StopRequested():
+	default:
+		t.Error("the program is not asked to stop the router")
+	}
+	if rdy, err := cl.Ready(ctx); err != nil || rdy.Ready {
+		t.Errorf("ready after a drain: %+v, %v", rdy, err)
+	}
+}
+
+// Guards against a generation that operators can't find, at the router that
+// serves it or at the one that holds its record.
+func TestGenerationIsShown(t *testing.T) {
+	flt := startFleet(t, bwdev.Config{
+		Routers: 2,
+		Engines: 1,
+		Engine:  bwfakeengine.Config{TokenTime: 5 * time.Millisecond, Slots: 4},
+	})
+	cal := &teamCaller{t: t, addr: flt.Routers[0].CallerAddress(), key: flt.Teams()[0].Key}
+	gen := cal.generate(100000)
+	states := make(map[string]int)
+	eventually(t, func() error {
+		clear(states)
+		for _, rtr := range flt.Routers {
+			sts, err := operator(t, rtr.OperatorAddress()).Generation(t.Context(), gen.id)
+			if err != nil {
+				return err
+			}
+			states[sts.State]++
+			if sts.Team != flt.Teams()[0].Name || sts.Position == 0 || !sts.Agent.IsValid() || !sts.Holder.IsValid() {
+				return fmt.Errorf("the generation's status lacks a part: %+v", sts)
+			}
+		}
+		return nil
+	})
+	if states[bwadmin.RunningGeneration] != 1 || states[bwadmin.HeldGeneration] != 1 {
+		t.Errorf("states %v, want one router that runs it and one that holds it", states)
+	}
+	gen.close()
+	eventually(t, func() error {
+		for _, rtr := range flt.Routers {
+			sts, err := operator(t, rtr.OperatorAddress()).Generation(t.Context(), gen.id)
+			if err == nil && sts.State == bwadmin.RunningGeneration {
+				return errors.New("the generation is shown as running after its caller has gone")
+			}
+		}
+		return nil
+	})
+}
--- a/cmd/bwdev/fleet.go
+++ b/cmd/bwdev/fleet.go
@@ -319,7 +319,10 @@
 		if err := rtr.Ready(); err != nil {
 			return fmt.Errorf("router %s: %w", rtr.Member().ID, err)
 		}
-		if missing := rtr.Services().Unconnected(); len(missing) > 0 || rtr.Fleet().Snapshot().State.Number() == 0 {
+		if _, ok := rtr.Services().Service(flt.cfg.ModelService); !ok {
+			return fmt.Errorf("router %s: the first ticket is not in force", rtr.Member().ID)
+		}
+		if missing := rtr.Services().Unconnected(); len(missing) > 0 {
 			return fmt.Errorf("router %s: no status from %v", rtr.Member().ID, missing)
 		}
 	}
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -44,6 +44,8 @@
 	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
 	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
+	// CertificateInterval separates two readings of certificate files; 0 means 30 s.
+	CertificateInterval time.Duration
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -59,14 +61,15 @@
 	}
 	agt := &Agent{cfg: cfg}
 	proc, err := bwprocess.New(bwprocess.Config{
-		Role:      bwmodel.AgentRole,
-		Settings:  cfg.Settings.Common(),
-		Version:   cfg.Version,
-		LogOutput: cfg.LogOutput,
-		Dial:      cfg.Dial,
-		Listen:    cfg.Listen,
-		Refusing:  agt.refusing,
-		Now:       cfg.Now,
+		Role:           bwmodel.AgentRole,
+		Settings:       cfg.Settings.Common(),
+		Version:        cfg.Version,
+		LogOutput:      cfg.LogOutput,
+		Dial:           cfg.Dial,
+		Listen:         cfg.Listen,
+		ReloadInterval: cfg.CertificateInterval,
+		Refusing:       agt.refusing,
+		Now:            cfg.Now,
 	})
 	if err != nil {
 		return nil, err
--- a/io/bwfleet/fleet_test.go
+++ b/io/bwfleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,3 +131,42 @@
 		}
 	})
 }
+
+// Guards against readiness that doesn't say why, and against members whose
+// ticket number stays unknown to a process that never exchanged with them.
+func TestReadinessSaysWhy(t *testing.T) {
+	bubble(t, func(ctx context.Context, t *testing.T, net *network) {
+		net.accept(5)
+		net.setDown(true)
+		fl := net.start(ctx, t, 0, 0, 1)
+		time.Sleep(5 * time.Second)
+		checkReason(t, fl, "the state was not read yet")
+		net.setDown(false)
+		other := net.start(ctx, t, 1, 0, 1)
+		net.start(ctx, t, 2, 0, 1)
+		time.Sleep(5 * time.Second)
+		checkReason(t, fl, "")
+		net.setCut(0, true)
+		time.Sleep(4 * time.Second)
+		checkReason(t, fl, "neither the store nor a peer was heard from for")
+		for _, ent := range other.Snapshot().Members {
+			if ent.StateNumber != 5 {
+				t.Errorf("%s: ticket number %d, want 5", ent.Member.ID, ent.StateNumber)
+			}
+		}
+	})
+}
+
+func checkReason(t *testing.T, fl *bwfleet.Fleet, want string) {
+	t.Helper()
+	err := fl.Snapshot().NotReady(time.Now())
+	if want == "" {
+		if err != nil {
+			t.Errorf("not ready: %v", err)
+		}
+		return
+	}
+	if err == nil || !strings.Contains(err.Error(), want) {
+		t.Errorf("got %v, want %q", err, want)
+	}
+}
--- a/io/bwhttp/server_test.go
+++ b/io/bwhttp/server_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -179,3 +181,31 @@
 		t.Errorf("got %v, %v", rsp, err)
 	}
 }
+
+// Guards against a load balancer that gets no reason, or takes a process that
+// drains for one that is dead.
+func TestHealthAndReadyHandlers(t *testing.T) {
+	var reason error
+	ready := bwhttp.ReadyHandler(func() error { return reason })
+	tests := []struct {
+		name   string
+		hdl    http.Handler
+		reason error
+		status int
+		body   string
+	}{
+		{"healthy", bwhttp.HealthHandler(), nil, http.StatusOK, `{"Healthy":true}`},
+		{"ready", ready, nil, http.StatusOK, `{"Ready":true}`},
+		{"not ready", ready, errors.New("the process is stopping"), http.StatusServiceUnavailable, `{"Ready":false,"Reason":"the process is stopping"}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reason = tt.reason
+			rec := httptest.NewRecorder()
+			tt.hdl.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+			if rec.Code != tt.status || strings.TrimSpace(rec.Body.String()) != tt.body {
+				t.Errorf("status %d, body %s", rec.Code, rec.Body)
+			}
+		})
+	}
+}
--- a/io/bwobserve/log.go
+++ b/io/bwobserve/log.go
@@ -10,7 +10,7 @@
 
 // LogConfig configures the log of a process.
 type LogConfig struct {
-	// Output receives one JSON object a line.
+	// Output receives one JSON object a line; nil discards the log.
 	Output io.Writer
 	Level  slog.Level
 	// Member is the process's identity, which each line carries.
@@ -21,6 +21,9 @@
 
 // NewLog returns the log of a process.
 func NewLog(cfg LogConfig) *slog.Logger {
+	if cfg.Output == nil {
+		cfg.Output = io.Discard
+	}
 	hdl := slog.NewJSONHandler(cfg.Output, &slog.HandlerOptions{Level: cfg.Level, ReplaceAttr: renameField})
 	attrs := []slog.Attr{
 		slog.String("Member", string(cfg.Member.ID)),
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"bilberrywick/core/bwaction"
@@ -41,6 +42,8 @@
 	callers     *bwhttp.Server
 	operators   *bwhttp.Server
 	keys        keyIndex
+	// applied says that the router serves by the state that it has read.
+	applied atomic.Bool
 }
 
 // Config configures a Router.
@@ -63,6 +66,8 @@
 	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
 	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
+	// CertificateInterval separates two readings of certificate files; 0 means 30 s.
+	CertificateInterval time.Duration
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -73,19 +78,22 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	rtr := &Router{cfg: cfg}
 	proc, err := bwprocess.New(bwprocess.Config{
-		Role:      bwmodel.RouterRole,
-		Settings:  cfg.Settings.Common(),
-		Version:   cfg.Version,
-		LogOutput: cfg.LogOutput,
-		Dial:      cfg.Dial,
-		Listen:    cfg.Listen,
-		Now:       cfg.Now,
+		Role:           bwmodel.RouterRole,
+		Refusing:       rtr.refusing,
+		Settings:       cfg.Settings.Common(),
+		Version:        cfg.Version,
+		LogOutput:      cfg.LogOutput,
+		Dial:           cfg.Dial,
+		Listen:         cfg.Listen,
+		ReloadInterval: cfg.CertificateInterval,
+		Now:            cfg.Now,
 	})
 	if err != nil {
 		return nil, err
 	}
-	rtr := &Router{cfg: cfg, proc: proc}
+	rtr.proc = proc
 	if err := rtr.build(); err != nil {
 		return nil, errors.Join(err, proc.Close())
 	}
@@ -130,6 +138,16 @@
 // Ready returns why the router takes no new work, and nil when it does.
 func (rtr *Router) Ready() error { return rtr.proc.Ready() }
 
+// refusing returns why the router takes no new work although its process does.
+func (rtr *Router) refusing() error {
+	if !rtr.applied.Load() {
+		return errNotApplied
+	}
+	return nil
+}
+
+var errNotApplied = errors.New("the state was read and is being taken into force")
+
 // StopRequested is closed when an operator has asked the router to end.
 func (rtr *Router) StopRequested() <-chan struct{} { return rtr.proc.StopRequested() }
 
@@ -293,6 +311,9 @@
 	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
 		rtr.proc.Log.Error("starting control duties failed", "Error", err)
 	}
+	if snap.Started {
+		rtr.applied.Store(true)
+	}
 }
 
 func newRequestID() bwmodel.RequestID {
