Bound the memory of bodies and the number of connections

Cause: a listener bounded the requests in progress and each body, but 4,096 bodies of 4 MiB fit within these bounds, and idle connections had no bound. An administration listener without keys was accepted on any address. Change: Bounds.BodyMemoryBytes counts what has arrived of all bodies in progress and refuses with 503; Bounds.Connections closes one more connection at once, so that a caller turns to another process. Operators.Keys is required unless the listener is on a loopback address. Tests: each bound is tested with its release.

--- a/io/bwhttp/bound.go
+++ b/io/bwhttp/bound.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"time"
 )
 
@@ -16,8 +17,12 @@
 	HeaderBytes int
 	// BodyBytes bounds a request's body; 0 means 4 MiB.
 	BodyBytes int64
+	// BodyMemoryBytes bounds the bodies of all requests in progress; 0 means 256 MiB.
+	BodyMemoryBytes int64
 	// Streams bounds the requests in progress; 0 means 4096.
 	Streams int
+	// Connections bounds the open connections; one more is closed at once. 0 means 8192.
+	Connections int
 	// HeaderTimeout bounds the reading of a request's head; 0 means 5 s.
 	HeaderTimeout time.Duration
 	// BodyTimeout bounds the reading of a request's body; 0 means 30 s.
@@ -31,7 +36,9 @@
 func (bd *Bounds) setDefaults() {
 	setDefault(&bd.HeaderBytes, 32<<10)
 	setDefault(&bd.BodyBytes, 4<<20)
+	setDefault(&bd.BodyMemoryBytes, 256<<20)
 	setDefault(&bd.Streams, 4096)
+	setDefault(&bd.Connections, 8192)
 	setDefault(&bd.HeaderTimeout, 5*time.Second)
 	setDefault(&bd.BodyTimeout, 30*time.Second)
 	setDefault(&bd.IdleTimeout, 2*time.Minute)
@@ -49,6 +56,10 @@
 // the request was not run.
 var ErrTooManyStreams = errors.New("too many requests in progress")
 
+// ErrBodyMemory says that the bodies of the requests in progress take as much
+// memory as they may; the request was not run.
+var ErrBodyMemory = errors.New("the requests in progress take too much memory")
+
 // boundedHandler reads whole bodies within their bounds, limits the requests
 // in progress, and bounds each write.
 //
@@ -59,7 +70,9 @@
 	bounds Bounds
 	// slots holds one element for each request in progress.
 	slots chan struct{}
-	fail  func(http.ResponseWriter, *http.Request, error)
+	// held is the memory of the bodies of the requests in progress.
+	held atomic.Int64
+	fail func(http.ResponseWriter, *http.Request, error)
 }
 
 // ServeHTTP runs the next handler within the bounds.
@@ -68,7 +81,9 @@
 	bw := &boundedWriter{ResponseWriter: rw, ctl: ctl, timeout: bh.bounds.WriteTimeout}
 	bw.extend()
 	defer bw.extend()
-	if err := bh.readBody(bw, rq); err != nil {
+	size, err := bh.readBody(bw, rq)
+	defer bh.held.Add(-size)
+	if err != nil {
 		bh.fail(bw, rq, err)
 		return
 	}
@@ -85,25 +100,46 @@
 
 func (bh *boundedHandler) release() { <-bh.slots }
 
-func (bh *boundedHandler) readBody(bw *boundedWriter, rq *http.Request) error {
+// readBody replaces the request's body by one in memory, and returns the memory
+// that it holds, also with an error.
+func (bh *boundedHandler) readBody(bw *boundedWriter, rq *http.Request) (int64, error) {
 	if rq.Body == nil || rq.Body == http.NoBody {
-		return nil
+		return 0, nil
 	}
 	if rq.ContentLength > bh.bounds.BodyBytes {
-		return bodyError(&http.MaxBytesError{Limit: bh.bounds.BodyBytes})
+		return 0, bodyError(&http.MaxBytesError{Limit: bh.bounds.BodyBytes})
 	}
 	if err := bw.ctl.SetReadDeadline(time.Now().Add(bh.bounds.BodyTimeout)); err != nil {
-		return fmt.Errorf("set read deadline: %w", err)
+		return 0, fmt.Errorf("set read deadline: %w", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(bw, rq.Body, bh.bounds.BodyBytes))
+	hdr := &holdingReader{src: http.MaxBytesReader(bw, rq.Body, bh.bounds.BodyBytes), bh: bh}
+	body, err := io.ReadAll(hdr)
 	if err != nil {
-		return bodyError(err)
+		return hdr.held, bodyError(err)
 	}
 	rq.Body = io.NopCloser(bytes.NewReader(body))
 	if err := bw.ctl.SetReadDeadline(time.Time{}); err != nil {
-		return fmt.Errorf("clear read deadline: %w", err)
+		return hdr.held, fmt.Errorf("clear read deadline: %w", err)
+	}
+	return hdr.held, nil
+}
+
+// holdingReader counts what it reads as held memory. It counts what has arrived
+// and not what was announced, so that a slow sender holds little.
+type holdingReader struct {
+	src  io.Reader
+	bh   *boundedHandler
+	held int64
+}
+
+// Read reads a part, or returns a *RequestError when there is no room for it.
+func (hdr *holdingReader) Read(buf []byte) (int, error) {
+	size, err := hdr.src.Read(buf)
+	hdr.held += int64(size)
+	if hdr.bh.held.Add(int64(size)) > hdr.bh.bounds.BodyMemoryBytes {
+		return size, &RequestError{Status: http.StatusServiceUnavailable, Err: ErrBodyMemory}
 	}
-	return nil
+	return size, err
 }
 
 func bodyError(err error) error {
--- a/io/bwhttp/server.go
+++ b/io/bwhttp/server.go
@@ -52,6 +52,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %v: %w", cfg.Address, err)
 	}
+	lis = &boundedListener{Listener: lis, limit: int64(cfg.Bounds.Connections)}
 	bounded := &boundedHandler{
 		next:   cfg.Handler,
 		bounds: cfg.Bounds,
--- a/io/bwhttp/server_test.go
+++ b/io/bwhttp/server_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -209,3 +210,64 @@
 		})
 	}
 }
+
+// Guards against bodies that take all memory, and against memory that stays
+// counted after its request.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	addr := startServer(t, bwhttp.Bounds{BodyMemoryBytes: 1000}, func(rw http.ResponseWriter, rq *http.Request) {
+		entered <- struct{}{}
+		<-leave
+		serveOK(rw, rq)
+	})
+	first := dial(t, addr)
+	_, _ = fmt.Fprintf(first, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 600\r\n\r\n%s", strings.Repeat("x", 600))
+	<-entered
+	if got := post(t, addr, 600); got != http.StatusServiceUnavailable {
+		t.Errorf("second body: status %d", got)
+	}
+	leave <- struct{}{}
+	if rsp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || rsp.StatusCode != http.StatusOK {
+		t.Fatalf("first body: %v, %v", rsp, err)
+	}
+	hs := &handshake{entered: entered, leave: leave}
+	go hs.run()
+	if got := post(t, addr, 600); got != http.StatusOK {
+		t.Errorf("after the first body: status %d", got)
+	}
+}
+
+func post(t *testing.T, addr netip.AddrPort, size int) int {
+	t.Helper()
+	rsp, err := http.Post("http://"+addr.String(), "text/plain", strings.NewReader(strings.Repeat("x", size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = rsp.Body.Close()
+	return rsp.StatusCode
+}
+
+// Guards against connections without a bound, and against one that stays
+// counted after it was closed.
+func TestConnectionsAreBounded(t *testing.T) {
+	addr := startServer(t, bwhttp.Bounds{Connections: 1}, serveOK)
+	first := dial(t, addr)
+	_, _ = io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	if rsp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || rsp.StatusCode != http.StatusOK {
+		t.Fatalf("first connection: %v, %v", rsp, err)
+	}
+	if got, err := io.ReadAll(dial(t, addr)); len(got) > 0 || err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("second connection: got %q, %v, want it closed", got, err)
+	}
+	_ = first.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		conn := dial(t, addr)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		if rsp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && rsp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Error("no connection is admitted after the first was closed")
+}
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -147,7 +147,7 @@
 	if errors.As(err, &bad) {
 		prb.Status = bad.Status
 	}
-	if errors.Is(err, bwhttp.ErrTooManyStreams) {
+	if errors.Is(err, bwhttp.ErrTooManyStreams) || errors.Is(err, bwhttp.ErrBodyMemory) {
 		prb.RetryAfter = time.Second
 	}
 	bwhttp.WriteProblem(wr, prb)
--- a/io/bwsettings/decode_test.go
+++ b/io/bwsettings/decode_test.go
@@ -55,6 +55,7 @@
 		{"duration", `"SeedPeers"`, `"DrainTime": 30, "SeedPeers"`, []string{"DrainTime: is a number, want a duration"}},
 		{"bound", `"SeedPeers"`, `"DrainTime": "-1s", "SeedPeers"`, []string{"DrainTime: must be at least 0s"}},
 		{"same address", `7001`, `7000`, []string{"Callers.Address: is the same address as Peers.Address"}},
+		{"open administration", `127.0.0.1:7002`, `192.0.2.1:7002`, []string{"Operators.Keys: is required"}},
 		{"all faults", `"Region": "sk-stred"`, `"Region": 7, "Rack": 1`, []string{"Identity.Region: is a number", "Identity.Rack: unknown field"}},
 		{"null", `["127.0.0.1:7011"]`, `null`, []string{"SeedPeers: is null, want an array"}},
 		{"two values", `"SecretKey": "local"}
--- a/io/bwsettings/load.go
+++ b/io/bwsettings/load.go
@@ -90,6 +90,9 @@
 }
 
 func (ol *OperatorListener) check(rep *Report) {
+	if len(ol.Keys) == 0 && ol.Address.IsValid() && !ol.Address.Addr().IsLoopback() {
+		rep.Add("Operators.Keys", "is required when Operators.Address is not a loopback address")
+	}
 	for ix, key := range ol.Keys {
 		if _, err := key.Hash(); err != nil && key.SHA256 != "" {
 			rep.Add("Operators.Keys["+strconv.Itoa(ix)+"].SHA256", err.Error())
--- a/io/bwsettings/settings.go
+++ b/io/bwsettings/settings.go
@@ -147,8 +147,12 @@
 	HeaderBytes int `default:"32768" min:"1024" max:"1048576"`
 	// BodyBytes bounds a request's body.
 	BodyBytes int64 `default:"4194304" min:"1024" max:"67108864"`
+	// BodyMemoryBytes bounds the bodies of all requests in progress on the listener.
+	BodyMemoryBytes int64 `default:"268435456" min:"1048576"`
 	// Streams bounds the requests in progress on the listener; a router serves about 300 at peak.
 	Streams int `default:"4096" min:"1"`
+	// Connections bounds the open connections of the listener.
+	Connections int `default:"8192" min:"1"`
 	// HeaderTimeout bounds the reading of a request's head.
 	HeaderTimeout time.Duration `default:"5s" min:"10ms"`
 	// BodyTimeout bounds the reading of a request's head and body.
