Log and show an outage of the platform's store

Cause: with the store down, the log at Info and the status showed nothing. Change: the process that reads the store logs the beginning and the end of an outage, and members and status say since when the store has not answered.

--- a/cmd/bwcommand/overview.go
+++ b/cmd/bwcommand/overview.go
@@ -195,6 +195,10 @@
 		case !pst.Ready:
 			lines = append(lines, fmt.Sprintf("%s\tNot ready\t%s", pst.Members.Self, pst.Reason))
 		}
+		if pst.err == nil && !pst.Members.StoreLost.IsZero() {
+			since := pst.Members.StoreLost.UTC().Format(time.TimeOnly)
+			lines = append(lines, fmt.Sprintf("%s\tStore lost\tthe platform's table has not answered since %s UTC", pst.Members.Self, since))
+		}
 	}
 	return lines
 }
--- a/io/bwadmin/types.go
+++ b/io/bwadmin/types.go
@@ -71,8 +71,11 @@
 // MemberList holds the members that this process knows.
 type MemberList struct {
 	// Self is the process that answers.
-	Self    bwmodel.MemberID
-	Head    bwmodel.TicketNumber
+	Self bwmodel.MemberID
+	Head bwmodel.TicketNumber
+	// StoreLost is since when the platform's table has not answered this process;
+	// absent while it answers, or while other processes read it.
+	StoreLost time.Time `json:",omitzero"`
 	Members []MemberStatus
 }
 
--- a/io/bwfleet/control.go
+++ b/io/bwfleet/control.go
@@ -28,9 +28,11 @@
 	// started says that the state was read from the store or from enough seeds.
 	started bool
 	// contact is when the store or a peer was last heard from.
-	contact  time.Time
-	revision uint64
-	last     Snapshot
+	contact time.Time
+	// storeLost is when the store stopped to answer; zero while it answers.
+	storeLost time.Time
+	revision  uint64
+	last      Snapshot
 }
 
 func newControl(cfg Config) *control {
@@ -43,13 +45,14 @@
 
 func (ctl *control) view() *Snapshot {
 	snap := Snapshot{
-		Self:    ctl.dir.Self(),
-		State:   ctl.state,
-		Members: ctl.dir.Entries(),
-		Ready:   ctl.started && ctl.now().Sub(ctl.contact) <= contactTime,
-		Started: ctl.started,
-		Contact: ctl.contact,
-		recent:  ctl.recent,
+		Self:      ctl.dir.Self(),
+		State:     ctl.state,
+		Members:   ctl.dir.Entries(),
+		Ready:     ctl.started && ctl.now().Sub(ctl.contact) <= contactTime,
+		Started:   ctl.started,
+		Contact:   ctl.contact,
+		StoreLost: ctl.storeLost,
+		recent:    ctl.recent,
 	}
 	if snap.differs(&ctl.last) {
 		ctl.revision++
@@ -62,6 +65,22 @@
 // touch records that the store or a peer was heard from.
 func (ctl *control) touch() { ctl.contact = ctl.now() }
 
+// readStore records whether a read of the store succeeded, and reports whether
+// that has changed, with the length of an outage that is over.
+func (ctl *control) readStore(ok bool) (changed bool, outage time.Duration) {
+	lost := ctl.storeLost
+	switch {
+	case ok:
+		ctl.touch()
+		ctl.storeLost = time.Time{}
+		return !lost.IsZero(), ctl.now().Sub(lost)
+	case lost.IsZero():
+		ctl.storeLost = ctl.now()
+		return true, 0
+	}
+	return false, 0
+}
+
 // hear records what a peer said in an exchange.
 func (ctl *control) hear(msg *bwwire.ExchangeMessage) {
 	ctl.touch()
--- a/io/bwfleet/fleet.go
+++ b/io/bwfleet/fleet.go
@@ -72,6 +72,9 @@
 	Started bool
 	// Contact is when the store or a peer was last heard from; zero means never.
 	Contact time.Time
+	// StoreLost is since when the store has not answered this process; zero while
+	// it answers, or while other processes read it for this one.
+	StoreLost time.Time
 	// Revision rises whenever the state, the readiness or a member's status changes.
 	Revision uint64
 	// recent are the last tickets up to the state, to pass on to peers.
--- a/io/bwfleet/fleet_test.go
+++ b/io/bwfleet/fleet_test.go
@@ -146,9 +146,15 @@
 		net.start(ctx, t, 2, 0, 1)
 		time.Sleep(5 * time.Second)
 		checkReason(t, fl, "")
+		if lost := fl.Snapshot().StoreLost; !lost.IsZero() {
+			t.Errorf("store counted as lost since %v although it answers", lost)
+		}
 		net.setCut(0, true)
 		time.Sleep(4 * time.Second)
 		checkReason(t, fl, "neither the store nor a peer was heard from for")
+		if lost := fl.Snapshot().StoreLost; lost.IsZero() {
+			t.Error("store not counted as lost while it doesn't answer")
+		}
 		for _, ent := range other.Snapshot().Members {
 			if ent.StateNumber != 5 {
 				t.Errorf("%s: ticket number %d, want 5", ent.Member.ID, ent.StateNumber)
--- a/io/bwfleet/loop.go
+++ b/io/bwfleet/loop.go
@@ -132,10 +132,7 @@
 	call, cancel := context.WithTimeout(ctx, fl.cfg.CallTimeout)
 	defer cancel()
 	head, err := fl.cfg.Store.Head(call)
-	if err != nil {
-		return err
-	}
-	if err := fl.update(ctx, (*control).touch); err != nil {
+	if err := errors.Join(err, fl.recordRead(ctx, err)); err != nil {
 		return err
 	}
 	if head <= snap.State.Number() {
@@ -152,6 +149,21 @@
 	return fl.advance(ctx, FromStore, nil, st)
 }
 
+// recordRead logs the beginning and the end of an outage of the store.
+func (fl *Fleet) recordRead(ctx context.Context, failure error) error {
+	var changed bool
+	var outage time.Duration
+	err := fl.update(ctx, func(ctl *control) { changed, outage = ctl.readStore(failure == nil) })
+	switch {
+	case err != nil || !changed:
+	case failure != nil:
+		fl.cfg.Log.Warn("the store does not answer", "Error", failure)
+	default:
+		fl.cfg.Log.Info("the store answers again", "Outage", outage)
+	}
+	return err
+}
+
 func (fl *Fleet) drainHeard(ctl *control) {
 	for {
 		select {
--- a/io/bwprocess/admin.go
+++ b/io/bwprocess/admin.go
@@ -80,7 +80,12 @@
 	if snap.Self.Leaving {
 		self.State = bwmember.Leaving.String()
 	}
-	list := &bwadmin.MemberList{Self: snap.Self.ID, Head: snap.State.Number(), Members: []bwadmin.MemberStatus{self}}
+	list := &bwadmin.MemberList{
+		Self:      snap.Self.ID,
+		Head:      snap.State.Number(),
+		StoreLost: snap.StoreLost,
+		Members:   []bwadmin.MemberStatus{self},
+	}
 	now := adm.prc.cfg.Now()
 	for _, ent := range snap.Members {
 		mem := newMemberStatus(ent)
