--- a/io/bwadmin/types.go
+++ b/io/bwadmin/types.go
@@ -76,7 +76,7 @@
 	// StoreLost is since when the platform's table has not answered this process;
 	// absent while it answers, or while other processes read it.
 	StoreLost time.Time `json:",omitzero"`
-	Members []MemberStatus
+	Members   []MemberStatus
 }
 
 // MemberStatus is what this process knows of one member.
@@ -105,6 +105,7 @@
 const (
 	HealthyUpstream     = "Healthy"
 	SlowUpstream        = "Slow"
+	FailingUpstream     = "Failing"
 	UnreachableUpstream = "Unreachable"
 	DrainingUpstream    = "Draining"
 	LeavingUpstream     = "Leaving"
@@ -119,7 +120,7 @@
 	Region  bwmodel.RegionID
 	Zone    bwmodel.ZoneID
 	Agent   netip.AddrPort
-	// Health is Healthy, Slow, Unreachable, Draining, Leaving, Down or NotFollowed.
+	// Health is Healthy, Slow, Failing, Unreachable, Draining, Leaving, Down or NotFollowed.
 	Health string
 	// Reason says in a few words why the health is not Healthy.
 	Reason string `json:",omitempty"`
--- a/io/bwagent/reporter.go
+++ b/io/bwagent/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -135,9 +136,9 @@
 	if rep.cfg.Load != nil {
 		var err error
 		if load, err = rep.cfg.Load(ctx); err != nil {
-			rep.cfg.Log.Warn("load report failed", "Upstream", rep.cfg.Upstream, "Error", err)
 			load = bwmodel.LoadReport{UpstreamIsDown: true}
 		}
+		rep.logChange(ctx, err)
 	}
 	events := rep.readCacheEvents(ctx)
 	now := rep.cfg.Now()
@@ -145,6 +146,18 @@
 	_ = rep.own.Post(ctx, func(st *reporterState) { st.observe(load, events, now) })
 }
 
+// logChange logs that the upstream has stopped or started to answer; a line for
+// each failed poll would be two a second for as long as the upstream is down.
+func (rep *Reporter) logChange(ctx context.Context, err error) {
+	wasDown := rep.own.Snapshot().Load.UpstreamIsDown
+	switch {
+	case err != nil && !wasDown && !errors.Is(ctx.Err(), context.Canceled):
+		rep.cfg.Log.Warn("upstream does not answer", "Upstream", rep.cfg.Upstream, "Error", err)
+	case err == nil && wasDown:
+		rep.cfg.Log.Info("upstream answers again", "Upstream", rep.cfg.Upstream)
+	}
+}
+
 func (rep *Reporter) readCacheEvents(ctx context.Context) []bwmodel.CacheEvent {
 	if rep.cfg.CacheEvents == nil {
 		return nil
@@ -155,7 +168,7 @@
 	}
 	events, err := rep.cfg.CacheEvents(ctx, after)
 	if err != nil {
-		rep.cfg.Log.Warn("reading cache events failed", "Upstream", rep.cfg.Upstream, "Error", err)
+		rep.cfg.Log.Debug("reading cache events failed", "Upstream", rep.cfg.Upstream, "Error", err)
 		return nil
 	}
 	return events
--- a/io/bwrouter/router_admin.go
+++ b/io/bwrouter/router_admin.go
@@ -242,6 +242,10 @@
 	return status
 }
 
+// slowFactorShown tells an upstream that was suspended for its latency from one
+// that was suspended for failures.
+const slowFactorShown = 1.5
+
 func healthOf(vw bwroute.View, followed bool) (health, reason string) {
 	switch {
 	case vw.Upstream.Draining:
@@ -256,8 +260,10 @@
 		return bwadmin.LeavingUpstream, "its agent takes no new work"
 	case vw.Load.UpstreamIsDown:
 		return bwadmin.DownUpstream, "its agent can't reach it"
+	case vw.Suspended && vw.SlowFactor >= slowFactorShown:
+		return bwadmin.SlowUpstream, fmt.Sprintf("%.1f times the median latency; it gets probes only", vw.SlowFactor)
 	case vw.Suspended:
-		return bwadmin.SlowUpstream, fmt.Sprintf("%.1f times the median latency or failing; it gets probes only", vw.SlowFactor)
+		return bwadmin.FailingUpstream, "requests failed lately; it gets probes only"
 	}
 	return bwadmin.HealthyUpstream, ""
 }
