--- a/io/bwadmin/types.go
+++ b/io/bwadmin/types.go
@@ -71,9 +71,12 @@
 // MemberList holds the members that this process knows.
 type MemberList struct {
 	// Self is the process that answers.
-	Self    bwmodel.MemberID
-	Head    bwmodel.TicketNumber
-	Members []MemberStatus
+	Self bwmodel.MemberID
+	Head bwmodel.TicketNumber
+	// StoreLost is since when the platform's table has not answered this process;
+	// absent while it answers, or while other processes read it.
+	StoreLost time.Time `json:",omitzero"`
+	Members   []MemberStatus
 }
 
 // MemberStatus is what this process knows of one member.
@@ -102,6 +105,7 @@
 const (
 	HealthyUpstream     = "Healthy"
 	SlowUpstream        = "Slow"
+	FailingUpstream     = "Failing"
 	UnreachableUpstream = "Unreachable"
 	DrainingUpstream    = "Draining"
 	LeavingUpstream     = "Leaving"
@@ -116,7 +120,7 @@
 	Region  bwmodel.RegionID
 	Zone    bwmodel.ZoneID
 	Agent   netip.AddrPort
-	// Health is Healthy, Slow, Unreachable, Draining, Leaving, Down or NotFollowed.
+	// Health is Healthy, Slow, Failing, Unreachable, Draining, Leaving, Down or NotFollowed.
 	Health string
 	// Reason says in a few words why the health is not Healthy.
 	Reason string `json:",omitempty"`
--- a/io/bwhttp/server_test.go
+++ b/io/bwhttp/server_test.go
@@ -3,12 +3,15 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -179,3 +182,92 @@
 		t.Errorf("got %v, %v", rsp, err)
 	}
 }
+
+// Guards against a load balancer that gets no reason, or takes a process that
+// drains for one that is dead.
+func TestHealthAndReadyHandlers(t *testing.T) {
+	var reason error
+	ready := bwhttp.ReadyHandler(func() error { return reason })
+	tests := []struct {
+		name   string
+		hdl    http.Handler
+		reason error
+		status int
+		body   string
+	}{
+		{"healthy", bwhttp.HealthHandler(), nil, http.StatusOK, `{"Healthy":true}`},
+		{"ready", ready, nil, http.StatusOK, `{"Ready":true}`},
+		{"not ready", ready, errors.New("the process is stopping"), http.StatusServiceUnavailable, `{"Ready":false,"Reason":"the process is stopping"}`},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			reason = tt.reason
+			rec := httptest.NewRecorder()
+			tt.hdl.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/", http.NoBody))
+			if rec.Code != tt.status || strings.TrimSpace(rec.Body.String()) != tt.body {
+				t.Errorf("status %d, body %s", rec.Code, rec.Body)
+			}
+		})
+	}
+}
+
+// Guards against bodies that take all memory, and against memory that stays
+// counted after its request.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	addr := startServer(t, bwhttp.Bounds{BodyMemoryBytes: 1000}, func(rw http.ResponseWriter, rq *http.Request) {
+		entered <- struct{}{}
+		<-leave
+		serveOK(rw, rq)
+	})
+	first := dial(t, addr)
+	_, _ = fmt.Fprintf(first, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 600\r\n\r\n%s", strings.Repeat("x", 600))
+	<-entered
+	if got := post(t, addr, 600); got != http.StatusServiceUnavailable {
+		t.Errorf("second body: status %d", got)
+	}
+	leave <- struct{}{}
+	if rsp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || rsp.StatusCode != http.StatusOK {
+		t.Fatalf("first body: %v, %v", rsp, err)
+	}
+	hs := &handshake{entered: entered, leave: leave}
+	go hs.run()
+	if got := post(t, addr, 600); got != http.StatusOK {
+		t.Errorf("after the first body: status %d", got)
+	}
+}
+
+func post(t *testing.T, addr netip.AddrPort, size int) int {
+	t.Helper()
+	rsp, err := http.Post("http://"+addr.String(), "text/plain", strings.NewReader(strings.Repeat("x", size)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = rsp.Body.Close()
+	return rsp.StatusCode
+}
+
+// Guards against connections without a bound, and against one that stays
+// counted after it was closed.
+func TestConnectionsAreBounded(t *testing.T) {
+	addr := startServer(t, bwhttp.Bounds{Connections: 1}, serveOK)
+	first := dial(t, addr)
+	_, _ = io.WriteString(first, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	if rsp, err := http.ReadResponse(bufio.NewReader(first), nil); err != nil || rsp.StatusCode != http.StatusOK {
+		t.Fatalf("first connection: %v, %v", rsp, err)
+	}
+	if got, err := io.ReadAll(dial(t, addr)); len(got) > 0 || err != nil && !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("second connection: got %q, %v, want it closed", got, err)
+	}
+	_ = first.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	for ctx.Err() == nil {
+		conn := dial(t, addr)
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+		if rsp, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil && rsp.StatusCode == http.StatusOK {
+			return
+		}
+	}
+	t.Error("no connection is admitted after the first was closed")
+}
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -42,8 +42,8 @@
 	callers     *bwhttp.Server
 	operators   *bwhttp.Server
 	keys        keyIndex
-	// inForce is set once the services of a current state have been opened.
-	inForce atomic.Bool
+	// applied says that the router serves by the state that it has read.
+	applied atomic.Bool
 }
 
 // Config configures a Router.
@@ -66,6 +66,8 @@
 	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
 	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
+	// CertificateInterval separates two readings of certificate files; 0 means 30 s.
+	CertificateInterval time.Duration
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -78,14 +80,15 @@
 	}
 	rtr := &Router{cfg: cfg}
 	proc, err := bwprocess.New(bwprocess.Config{
-		Role:      bwmodel.RouterRole,
-		Settings:  cfg.Settings.Common(),
-		Version:   cfg.Version,
-		LogOutput: cfg.LogOutput,
-		Dial:      cfg.Dial,
-		Listen:    cfg.Listen,
-		Refusing:  rtr.refusing,
-		Now:       cfg.Now,
+		Role:           bwmodel.RouterRole,
+		Refusing:       rtr.refusing,
+		Settings:       cfg.Settings.Common(),
+		Version:        cfg.Version,
+		LogOutput:      cfg.LogOutput,
+		Dial:           cfg.Dial,
+		Listen:         cfg.Listen,
+		ReloadInterval: cfg.CertificateInterval,
+		Now:            cfg.Now,
 	})
 	if err != nil {
 		return nil, err
@@ -135,16 +138,15 @@
 // Ready returns why the router takes no new work, and nil when it does.
 func (rtr *Router) Ready() error { return rtr.proc.Ready() }
 
-// refusing returns why the router takes no new work although its process does:
-// the state is known before the services in it have been opened.
+// refusing returns why the router takes no new work although its process does.
 func (rtr *Router) refusing() error {
-	if rtr.inForce.Load() {
-		return nil
+	if !rtr.applied.Load() {
+		return errNotApplied
 	}
-	return errNotInForce
+	return nil
 }
 
-var errNotInForce = errors.New("the state is known but not in force yet")
+var errNotApplied = errors.New("the state was read and is being taken into force")
 
 // StopRequested is closed when an operator has asked the router to end.
 func (rtr *Router) StopRequested() <-chan struct{} { return rtr.proc.StopRequested() }
@@ -305,12 +307,13 @@
 	rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
-	} else if snap.Ready {
-		rtr.inForce.Store(true)
 	}
 	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
 		rtr.proc.Log.Error("starting control duties failed", "Error", err)
 	}
+	if snap.Started {
+		rtr.applied.Store(true)
+	}
 }
 
 func newRequestID() bwmodel.RequestID {
