--- a/core/bwroute/health_test.go
+++ b/core/bwroute/health_test.go
@@ -124,6 +124,24 @@
 	})
 }
 
+// Guards against work that has lost an engine already and is used to try
+// another one that has been slow.
+func TestNoProbe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chs := newChooser(t, bwroute.LeastCost(), 3, 64)
+		run(t, chs, 1000, usual)
+		run(t, chs, 1000, slowed)
+		time.Sleep(time.Minute)
+		for range 100 {
+			req := request(1)
+			req.NoProbe = true
+			if chc, _, err := chs.Choose(req); err != nil || chc.Upstream.Name == "u1" {
+				t.Fatalf("chose %q, error %v, although u1 is suspended", chc.Upstream.Name, err)
+			}
+		}
+	})
+}
+
 // Guards against work refused because the only upstreams are slow.
 func TestAllSlowStillServes(t *testing.T) {
 	chs := newChooser(t, bwroute.LeastCost(), 2, 8)
--- a/io/bwrouter/generations_holder.go
+++ b/io/bwrouter/generations_holder.go
@@ -72,9 +72,7 @@
 	if !ok {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, ses.gns.cfg.HolderTime)
-	defer cancel()
-	err := ses.cpy.Append(ctx, app)
+	err := ses.append(ctx, app)
 	if err == nil && ses.askedAt.IsZero() {
 		ses.askedAt = ses.gns.cfg.Now()
 	}
@@ -90,6 +88,17 @@
 	return nil
 }
 
+// append waits for room only when there is none, since a timer for each token
+// costs more than the append.
+func (ses *session) append(ctx context.Context, app bwstream.Append) error {
+	if ses.cpy.TryAppend(app) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, ses.gns.cfg.HolderTime)
+	defer cancel()
+	return ses.cpy.Append(ctx, app)
+}
+
 // acknowledge takes the holder's answer.
 func (ses *session) acknowledge(ctx context.Context, ack bwstream.Ack) error {
 	before := ses.rec.Covered()
--- a/io/bwrouter/generations_output.go
+++ b/io/bwrouter/generations_output.go
@@ -1,6 +1,7 @@
 package bwrouter
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -30,10 +31,14 @@
 	added bwmodel.Position
 	sent  bwstream.Mark
 	text  strings.Builder
+	// chunk is the body of each event, and enc writes it to buf.
+	chunk completionResponse
+	buf   bytes.Buffer
+	enc   *json.Encoder
 }
 
 func newOutput(wrt http.ResponseWriter, now time.Time, stream, ids bool, rec *bwstream.Record, from bwstream.Mark) *output {
-	return &output{
+	out := &output{
 		wrt:     wrt,
 		ctl:     http.NewResponseController(wrt),
 		created: now,
@@ -44,6 +49,9 @@
 		added:   from.Position,
 		sent:    from,
 	}
+	out.enc = json.NewEncoder(&out.buf)
+	out.chunk = out.response()
+	return out
 }
 
 // advance delivers what the record allows.
@@ -110,26 +118,29 @@
 
 func (out *output) writeEvent(txt string, why *bwmodel.FinishReason) error {
 	mk := out.asm.Mark()
-	rsp := out.response(why)
-	if len(out.rec.Spec().Messages) > 0 {
-		rsp.Choices[0].Delta = &chatMessage{Role: "assistant", Content: txt}
+	rsp := &out.chunk
+	cho := &rsp.Choices[0]
+	if cho.Delta != nil {
+		cho.Delta.Content = txt
 	} else {
-		rsp.Choices[0].Text = &txt
+		cho.Text = &txt
 	}
+	cho.FinishReason = why
+	cho.TokenIDs = cho.TokenIDs[:0]
 	if out.ids {
 		for _, tok := range out.rec.Tokens()[out.sent.Position:mk.Position] {
-			rsp.Choices[0].TokenIDs = append(rsp.Choices[0].TokenIDs, tok.ID)
+			cho.TokenIDs = append(cho.TokenIDs, tok.ID)
 		}
 	}
 	if why != nil {
 		rsp.Usage = out.usage()
 	}
-	buf, err := json.Marshal(rsp)
-	if err != nil {
+	out.buf.Reset()
+	if err := out.enc.Encode(rsp); err != nil {
 		return err
 	}
 	out.sent = mk
-	return out.send(&bwhttp.Event{ID: out.rec.Handle(mk).String(), Data: buf})
+	return out.send(&bwhttp.Event{ID: out.rec.Handle(mk).String(), Data: bytes.TrimSuffix(out.buf.Bytes(), []byte{'\n'})})
 }
 
 // send writes one event, and the head of the stream before the first.
@@ -149,12 +160,14 @@
 }
 
 func (out *output) writeWhole(why bwmodel.FinishReason) error {
-	rsp := out.response(&why)
+	rsp := out.response()
 	rsp.Usage = out.usage()
 	txt := out.text.String()
-	if len(out.rec.Spec().Messages) > 0 {
+	rsp.Choices[0].FinishReason = &why
+	if dlt := rsp.Choices[0].Delta; dlt != nil {
 		rsp.Object = "chat.completion"
-		rsp.Choices[0].Message = &chatMessage{Role: "assistant", Content: txt}
+		rsp.Choices[0].Delta, rsp.Choices[0].Message = nil, dlt
+		dlt.Content = txt
 	} else {
 		rsp.Choices[0].Text = &txt
 	}
@@ -169,19 +182,22 @@
 	return nil
 }
 
-func (out *output) response(why *bwmodel.FinishReason) *completionResponse {
+// response returns the parts that are the same in every event.
+func (out *output) response() completionResponse {
 	spec := out.rec.Spec()
-	object, prefix := "text_completion", "cmpl-"
-	if len(spec.Messages) > 0 {
-		object, prefix = "chat.completion.chunk", "chatcmpl-"
-	}
-	return &completionResponse{
-		ID:      prefix + out.rec.Request().String(),
-		Object:  object,
+	rsp := completionResponse{
+		ID:      "cmpl-" + out.rec.Request().String(),
+		Object:  "text_completion",
 		Created: spec.Created.Unix(),
 		Model:   spec.Model,
-		Choices: []completionChoice{{FinishReason: why}},
+		Choices: []completionChoice{{}},
+	}
+	if len(spec.Messages) > 0 {
+		rsp.ID = "chat" + rsp.ID
+		rsp.Object = "chat.completion.chunk"
+		rsp.Choices[0].Delta = &chatMessage{Role: "assistant"}
 	}
+	return rsp
 }
 
 func (out *output) usage() *completionUsage {
--- a/io/bwrouter/records_link.go
+++ b/io/bwrouter/records_link.go
@@ -28,6 +28,16 @@
 	return cp.lnk.enqueue(ctx, linkMessage{cp: cp, app: app})
 }
 
+// TryAppend queues an append if there is room at once.
+func (cp *Copy) TryAppend(app bwstream.Append) bool {
+	select {
+	case cp.lnk.queue <- linkMessage{cp: cp, app: app}:
+		return true
+	default:
+		return false
+	}
+}
+
 // Acks returns the latest acknowledgement; earlier ones are merged into it.
 func (cp *Copy) Acks() <-chan bwstream.Ack { return cp.acks }
 
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -35,7 +35,9 @@
 
 // cluster runs routers, agents and engines on loopback.
 type cluster struct {
-	t       *testing.T
+	t testing.TB
+	// quiet drops the routers' logs.
+	quiet   bool
 	nodes   []*engineNode
 	routers []*routerNode
 	resumed atomic.Int64
@@ -118,6 +120,9 @@
 	clt, err := bwrpc.NewClient(bwrpc.ClientConfig{Dial: rt.dial})
 	must(cl.t, err)
 	log := slog.New(slog.NewTextHandler(testWriter{cl.t}, nil))
+	if cl.quiet {
+		log = slog.New(slog.DiscardHandler)
+	}
 	rt.records = bwrouter.NewRecords(bwrouter.RecordsConfig{Client: clt, Log: log})
 	cfg := bwrouter.GenerationsConfig{
 		Choose:  rt.chooser(cl),
@@ -253,7 +258,7 @@
 
 func (rnr *rpcRunner) run(ctx context.Context) { _ = rnr.srv.Serve(ctx, rnr.lis) }
 
-type testWriter struct{ t *testing.T }
+type testWriter struct{ t testing.TB }
 
 func (tw testWriter) Write(buf []byte) (int, error) {
 	if tw.t.Context().Err() == nil {
@@ -277,14 +282,14 @@
 	return bwmodel.Service{Name: "pisar-model", Kind: bwmodel.ModelService, Class: bwmodel.Prompt}, model == testModel
 }
 
-func listen(t *testing.T) (net.Listener, netip.AddrPort) {
+func listen(t testing.TB) (net.Listener, netip.AddrPort) {
 	t.Helper()
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	must(t, err)
 	return lis, lis.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func must(t *testing.T, err error) {
+func must(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
@@ -293,7 +298,7 @@
 
 // caller reads a generation's events.
 type caller struct {
-	t      *testing.T
+	t      testing.TB
 	text   strings.Builder
 	ids    []bwmodel.TokenID
 	last   string
