--- a/io/bwfleet/network_test.go
+++ b/io/bwfleet/network_test.go
@@ -19,10 +19,14 @@
 
 // network joins fleets and one store in memory, under a synctest clock.
 type network struct {
-	mu      sync.Mutex
-	fleets  map[netip.AddrPort]*bwfleet.Fleet
-	cut     map[netip.AddrPort]bool
-	down    bool
+	mu     sync.Mutex
+	fleets map[netip.AddrPort]*bwfleet.Fleet
+	cut    map[netip.AddrPort]bool
+	// silent processes take calls and do not answer them.
+	silent map[netip.AddrPort]bool
+	down   bool
+	// late delays tickets and states after they were read.
+	late    time.Duration
 	reads   int
 	state   *bwticket.State
 	history []bwticket.Accepted
@@ -34,6 +38,7 @@
 	return &network{
 		fleets: make(map[netip.AddrPort]*bwfleet.Fleet),
 		cut:    make(map[netip.AddrPort]bool),
+		silent: make(map[netip.AddrPort]bool),
 		state:  bwticket.NewState(bwticket.StateConfig{}),
 	}
 }
@@ -107,6 +112,25 @@
 	net.cut[address(ix)] = cut
 }
 
+func (net *network) setSilent(ix int, silent bool) {
+	net.mu.Lock()
+	defer net.mu.Unlock()
+	net.silent[address(ix)] = silent
+}
+
+func (net *network) setLate(late time.Duration) {
+	net.mu.Lock()
+	defer net.mu.Unlock()
+	net.late = late
+}
+
+func (net *network) delay() {
+	net.mu.Lock()
+	late := net.late
+	net.mu.Unlock()
+	time.Sleep(late)
+}
+
 // endpoint is what one process sees of the network.
 type endpoint struct {
 	net  *network
@@ -144,16 +168,23 @@
 }
 
 func (end endpoint) read(ctx context.Context, _ *bwticket.State) (*bwticket.State, error) {
+	defer end.net.delay()
 	err := end.store(ctx)
 	end.net.mu.Lock()
 	defer end.net.mu.Unlock()
 	return end.net.state, err
 }
 
-func (end endpoint) peer(addr netip.AddrPort) (*bwfleet.Fleet, error) {
+func (end endpoint) peer(ctx context.Context, addr netip.AddrPort) (*bwfleet.Fleet, error) {
 	time.Sleep(hop)
 	end.net.mu.Lock()
 	defer end.net.mu.Unlock()
+	if end.net.silent[addr] {
+		end.net.mu.Unlock()
+		<-ctx.Done()
+		end.net.mu.Lock()
+		return nil, ctx.Err()
+	}
 	fl, ok := end.net.fleets[addr]
 	if !ok || end.net.cut[addr] || end.net.cut[end.self] {
 		return nil, errCut
@@ -162,7 +193,7 @@
 }
 
 func (end endpoint) exchange(ctx context.Context, addr netip.AddrPort, msg *bwwire.ExchangeMessage) (*bwwire.ExchangeMessage, error) {
-	fl, err := end.peer(addr)
+	fl, err := end.peer(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
@@ -170,15 +201,16 @@
 }
 
 func (end endpoint) tickets(ctx context.Context, addr netip.AddrPort, req *bwwire.TicketsRequest) (*bwwire.TicketsResponse, error) {
-	fl, err := end.peer(addr)
+	fl, err := end.peer(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
+	defer end.net.delay()
 	return fl.HandleTickets(ctx, req)
 }
 
 func (end endpoint) members(ctx context.Context, addr netip.AddrPort, req *bwwire.MembersRequest) (*bwwire.MembersResponse, error) {
-	fl, err := end.peer(addr)
+	fl, err := end.peer(ctx, addr)
 	if err != nil {
 		return nil, err
 	}
--- a/io/bwrouter/demand.go
+++ b/io/bwrouter/demand.go
@@ -109,7 +109,7 @@
 			Incarnation: rdg.incarnation,
 			Age:         now.Sub(rdg.arrived).Truncate(time.Millisecond),
 			Rate:        float32(rdg.load.TokenRate * float64(rdg.load.Slots)),
-			Usable:      !rdg.leaving && !rdg.load.UpstreamIsDown,
+			Usable:      rdg.connected.Err() == nil && !rdg.leaving && !rdg.load.UpstreamIsDown,
 		}
 		for _, mod := range rdg.load.Models {
 			if ix, ok := index[mod]; ok {
