Join the followers of router and agent, and settle names and types

An agent that had got SIGTERM could take new work again for a moment, when a change of the fleet arrived before the fleet was told that it is leaving. Change: bwprocess.Follow; flags hold netip addresses; the agent's follower looks whether the process is stopping.

--- a/cmd/bwcommand/check.go
+++ b/cmd/bwcommand/check.go
@@ -166,6 +166,7 @@
 	faults *bwsettings.Error
 }
 
+// Error returns the file and the number of faults.
 func (err *faultsPrintedError) Error() string {
 	if len(err.faults.Faults) == 1 {
 		return err.file + ": 1 fault"
@@ -173,4 +174,5 @@
 	return fmt.Sprintf("%s: %d faults", err.file, len(err.faults.Faults))
 }
 
+// Unwrap returns the faults.
 func (err *faultsPrintedError) Unwrap() error { return err.faults }
--- a/cmd/bwcommand/connection.go
+++ b/cmd/bwcommand/connection.go
@@ -24,26 +24,29 @@
 // connection says how to reach the administration API of a process.
 type connection struct {
 	cfg     *Config
-	address string
+	address netip.AddrPort
 	// addresses replaces address for a command that asks several processes.
-	addresses []string
+	addresses []netip.AddrPort
 	keyFile   string
 	authority string
 	name      string
 	timeout   time.Duration
 }
 
-const defaultAddress = "127.0.0.1:7002"
+// defaultAddress is where a router of examples/loopback serves operators.
+var defaultAddress = netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 7002)
 
 func (cn *connection) addFlags(cmd *cobra.Command) {
-	cmd.Flags().StringVar(&cn.address, "address", defaultAddress, "address and port of a process's operators' listener")
+	cn.address = defaultAddress
+	cmd.Flags().Var(AddressFlag{&cn.address}, "address", "address and port of a process's operators' listener")
 	cn.addCommonFlags(cmd)
 }
 
 // addListFlags takes several addresses.
 func (cn *connection) addListFlags(cmd *cobra.Command) {
 	const usage = "addresses and ports of processes' operators' listeners, separated by commas"
-	cmd.Flags().StringSliceVar(&cn.addresses, "address", []string{defaultAddress}, usage)
+	cn.addresses = []netip.AddrPort{defaultAddress}
+	cmd.Flags().Var(addressList{&cn.addresses}, "address", usage)
 	cn.addCommonFlags(cmd)
 }
 
@@ -63,8 +66,8 @@
 // clients returns a client for each address.
 func (cn *connection) clients() ([]*bwadmin.Client, error) {
 	cls := make([]*bwadmin.Client, 0, len(cn.addresses))
-	for _, txt := range cn.addresses {
-		cl, err := cn.clientOf(txt)
+	for _, addr := range cn.addresses {
+		cl, err := cn.clientOf(addr)
 		if err != nil {
 			return nil, err
 		}
@@ -73,11 +76,7 @@
 	return cls, nil
 }
 
-func (cn *connection) clientOf(address string) (*bwadmin.Client, error) {
-	addr, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return nil, &UsageError{Err: fmt.Errorf("--address %q: want an address and port such as 192.0.2.1:7002", address)}
-	}
+func (cn *connection) clientOf(addr netip.AddrPort) (*bwadmin.Client, error) {
 	key, err := cn.key()
 	if err != nil {
 		return nil, err
--- a/cmd/bwcommand/exit.go
+++ b/cmd/bwcommand/exit.go
@@ -94,6 +94,8 @@
 // unreachableError says that no answer came from the process.
 type unreachableError struct{ err error }
 
+// Error returns the reason.
 func (err *unreachableError) Error() string { return err.err.Error() }
 
+// Unwrap returns the reason.
 func (err *unreachableError) Unwrap() error { return err.err }
--- a/cmd/bwcommand/overview.go
+++ b/cmd/bwcommand/overview.go
@@ -34,14 +34,14 @@
 	writeLine(out, "PROCESS\tADDRESS\tREADY\tTICKET")
 	for _, pst := range sts.Processes {
 		if pst.err != nil {
-			writeLine(out, "?\t%s\t%s\t-", pst.Address, "no answer")
+			writeLine(out, "?\t%v\t%s\t-", pst.Address, "no answer")
 			continue
 		}
 		ready := readyText
 		if !pst.Ready {
 			ready = "No"
 		}
-		writeLine(out, "%s\t%s\t%s\t%d", pst.Members.Self, pst.Address, ready, pst.Members.Head)
+		writeLine(out, "%s\t%v\t%s\t%d", pst.Members.Self, pst.Address, ready, pst.Members.Head)
 	}
 }
 
@@ -191,7 +191,7 @@
 	for _, pst := range list {
 		switch {
 		case pst.err != nil:
-			lines = append(lines, fmt.Sprintf("%s\tNo answer\t%s", pst.Address, pst.Error))
+			lines = append(lines, fmt.Sprintf("%v\tNo answer\t%s", pst.Address, pst.Error))
 		case !pst.Ready:
 			lines = append(lines, fmt.Sprintf("%s\tNot ready\t%s", pst.Members.Self, pst.Reason))
 		}
--- a/cmd/bwcommand/status.go
+++ b/cmd/bwcommand/status.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net/netip"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -17,7 +18,7 @@
 
 // processStatus is the answer of one process.
 type processStatus struct {
-	Address string
+	Address netip.AddrPort
 	// Error says why the process did not answer; the rest is then absent.
 	Error     string `json:",omitempty"`
 	Ready     bool
@@ -99,7 +100,7 @@
 		pst := readStatus(ctx, cl)
 		pst.Address = stc.cn.addresses[ix]
 		if pst.err != nil {
-			failed = errors.Join(failed, fmt.Errorf("%s: %w", pst.Address, pst.err))
+			failed = errors.Join(failed, fmt.Errorf("%v: %w", pst.Address, pst.err))
 		}
 		sts.Processes = append(sts.Processes, pst)
 	}
--- a/cmd/bwlauncher/standin.go
+++ b/cmd/bwlauncher/standin.go
@@ -8,6 +8,7 @@
 
 	"github.com/spf13/cobra"
 
+	"bilberrywick/cmd/bwcommand"
 	"bilberrywick/standin/bwfakeapp"
 	"bilberrywick/standin/bwfakeengine"
 	"bilberrywick/standin/bwfakestore"
@@ -26,30 +27,6 @@
 	return cmd
 }
 
-// addressFlag is a flag that holds an IP address and port.
-type addressFlag struct{ addr *netip.AddrPort }
-
-// Set parses the flag.
-func (afl addressFlag) Set(txt string) error {
-	addr, err := netip.ParseAddrPort(txt)
-	if err != nil {
-		return err
-	}
-	*afl.addr = addr
-	return nil
-}
-
-// String returns the address.
-func (afl addressFlag) String() string {
-	if afl.addr == nil {
-		return ""
-	}
-	return afl.addr.String()
-}
-
-// Type names the flag's type in help texts.
-func (afl addressFlag) Type() string { return "address" }
-
 func newStandinPlatform() *cobra.Command {
 	cfg := bwfakestore.Config{Table: loopbackPort(8101), Objects: loopbackPort(8102), List: loopbackPort(8103)}
 	cmd := &cobra.Command{
@@ -70,9 +47,9 @@
 			return nil
 		},
 	}
-	cmd.Flags().Var(addressFlag{&cfg.Table}, "table", "where the table service listens")
-	cmd.Flags().Var(addressFlag{&cfg.Objects}, "objects", "where the object store listens")
-	cmd.Flags().Var(addressFlag{&cfg.List}, "list", "where the VM list is served")
+	cmd.Flags().Var(bwcommand.AddressFlag{Address: &cfg.Table}, "table", "where the table service listens")
+	cmd.Flags().Var(bwcommand.AddressFlag{Address: &cfg.Objects}, "objects", "where the object store listens")
+	cmd.Flags().Var(bwcommand.AddressFlag{Address: &cfg.List}, "list", "where the VM list is served")
 	return cmd
 }
 
@@ -99,7 +76,7 @@
 		},
 	}
 	flags := cmd.Flags()
-	flags.Var(addressFlag{&cfg.Address}, "address", "where the engine listens")
+	flags.Var(bwcommand.AddressFlag{Address: &cfg.Address}, "address", "where the engine listens")
 	flags.StringSliceVar(&cfg.Models, "model", cfg.Models, "models that the engine has loaded")
 	flags.DurationVar(&cfg.TokenTime, "token-time", devTokenTime, "time between the tokens of a sequence")
 	flags.DurationVar(&cfg.FirstToken, "first-token", devFirstToken, "time to the first token")
@@ -129,7 +106,7 @@
 			return app.Serve(cmd.Context(), lis)
 		},
 	}
-	cmd.Flags().Var(addressFlag{&addr}, "address", "where the app listens")
+	cmd.Flags().Var(bwcommand.AddressFlag{Address: &addr}, "address", "where the app listens")
 	cmd.Flags().StringVar(&cfg.Name, "name", cfg.Name, "name in the app's answers")
 	cmd.Flags().DurationVar(&cfg.Latency, "latency", cfg.Latency, "time that an action or lookup takes")
 	return cmd
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -104,8 +104,7 @@
 		agt.actions.Start(ctx)
 	}
 	agt.reporter.Start(ctx)
-	flw := &follower{agt: agt, changes: changes}
-	go flw.loop(ctx)
+	agt.proc.Follow(ctx, changes, agt.follow)
 	agt.operators.Start()
 	agt.proc.Log.Info("agent started", "Address", agt.Address(), "Upstream", agt.cfg.Settings.Upstream.Name, "Operators", agt.OperatorAddress())
 }
@@ -310,28 +309,11 @@
 
 var errLeaving = errors.New("the agent is leaving: a ticket or the platform's list drains its upstream")
 
-// follower takes drains in tickets and in the platform's list into effect.
-type follower struct {
-	agt     *Agent
-	changes <-chan struct{}
-}
-
-func (flw *follower) loop(ctx context.Context) {
-	for {
-		flw.apply(ctx)
-		select {
-		case <-flw.changes:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (flw *follower) apply(ctx context.Context) {
-	agt := flw.agt
+// follow takes drains in tickets and in the platform's list into effect.
+func (agt *Agent) follow(ctx context.Context) {
 	snap := agt.proc.Fleet.Snapshot()
 	ups, listed := snap.State.Upstream(agt.cfg.Settings.Upstream.Name)
-	leaving := snap.Self.Leaving || (listed && ups.Draining)
+	leaving := agt.proc.Stopping() || snap.Self.Leaving || (listed && ups.Draining)
 	if leaving == agt.Leaving() {
 		return
 	}
--- a/io/bwfleet/control.go
+++ b/io/bwfleet/control.go
@@ -120,24 +120,24 @@
 	ctl.recent = nil
 }
 
-func (snap *Snapshot) differs(old *Snapshot) bool {
-	if snap.State != old.State || snap.Ready != old.Ready || snap.Started != old.Started || snap.Self != old.Self {
+func (sn *Snapshot) differs(old *Snapshot) bool {
+	if sn.State != old.State || sn.Ready != old.Ready || sn.Started != old.Started || sn.Self != old.Self {
 		return true
 	}
-	return !slices.EqualFunc(snap.Members, old.Members, func(aa, bb bwmember.Entry) bool {
+	return !slices.EqualFunc(sn.Members, old.Members, func(aa, bb bwmember.Entry) bool {
 		return aa.Member == bb.Member && aa.Status == bb.Status
 	})
 }
 
 // after returns the recent tickets above a number, or false when they don't
 // reach back to it.
-func (snap *Snapshot) after(num bwmodel.TicketNumber) ([]bwticket.Accepted, bool) {
-	if num >= snap.State.Number() {
+func (sn *Snapshot) after(num bwmodel.TicketNumber) ([]bwticket.Accepted, bool) {
+	if num >= sn.State.Number() {
 		return nil, true
 	}
-	ix := slices.IndexFunc(snap.recent, func(acc bwticket.Accepted) bool { return acc.Previous == num })
+	ix := slices.IndexFunc(sn.recent, func(acc bwticket.Accepted) bool { return acc.Previous == num })
 	if ix < 0 {
 		return nil, false
 	}
-	return snap.recent[ix:], true
+	return sn.recent[ix:], true
 }
--- a/io/bwfleet/fleet.go
+++ b/io/bwfleet/fleet.go
@@ -255,14 +255,14 @@
 }
 
 // NotReady returns why the process is not current, and nil when it is.
-func (snap *Snapshot) NotReady(now time.Time) error {
+func (sn *Snapshot) NotReady(now time.Time) error {
 	switch {
-	case snap.Ready:
+	case sn.Ready:
 		return nil
-	case !snap.Started:
+	case !sn.Started:
 		return errNotStarted
 	}
-	age := now.Sub(snap.Contact).Truncate(time.Second)
+	age := now.Sub(sn.Contact).Truncate(time.Second)
 	return fmt.Errorf("neither the store nor a peer was heard from for %v, at most %v are allowed", age, contactTime)
 }
 
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -128,8 +128,7 @@
 	rtr.records.Start(ctx)
 	rtr.generations.Start(ctx)
 	rtr.batcher.Start(ctx)
-	flw := &follower{rtr: rtr, changes: changes}
-	go flw.loop(ctx)
+	rtr.proc.Follow(ctx, changes, rtr.follow)
 	rtr.operators.Start()
 	rtr.callers.Start()
 	rtr.proc.Log.Info("router started", "Callers", rtr.CallerAddress(), "Peers", rtr.proc.Self.Address, "Operators", rtr.OperatorAddress())
@@ -268,25 +267,8 @@
 	return addr == rtr.proc.Self.Address
 }
 
-// follower takes each change of the fleet's view into force.
-type follower struct {
-	rtr     *Router
-	changes <-chan struct{}
-}
-
-func (flw *follower) loop(ctx context.Context) {
-	for {
-		flw.apply(ctx)
-		select {
-		case <-flw.changes:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (flw *follower) apply(ctx context.Context) {
-	rtr := flw.rtr
+// follow takes each change of the fleet's view into force.
+func (rtr *Router) follow(ctx context.Context) {
 	snap := rtr.proc.Fleet.Snapshot()
 	routers := 1
 	for _, ent := range snap.Members {
--- a/io/bwsettings/parse.go
+++ b/io/bwsettings/parse.go
@@ -24,6 +24,7 @@
 	objectNode
 )
 
+// String names the kind as in a sentence.
 func (nk nodeKind) String() string {
 	names := [...]string{"", "null", "true or false", "a number", "a string", "an array", "an object"}
 	return names[nk]
--- a/io/bwstore/table.go
+++ b/io/bwstore/table.go
@@ -204,13 +204,13 @@
 	}}
 }
 
-func (cond Condition) expression() (*string, map[string]string, map[string]types.AttributeValue) {
-	switch cond.kind {
+func (cnd Condition) expression() (*string, map[string]string, map[string]types.AttributeValue) {
+	switch cnd.kind {
 	case absent:
 		return aws.String("attribute_not_exists(#p)"), map[string]string{"#p": partitionColumn}, nil
 	case atVersion:
 		return aws.String("#v = :v"), map[string]string{"#v": versionColumn},
-			map[string]types.AttributeValue{":v": number(cond.version)}
+			map[string]types.AttributeValue{":v": number(cnd.version)}
 	}
 	return nil, nil, nil
 }
