--- a/bench/bwbench/catalog.go
+++ b/bench/bwbench/catalog.go
@@ -166,8 +166,8 @@
 	return Experiment{
 		Name: "LongBesideShort",
 		Goals: []Goal{
-			{Measure: "p99 of first token of short work, beside long / alone", Bound: 1.3, Value: quantileRatio(defaultPolicy, defaultPolicy+".ShortAlone", "FirstToken", string(ShortGeneration), 99)},
-			{Measure: "the same, first come and least connections beside long / alone", Informal: true, Value: quantileRatio(firstCome+"."+leastConnections, defaultPolicy+".ShortAlone", "FirstToken", string(ShortGeneration), 99)},
+			{Measure: "p99 of first token of short work, beside long / alone", Bound: 1.3, Value: p99Ratio(defaultPolicy, defaultPolicy+".ShortAlone", "FirstToken", string(ShortGeneration))},
+			{Measure: "the same, first come and least connections beside long / alone", Informal: true, Value: p99Ratio(firstCome+"."+leastConnections, defaultPolicy+".ShortAlone", "FirstToken", string(ShortGeneration))},
 		},
 		Goal: "p99 of the first token of short work beside long is at most 1.3 times that of short work alone",
 		Variants: []Variant{
--- a/bench/bwbench/catalog_slow.go
+++ b/bench/bwbench/catalog_slow.go
@@ -37,10 +37,10 @@
 		Name: "SlowUpstream",
 		Goal: "p99 of lookups with one of three upstreams slowed 10 times is at most 1.5 times that with none, with at most 5% extra requests",
 		Goals: []Goal{
-			{Measure: "p99 of lookups, one of three slowed / none", Bound: 1.5, Value: quantileRatio(defaultPolicy+".OneSlow", defaultPolicy+".NoneSlow", "Elapsed", string(Lookup), 99)},
+			{Measure: "p99 of lookups, one of three slowed / none", Bound: 1.5, Value: p99Ratio(defaultPolicy+".OneSlow", defaultPolicy+".NoneSlow", "Elapsed", string(Lookup))},
 			{Measure: "extra requests with one slowed", Bound: 0.05, Value: extraLookups(defaultPolicy + ".OneSlow")},
-			{Measure: "p99 of lookups, two of three slowed / none", Informal: true, Value: quantileRatio(defaultPolicy+".TwoSlow", defaultPolicy+".NoneSlow", "Elapsed", string(Lookup), 99)},
-			{Measure: "p99 of lookups, one slowed, round robin / none slowed", Informal: true, Value: quantileRatio(roundRobin+".OneSlow", defaultPolicy+".NoneSlow", "Elapsed", string(Lookup), 99)},
+			{Measure: "p99 of lookups, two of three slowed / none", Informal: true, Value: p99Ratio(defaultPolicy+".TwoSlow", defaultPolicy+".NoneSlow", "Elapsed", string(Lookup))},
+			{Measure: "p99 of lookups, one slowed, round robin / none slowed", Informal: true, Value: p99Ratio(roundRobin+".OneSlow", defaultPolicy+".NoneSlow", "Elapsed", string(Lookup))},
 		},
 		Variants: []Variant{
 			variant(defaultPolicy+".NoneSlow", 0, bwroute.LeastCost(), nil),
@@ -87,7 +87,7 @@
 		}
 	}
 	ratio := func(policy, measure string) func(Runs) (float64, bool) {
-		return quantileRatio(policy, defaultPolicy+".NoneSlow", measure, string(ShortGeneration), 99)
+		return p99Ratio(policy, defaultPolicy+".NoneSlow", measure, string(ShortGeneration))
 	}
 	return Experiment{
 		Name: "SlowEngine",
--- a/core/bwretry/budget.go
+++ b/core/bwretry/budget.go
@@ -58,6 +58,9 @@
 	}
 }
 
+// Left returns the extra requests that are allowed now.
+func (bud *Budget) Left() int { return int(bud.tokens.Load() / budgetUnit) }
+
 // Give returns an extra request that was taken and not sent.
 func (bud *Budget) Give() {
 	for {
--- a/io/bwobserve/metrics.go
+++ b/io/bwobserve/metrics.go
@@ -213,13 +213,13 @@
 
 func (mx *Metrics) declareRouting(dc *declarer) {
 	mx.UpstreamChoices = dc.counters("upstream_choices_total",
-		"Choices of an upstream by upstream and reason (Cost, Prefix, Probe, Only, Hedge, Resume).", "upstream", "reason")
+		"Choices of an upstream by upstream and reason as the decision log gives it.", "upstream", "reason")
 	mx.UpstreamLimit = dc.gauges("upstream_limit_requests",
 		"Adaptive limit on requests in progress by upstream.", "upstream")
 	mx.UpstreamSlowFactor = dc.gauges("upstream_slow_ratio",
 		"An upstream's latency relative to the median of its peers.", "upstream")
 	mx.UpstreamErrors = dc.counters("upstream_errors_total",
-		"Failed attempts by upstream and kind (Closed, Silence, Refused, Status).", "upstream", "kind")
+		"Failed attempts by upstream and kind (Refused, Failed).", "upstream", "kind")
 	mx.CachedPromptTokens = dc.counters("cached_prompt_tokens_total",
 		"Prompt tokens that an engine had in its prefix cache, by service.", "service")
 	mx.Hedges = dc.counters("hedges_total",
--- a/io/bwrouter/calls.go
+++ b/io/bwrouter/calls.go
@@ -16,6 +16,7 @@
 	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
 )
@@ -34,7 +35,9 @@
 	// Hedge returns the hedge of a service.
 	Hedge  func(bwmodel.ServiceID) *bwretry.Hedge
 	Budget *bwretry.Budget
-	Now    func() time.Time
+	// Metrics counts hedges, retries and durations; nil means a set of its own.
+	Metrics *bwobserve.Metrics
+	Now     func() time.Time
 	// After returns a channel that fires once; nil means time.After.
 	After        func(time.Duration) <-chan time.Time
 	NewRequestID func() bwmodel.RequestID
@@ -65,6 +68,9 @@
 	if cfg.StateNumber == nil {
 		cfg.StateNumber = noState
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = bwobserve.NewMetrics()
+	}
 	return &Calls{cfg: cfg}
 }
 
@@ -122,7 +128,9 @@
 		return
 	}
 	defer grant.Finish(1)
+	began := cls.cfg.Now()
 	rsp, err := job.do(ctx)
+	cls.cfg.Metrics.CallDuration.With(string(svc.Name)).Update(cls.cfg.Now().Sub(began).Seconds())
 	if err != nil {
 		bwhttp.WriteProblem(wr, job.problem(err))
 		return
@@ -164,6 +172,8 @@
 	exclude []bwmodel.UpstreamID
 	copies  int
 	open    int
+	// hedge is the number of the copy that is a hedge; 0 is none.
+	hedge int
 	// reached says that a copy may have reached an upstream.
 	reached bool
 }
@@ -172,6 +182,7 @@
 func (job *callJob) do(ctx context.Context) (bwmodel.HTTPResponse, error) {
 	cfg := &job.cls.cfg
 	cfg.Budget.Request()
+	cfg.Metrics.RetryBudget.Set(float64(cfg.Budget.Left()))
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if err := job.send(ctx); err != nil {
@@ -186,6 +197,7 @@
 		case cpy := <-job.results:
 			job.open--
 			if cpy.err == nil {
+				job.countHedge(cpy)
 				return cpy.response, nil
 			}
 			if err := job.retry(ctx, cpy); err != nil {
@@ -193,7 +205,7 @@
 			}
 		case <-hedge:
 			hedge = nil
-			job.sendExtra(ctx)
+			job.sendHedge(ctx)
 		case <-ctx.Done():
 			return bwmodel.HTTPResponse{}, ctx.Err()
 		}
@@ -209,7 +221,9 @@
 		}
 	} else {
 		job.reached = true
-		if job.sendExtra(ctx) {
+		sent := job.sendExtra(ctx)
+		job.cls.cfg.Metrics.Retries.With(string(job.req.Service), extraResult(sent)).Inc()
+		if sent {
 			return nil
 		}
 	}
@@ -219,6 +233,41 @@
 	return cpy.err
 }
 
+// Results of extra copies.
+const (
+	extraSent     = "Sent"
+	extraNoBudget = "NoBudget"
+	hedgeWon      = "Won"
+	hedgeLost     = "Lost"
+)
+
+func extraResult(sent bool) string {
+	if sent {
+		return extraSent
+	}
+	return extraNoBudget
+}
+
+func (job *callJob) sendHedge(ctx context.Context) {
+	if job.sendExtra(ctx) {
+		job.hedge = job.copies
+		return
+	}
+	job.cls.cfg.Metrics.Hedges.With(string(job.req.Service), extraNoBudget).Inc()
+}
+
+// countHedge counts which half of a hedge was answered first.
+func (job *callJob) countHedge(cpy *callCopy) {
+	if job.hedge == 0 {
+		return
+	}
+	result := hedgeLost
+	if cpy.number == job.hedge {
+		result = hedgeWon
+	}
+	job.cls.cfg.Metrics.Hedges.With(string(job.req.Service), result).Inc()
+}
+
 // sendExtra sends another copy if the budget allows it, and reports whether it did.
 func (job *callJob) sendExtra(ctx context.Context) bool {
 	if !job.cls.cfg.Budget.Take() {
@@ -248,7 +297,7 @@
 	job.copies++
 	job.open++
 	job.exclude = append(job.exclude, choice.Upstream.Name)
-	cpy := &callCopy{job: job, choice: choice}
+	cpy := &callCopy{job: job, choice: choice, number: job.copies}
 	go cpy.run(ctx)
 	return nil
 }
@@ -273,7 +322,9 @@
 
 // callCopy is one copy of a call at one upstream.
 type callCopy struct {
-	job      *callJob
+	job *callJob
+	// number counts the copies of a call from 1.
+	number   int
 	choice   bwroute.Choice
 	response bwmodel.HTTPResponse
 	err      error
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -75,6 +75,7 @@
 		Call:         caller[bwwire.CallRequest, bwwire.CallResponse](rtr.proc.Client, bwwire.AgentCall),
 		Hedge:        rtr.services.Hedge,
 		Budget:       bwretry.NewBudget(bwretry.BudgetConfig{}),
+		Metrics:      rtr.proc.Metrics,
 		Now:          rtr.cfg.Now,
 		NewRequestID: newRequestID,
 		StateNumber:  rtr.proc.StateNumber,
