Weigh a full batch instead of all outstanding work, and notice silence

Long work beside free slots made an upstream look busy for seconds, so that short work crowded onto the others; an upstream that had slowed showed only with its late first token. The cost now counts outstanding work only when no slot is free, and a wait without a first token raises the slow factor at once.

--- a/core/bwroute/chooser.go
+++ b/core/bwroute/chooser.go
@@ -294,7 +294,7 @@
 func (chs *Chooser) publish() {
 	chs.refreshed = chs.cfg.Now()
 	for _, nd := range chs.ordered {
-		nd.past.add(chs.refreshed, nd.work.tokens.Load())
+		nd.past.add(chs.refreshed, nd.work.tokens.Load(), nd.work.inFlight.Load())
 	}
 	snap := newSnapshot(chs.ordered)
 	snap.routers = chs.routers
@@ -315,6 +315,7 @@
 
 func (chs *Chooser) choice(ls *lease) Choice {
 	ls.chs = chs
+	ls.nd.work.await(ls.since())
 	if ls.tokens > 0 {
 		chs.meanTokens.blend(float64(ls.tokens), smoothing)
 	}
--- a/core/bwroute/lease.go
+++ b/core/bwroute/lease.go
@@ -24,6 +24,7 @@
 	if first <= 0 || ls.done.Load() || ls.reported.Swap(true) {
 		return
 	}
+	ls.nd.work.answered(ls.since())
 	ls.sample(first)
 }
 
@@ -33,6 +34,9 @@
 		return
 	}
 	wk := ls.nd.work
+	if !ls.reported.Load() {
+		wk.answered(ls.since())
+	}
 	ls.learn(out)
 	wk.release(ls.tokens)
 	if ls.claimed {
--- a/core/bwroute/node.go
+++ b/core/bwroute/node.go
@@ -34,6 +34,10 @@
 	pace   number
 	limit  limit
 	health health
+	// unanswered counts the requests without a first token, and silent is when the
+	// first of them started or the last first token came, from the chooser's start.
+	unanswered atomic.Int64
+	silent     atomic.Int64
 }
 
 // report is the last status of an upstream; it is immutable.
@@ -43,6 +47,9 @@
 	queued float64
 	// own is the part of queued that came from this router.
 	own float64
+	// count is the number of requests at the upstream, ownCount this router's part.
+	count    float64
+	ownCount float64
 }
 
 func (nd *node) with(up bwmodel.Upstream, highest int) *node {
@@ -63,8 +70,11 @@
 	if st.Load.QueuedTokens > 0 {
 		queued = float64(st.Load.QueuedTokens)
 	}
-	own := float64(nd.past.at(now.Add(-st.Load.Age), nd.work.tokens.Load()))
-	nd.report.Store(&report{Status: st, queued: queued, own: min(own, queued)})
+	tokens, requests := nd.past.at(now.Add(-st.Load.Age), nd.work.tokens.Load(), nd.work.inFlight.Load())
+	nd.report.Store(&report{
+		Status: st, queued: queued, own: min(float64(tokens), queued),
+		count: count, ownCount: min(float64(requests), count),
+	})
 }
 
 // usable reports whether the upstream may get new work at all.
@@ -91,6 +101,16 @@
 	return max(own, rep.queued+peers*(own-rep.own))
 }
 
+// requests estimates the requests at the upstream in the same way.
+func (nd *node) requests(peers float64) float64 {
+	own := float64(nd.work.inFlight.Load())
+	rep := nd.report.Load()
+	if rep == nil {
+		return own
+	}
+	return max(own, rep.count+peers*(own-rep.ownCount))
+}
+
 // rate is the tokens per second that one request gets.
 func (nd *node) rate(fallback float64) float64 {
 	if pc := nd.work.pace.load(); pc > 0 {
@@ -116,6 +136,28 @@
 	wk.tokens.Add(-int64(tokens))
 }
 
+// await counts a request that has no first token yet.
+func (wk *work) await(now time.Duration) {
+	if wk.unanswered.Add(1) == 1 {
+		wk.silent.Store(int64(now))
+	}
+}
+
+// answered ends the wait of a request.
+func (wk *work) answered(now time.Duration) {
+	wk.unanswered.Add(-1)
+	wk.silent.Store(int64(now))
+}
+
+// silence returns for how long requests have waited without a first token from
+// the upstream; a slow upstream shows in it long before its first token.
+func (wk *work) silence(now time.Duration) time.Duration {
+	if wk.unanswered.Load() == 0 {
+		return 0
+	}
+	return now - time.Duration(wk.silent.Load())
+}
+
 const smoothing = 0.25
 
 func (wk *work) learnPace(out Outcome) {
@@ -139,8 +181,9 @@
 }
 
 type pastEntry struct {
-	at     time.Time
-	tokens int64
+	at       time.Time
+	tokens   int64
+	requests int64
 }
 
 // pastSize entries at least pastSpacing apart reach back 6.4 s, more than the
@@ -150,33 +193,32 @@
 	pastSpacing = 100 * time.Millisecond
 )
 
-func (ps *past) add(now time.Time, tokens int64) {
+func (ps *past) add(now time.Time, tokens, requests int64) {
 	newest := ps.entries[(ps.next+pastSize-1)%pastSize]
 	if !newest.at.IsZero() && now.Sub(newest.at) < pastSpacing {
 		return
 	}
-	ps.entries[ps.next] = pastEntry{at: now, tokens: tokens}
+	ps.entries[ps.next] = pastEntry{at: now, tokens: tokens, requests: requests}
 	ps.next = (ps.next + 1) % pastSize
 }
 
-// at returns the newest count that is not newer than a time, or the oldest; it
-// returns current when the time is later than every entry by the spacing.
-func (ps *past) at(tm time.Time, current int64) int64 {
-	oldest := current
+// at returns the newest counts that are not newer than a time, or the oldest; it
+// returns the current ones when the time is later than every entry by the spacing.
+func (ps *past) at(tm time.Time, tokens, requests int64) (pastTokens, pastRequests int64) {
 	for cnt := 1; cnt <= pastSize; cnt++ {
 		ent := ps.entries[(ps.next+pastSize-cnt)%pastSize]
 		if ent.at.IsZero() {
 			break
 		}
+		if cnt == 1 && tm.Sub(ent.at) >= pastSpacing {
+			break
+		}
+		tokens, requests = ent.tokens, ent.requests
 		if !ent.at.After(tm) {
-			if cnt == 1 && tm.Sub(ent.at) >= pastSpacing {
-				return current
-			}
-			return ent.tokens
+			break
 		}
-		oldest = ent.tokens
 	}
-	return oldest
+	return tokens, requests
 }
 
 // number is a float64 that several goroutines change.
--- /dev/null
+++ b/core/bwroute/silence_test.go
@@ -0,0 +1,91 @@
+package bwroute_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwroute"
+)
+
+// Guards against more work for an upstream that keeps its requests waiting,
+// which its latency shows only once a first token comes.
+func TestSilentUpstreamGetsNoMore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chs := newChooser(t, bwroute.LeastCost(), 4, 8)
+		for range 40 {
+			chc, _, err := chs.Choose(request(10))
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(50 * time.Millisecond)
+			chc.Finish(bwroute.Outcome{FirstToken: 50 * time.Millisecond, Elapsed: 50 * time.Millisecond, Tokens: 10})
+		}
+		chs.Refresh()
+		silent, _, err := chs.Choose(request(10))
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(300 * time.Millisecond)
+		for range 10 {
+			chc, dec, err := chs.Choose(request(10))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if chc.Upstream.Name == silent.Upstream.Name {
+				t.Fatalf("chose the silent upstream: %+v", dec)
+			}
+			time.Sleep(50 * time.Millisecond)
+			chc.Started(50 * time.Millisecond)
+			chc.Finish(bwroute.Outcome{FirstToken: 50 * time.Millisecond, Elapsed: 50 * time.Millisecond, Tokens: 10})
+		}
+	})
+}
+
+// Guards against routers that each fill all slots of an upstream, and against a
+// share that leaves a slot to no router.
+func TestRoutersShareSlots(t *testing.T) {
+	cases := []struct{ slots, routers, want int }{{4, 1, 4}, {4, 2, 2}, {4, 3, 2}, {4, 9, 1}}
+	for _, tc := range cases {
+		chs := newChooser(t, bwroute.LeastCost(), 1, tc.slots)
+		chs.SetRouters(tc.routers)
+		chs.Update(upstreams(1, tc.slots))
+		taken := 0
+		for ; taken < 2*tc.slots; taken++ {
+			if _, _, err := chs.Choose(request(1)); err != nil {
+				break
+			}
+		}
+		if taken != tc.want {
+			t.Errorf("%d slots, %d routers: one router took %d", tc.slots, tc.routers, taken)
+		}
+		slots, routers := chs.Share()
+		if routers != tc.routers || slots != float64(tc.slots)/float64(tc.routers) {
+			t.Errorf("%d slots, %d routers: share %v of %d", tc.slots, tc.routers, slots, routers)
+		}
+	}
+}
+
+// Guards against short work kept off an upstream with free slots for the long
+// work that runs there: the batch is not full, so nothing delays it.
+func TestLongWorkBesideFreeSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		chs := newChooser(t, bwroute.LeastCost(), 2, 4)
+		long, _, err := chs.Choose(request(5000))
+		if err != nil {
+			t.Fatal(err)
+		}
+		counts := map[bwmodel.UpstreamID]int{}
+		for range 5 {
+			chc, _, err := chs.Choose(request(10))
+			if err != nil {
+				t.Fatal(err)
+			}
+			counts[chc.Upstream.Name]++
+		}
+		if counts[long.Upstream.Name] < 1 || counts[long.Upstream.Name] > 3 {
+			t.Fatalf("long work at %s, short work %v", long.Upstream.Name, counts)
+		}
+	})
+}
