--- a/io/bwfleet/control.go
+++ b/io/bwfleet/control.go
@@ -39,6 +39,8 @@
 	synced   time.Time
 	// suspected is when this process last said of a router that it is silent.
 	suspected map[bwmodel.MemberID]time.Time
+	// storeLost is when the store stopped to answer; zero while it answers.
+	storeLost time.Time
 	revision  uint64
 	seen      membersView
 	last      Snapshot
@@ -65,15 +67,16 @@
 		ctl.seen = newMembersView(ctl.dir, now)
 	}
 	snap := Snapshot{
-		Self:    ctl.dir.Self(),
-		State:   ctl.state,
-		Members: ctl.seen.entries,
-		Ready:   ctl.started && now.Sub(ctl.contact) <= contactTime,
-		Started: ctl.started,
-		Contact: ctl.contact,
-		recent:  ctl.recent,
-		peers:   ctl.peers,
-		seen:    ctl.seen,
+		Self:      ctl.dir.Self(),
+		State:     ctl.state,
+		Members:   ctl.seen.entries,
+		Ready:     ctl.started && now.Sub(ctl.contact) <= contactTime,
+		Started:   ctl.started,
+		Contact:   ctl.contact,
+		StoreLost: ctl.storeLost,
+		recent:    ctl.recent,
+		peers:     ctl.peers,
+		seen:      ctl.seen,
 	}
 	if snap.differs(&ctl.last) {
 		ctl.revision++
@@ -116,6 +119,22 @@
 // touch records that the store or a peer was heard from.
 func (ctl *control) touch() { ctl.contact = ctl.now() }
 
+// readStore records whether a read of the store succeeded, and reports whether
+// that has changed, with the length of an outage that is over.
+func (ctl *control) readStore(ok bool) (changed bool, outage time.Duration) {
+	lost := ctl.storeLost
+	switch {
+	case ok:
+		ctl.touch()
+		ctl.storeLost = time.Time{}
+		return !lost.IsZero(), ctl.now().Sub(lost)
+	case lost.IsZero():
+		ctl.storeLost = ctl.now()
+		return true, 0
+	}
+	return false, 0
+}
+
 // follow applies the tickets that are above the state, and reports whether
 // there was a gap. A ticket at or below the state is passed over.
 func (ctl *control) follow(accs []bwticket.Accepted) (gap bool) {
