--- a/bench/bwcapacity/row.go
+++ b/bench/bwcapacity/row.go
@@ -71,10 +71,12 @@
 // names a slope that was not measured.
 func Rows(mst Measurement, scl Scale) ([]Row, error) {
 	cst := &costs{mst: mst, scl: scl}
-	rows := cst.sharedRows(routerRole)
+	// A router knows all routers and the agents that it follows, an agent the
+	// routers of its region.
+	rows := cst.sharedRows(routerRole, float64(scl.Routers)+scl.FollowedUpstreams(), routerExchanges)
 	rows = append(rows, cst.routerRows()...)
 	rows = append(rows, cst.trafficRows()...)
-	rows = append(rows, cst.sharedRows(agentRole)...)
+	rows = append(rows, cst.sharedRows(agentRole, float64(scl.Routers)/float64(scl.Regions), agentExchanges)...)
 	rows = append(rows, cst.agentRows()...)
 	rows = append(rows, cst.tableRows()...)
 	return rows, cst.err
--- a/bench/bwcapacity/rows.go
+++ b/bench/bwcapacity/rows.go
@@ -4,8 +4,6 @@
 
 // Rates of the mechanisms that the design fixes.
 const (
-	// exchangeRate is the exchanges that a process starts in a second.
-	exchangeRate = 1
 	// reportRate is the reports that an agent sends to each router in a second.
 	reportRate = 1
 	// refreshRate is how often a chooser compares its upstreams in a second.
@@ -16,16 +14,15 @@
 	watchersPerZone = 2
 	// leaseRate is the renewals of one lease in a second: a third of a TTL of 10 s.
 	leaseRate = 0.3
-	// pushFanout is the number of peers that each process pushes a new number to.
-	pushFanout = 6
 )
 
-// sharedRows are the costs of keeping current, which routers and agents share.
-func (cst *costs) sharedRows(role string) []Row {
+// sharedRows are the costs of keeping current, which routers and agents share;
+// known is the number of members that the process knows.
+func (cst *costs) sharedRows(role string, known float64, exchanges []Point) []Row {
 	scl := cst.scl
 	changes := scl.ChangeRate()
-	ticket := cst.at(TicketBytes, 1)
-	exchange := cst.at(ExchangeBytes, scl.ExchangeMembers)
+	_, growth := fit(exchanges)
+	quiet := at(exchanges, growth, scl.Processes())
 	return []Row{
 		{
 			Role: role, Item: "tickets in effect", Mechanism: "snapshot of the whole state", Control: true,
@@ -33,21 +30,45 @@
 			Processor: cst.nanos(ApplyTime, float64(max(scl.Teams, scl.Engines)), changes),
 		},
 		{
-			Role: role, Item: "new tickets", Mechanism: "push to 6 peers, pull of the ticket", Control: true,
-			Messages:  changes * (2*pushFanout + 1),
-			Traffic:   changes * (2*pushFanout*cst.at(ExchangeBytes, 0) + 2*ticket),
-			Processor: cst.nanos(ExchangeTime, 0, changes*pushFanout*2) + cst.nanos(TicketTime, 1, changes*2),
+			Role: role, Item: "new tickets", Mechanism: "push across regions, zones and to agents; pull of the ticket", Control: true,
+			Messages:  changes * 2 * ticketMessages,
+			Traffic:   changes * (2*ticketBytes + 2*cst.at(TicketBytes, 1) + 2*ticketMessages*frameBytes),
+			Processor: cst.nanos(ExchangeTime, 1, changes*ticketMessages) + cst.nanos(TicketTime, 1, changes),
 		},
 		{
-			Role: role, Item: "members", Mechanism: "exchange with one peer a second", Control: true,
-			Memory:    cst.at(DirectoryBytes, scl.Processes()),
-			Messages:  exchangeRate * 4,
-			Traffic:   exchangeRate * 4 * exchange,
-			Processor: cst.nanos(ExchangeTime, scl.ExchangeMembers, exchangeRate*2) + cst.nanos(EntriesTime, scl.Processes(), exchangeRate),
+			Role: role, Item: "members", Mechanism: "three overseers call each router each second; changes pushed; digests", Control: true,
+			Memory:    cst.at(DirectoryBytes, known),
+			Messages:  2 * exchangeMessages,
+			Traffic:   quiet + 2*exchangeMessages*frameBytes,
+			Processor: cst.nanos(ExchangeTime, 1, exchangeMessages) + cst.nanos(EntriesTime, known, scl.MemberChangeRate()),
 		},
 	}
 }
 
+// Figures of the dissemination test in io/bwfleet, at 136 to 1,088 processes in
+// virtual time: docs/notes/dissemination.md gives the command.
+var (
+	// routerExchanges and agentExchanges are the bytes that a router and an agent
+	// send and receive in a second without changes, by the number of processes.
+	routerExchanges = []Point{{136, 1570}, {272, 1592}, {544, 1593}, {1088, 1567}}
+	agentExchanges  = []Point{{136, 139}, {272, 139}, {544, 139}, {1088, 139}}
+)
+
+const (
+	// exchangeMessages are the messages that a process sends in a second.
+	exchangeMessages = 3.5
+	// ticketMessages and ticketBytes are what a process sends for one ticket at
+	// 4,000 processes: each doubling adds 2.4 messages and 170 bytes.
+	ticketMessages = 26
+	ticketBytes    = 1950
+)
+
+// at extends the last point along a slope; one that falls counts as flat.
+func at(points []Point, growth, size float64) float64 {
+	last := points[len(points)-1]
+	return last.Value + max(growth, 0)*(size-float64(last.Size))
+}
+
 func (cst *costs) routerRows() []Row {
 	scl := cst.scl
 	followed := scl.FollowedUpstreams()
@@ -55,7 +76,7 @@
 	changes := scl.ChangeRate() + scl.MemberChangeRate()
 	return []Row{
 		{
-			Role: routerRole, Item: "load, health and clocks of upstreams", Mechanism: "status streams of a subset of 8 for each model", Control: true,
+			Role: routerRole, Item: "load, health and clocks of upstreams", Mechanism: "status streams of a subset of 6 for each model", Control: true,
 			Memory:    float64(scl.Models) * cst.at(ChooserBytes, perChooser),
 			Messages:  followed * reportRate,
 			Traffic:   followed * reportRate * (cst.at(StatusBytes, 0) + frameBytes),
--- a/bench/bwcapacity/scale.go
+++ b/bench/bwcapacity/scale.go
@@ -18,8 +18,6 @@
 	DailyReplacements float64
 	// Followed is the number of upstreams that a router follows for one service.
 	Followed int
-	// ExchangeMembers is the number of members in one exchange message.
-	ExchangeMembers float64
 	// PromptTokens is the mean length of a prompt, and BlockTokens the tokens in
 	// one block of an engine's prefix cache; both are assumptions.
 	PromptTokens float64
@@ -41,8 +39,7 @@
 		DailyChanges:      3800,
 		DailyFailures:     27,
 		DailyReplacements: 940,
-		Followed:          8,
-		ExchangeMembers:   64,
+		Followed:          6,
 		PromptTokens:      500,
 		BlockTokens:       16,
 	}
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -38,7 +38,7 @@
 	// Hedge configures the hedge of each plain service.
 	Hedge bwretry.HedgeConfig
 	// MaxFollowed bounds the upstreams that the router follows in all; 0 means
-	// 128, whose reports take 7 KB/s of a control budget of 9 KB/s.
+	// 96, whose reports take 6.5 KB/s of a control budget of 9 KB/s.
 	MaxFollowed int
 	StateNumber func() bwmodel.TicketNumber
 	// Observed is told of each agent's report; it may be nil.
@@ -49,16 +49,16 @@
 }
 
 const (
-	defaultMaxFollowed = 128
+	defaultMaxFollowed = 96
 	// A service gets its part of the followed upstreams within these bounds: 32
-	// are scanned in full, and 8 leave a choice in at least two zones.
-	minPerService = 8
+	// are scanned in full, and 6 leave a choice in at least two zones.
+	minPerService = 6
 	maxPerService = 32
 	// refreshInterval is how often upstreams are compared with their peers.
 	refreshInterval = 250 * time.Millisecond
 	// maxCacheStreams is the number of followed upstreams up to which their cache
 	// events are read. At peak an engine publishes about 290 events a second,
-	// 2.6 KB, so a router that follows 128 would spend its budget on them.
+	// 2.6 KB, so a router that follows 96 would spend its budget on them.
 	maxCacheStreams = 64
 )
 
--- a/io/bwwire/status.go
+++ b/io/bwwire/status.go
@@ -8,7 +8,7 @@
 
 // AgentStatusEvent is an agent's report, sent each second and on change. Its
 // fields have short keys and stay unset while they do not change, since a router
-// at full size follows 128 agents within a budget of 9 KB a second.
+// at full size follows 96 agents within a budget of 9 KB a second.
 type AgentStatusEvent struct {
 	// Member is set in the first event of a stream and when the member changes.
 	Member      *bwmodel.Member      `cbor:"1,keyasint,omitempty"`
