Test digests, pushes and overseers so that each is missed when removed

The ticket's time is now bounded by 1 s instead of 3 s, because exchanges alone took 1.45 s with 68 processes and passed. A router replaced during a split shows whether digests are compared; overseers and refutations have tests of their own.

--- a/io/bwfleet/dissemination_test.go
+++ b/io/bwfleet/dissemination_test.go
@@ -15,6 +15,10 @@
 // limit is the time of invariants I6 and I8.
 const limit = 3 * time.Second
 
+// spread is the time for a ticket when all is well: the watchers' interval of
+// 500 ms and as much again. Exchanges without pushes take longer.
+const spread = time.Second
+
 // gridSizes are the numbers of processes; the target is 4,000. The figures of
 // docs/notes/dissemination.md come from larger sizes.
 var gridSizes = flag.String("sizes", "68,136", "numbers of processes")
@@ -64,8 +68,8 @@
 					worst = max(worst, took)
 				}
 				t.Logf("ticket everywhere after %v at most", worst)
-				if worst > limit {
-					t.Errorf("ticket everywhere after %v, want at most %v", worst, limit)
+				if worst > spread {
+					t.Errorf("ticket everywhere after %v, want at most %v", worst, spread)
 				}
 				if quiet.maxRouter > 4500 || quiet.maxAgent > 4500 {
 					t.Errorf("payloads of %d bytes/s for a router and %d for an agent, want at most 4500", quiet.maxRouter, quiet.maxAgent)
@@ -181,9 +185,12 @@
 		if took := until(others, has(21)); took > limit {
 			t.Errorf("split, one region without the store: ticket elsewhere after %v, want at most %v", took, limit)
 		}
+		// A router of the region is replaced meanwhile; nobody repeats that later.
+		grd.kill(grd.procs[24])
+		next := grd.start(24)
 		time.Sleep(70 * time.Second)
 		grd.cut(false, true)
-		took := until(grd.procs, has(21))
+		took := until(grd.living(), has(21))
 		t.Logf("region back, without the store: ticket everywhere after %v", took)
 		if took > limit {
 			t.Errorf("region back, without the store: ticket everywhere after %v, want at most %v", took, limit)
@@ -191,6 +198,9 @@
 		grd.cut(false, false)
 		time.Sleep(20 * time.Second)
 		for _, rtr := range grd.routers() {
+			if rtr != next && !holds(next.self.ID, next.self.Incarnation)(rtr) {
+				t.Errorf("%s doesn't know the router that was replaced during the split", rtr.self.ID)
+			}
 			live := 0
 			for _, ent := range rtr.fleet.Snapshot().Members {
 				if ent.Status == bwmember.Live && ent.Member.Role == bwmodel.RouterRole {
--- a/io/bwfleet/grid_test.go
+++ b/io/bwfleet/grid_test.go
@@ -149,6 +149,17 @@
 	return rtrs
 }
 
+// living returns the processes that were not killed.
+func (grd *grid) living() []*gridProcess {
+	var procs []*gridProcess
+	for _, prc := range grd.procs {
+		if !prc.dead {
+			procs = append(procs, prc)
+		}
+	}
+	return procs
+}
+
 // until returns the time until a condition holds for all of some processes, in
 // steps of 10 ms, or twice the limit.
 func until(procs []*gridProcess, holds func(*gridProcess) bool) time.Duration {
