Allocate less for each token, and benchmark the generation path

BenchmarkPath runs a recorded engine that gives 1000 tokens one at a time through agent, router and holder to a caller, in one process.

--- a/core/bwstream/handle.go
+++ b/core/bwstream/handle.go
@@ -41,15 +41,15 @@
 
 // String returns the handle as text that fits into a URL path and an SSE id.
 func (hd Handle) String() string {
-	buf := make([]byte, 0, MaxHandleLength)
-	buf = append(buf, handleVersion)
+	var raw, txt [MaxHandleLength]byte
+	buf := append(raw[:0], handleVersion)
 	buf = append(buf, hd.Request[:]...)
 	buf = binary.AppendUvarint(buf, uint64(hd.Epoch))
 	buf = binary.AppendUvarint(buf, uint64(hd.Mark.Position))
 	buf = binary.AppendUvarint(buf, uint64(hd.Mark.Offset))
 	buf = appendAddress(buf, hd.Holder)
 	buf = appendAddress(buf, hd.Agent)
-	return base64.RawURLEncoding.EncodeToString(buf)
+	return string(base64.RawURLEncoding.AppendEncode(txt[:0], buf))
 }
 
 // ParseHandle reads what String wrote, or returns an error that wraps ErrHandle.
--- a/io/bwengine/engine_stream.go
+++ b/io/bwengine/engine_stream.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
 
 	"bilberrywick/core/bwmodel"
 )
@@ -157,8 +158,37 @@
 }
 
 type tokenLogprob struct {
-	Token string `json:"token"`
-	Bytes []int  `json:"bytes"`
+	Token string   `json:"token"`
+	Bytes byteList `json:"bytes"`
+}
+
+// byteList is a list of numbers from 0 to 255; nil stands for null.
+type byteList []byte
+
+var errByteList = errors.New("bytes of a token are no list of numbers from 0 to 255")
+
+// UnmarshalJSON reads the numbers without a slice of integers for each token.
+func (bl *byteList) UnmarshalJSON(data []byte) error {
+	if string(data) == "null" {
+		return nil
+	}
+	inner, open := bytes.CutPrefix(data, []byte{'['})
+	inner, closed := bytes.CutSuffix(inner, []byte{']'})
+	if !open || !closed {
+		return errByteList
+	}
+	list := make(byteList, 0, bytes.Count(inner, []byte{','})+1)
+	for more := len(bytes.TrimSpace(inner)) > 0; more; {
+		var num []byte
+		num, inner, more = bytes.Cut(inner, []byte{','})
+		val, err := strconv.ParseUint(string(bytes.TrimSpace(num)), 10, 8)
+		if err != nil {
+			return errByteList
+		}
+		list = append(list, byte(val))
+	}
+	*bl = list
+	return nil
 }
 
 // bytes returns the token's bytes; an engine that gives none has a token of whole characters.
@@ -166,11 +196,7 @@
 	if lgp.Bytes == nil {
 		return []byte(lgp.Token)
 	}
-	buf := make([]byte, len(lgp.Bytes))
-	for ix, val := range lgp.Bytes {
-		buf[ix] = byte(val)
-	}
-	return buf
+	return lgp.Bytes
 }
 
 type loadMessage struct {
--- a/standin/bwfakeengine/bench_test.go
+++ b/standin/bwfakeengine/bench_test.go
@@ -1,7 +1,6 @@
 package bwfakeengine_test
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -43,14 +42,39 @@
 
 // RoundTrip returns the recorded stream.
 func (rce *recordedEngine) RoundTrip(*http.Request) (*http.Response, error) {
-	parts := []io.Reader{bytes.NewReader(rce.head)}
-	for range rce.count - 2 {
-		parts = append(parts, bytes.NewReader(rce.chunk))
+	return &http.Response{StatusCode: http.StatusOK, Body: &recordedBody{eng: rce}}, nil
+}
+
+// recordedBody gives one chunk at a time, a little apart, so that each token
+// goes through the path by itself.
+type recordedBody struct {
+	eng  *recordedEngine
+	rest []byte
+	sent int
+}
+
+func (rcb *recordedBody) Read(buf []byte) (int, error) {
+	if len(rcb.rest) == 0 {
+		time.Sleep(200 * time.Microsecond)
+		rcb.sent++
+		switch {
+		case rcb.sent == 1:
+			rcb.rest = rcb.eng.head
+		case rcb.sent < rcb.eng.count:
+			rcb.rest = rcb.eng.chunk
+		case rcb.sent == rcb.eng.count:
+			rcb.rest = rcb.eng.tail
+		default:
+			return 0, io.EOF
+		}
 	}
-	parts = append(parts, bytes.NewReader(rce.tail))
-	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(io.MultiReader(parts...))}, nil
+	size := copy(buf, rcb.rest)
+	rcb.rest = rcb.rest[size:]
+	return size, nil
 }
 
+func (rcb *recordedBody) Close() error { return nil }
+
 // addRecorded adds an agent whose engine is a recorded one.
 func (cl *cluster) addRecorded(eng *recordedEngine) {
 	cl.t.Helper()
