--- a/standin/bwfakeengine/admission_test.go
+++ b/standin/bwfakeengine/admission_test.go
@@ -84,12 +84,17 @@
 	})
 }
 
-// until waits for a condition, at most until the test's own deadline.
+// until waits for a condition; it ends the test instead of hanging.
 func (cl *cluster) until(done func() bool) {
 	cl.t.Helper()
-	for !done() && cl.t.Context().Err() == nil {
+	const tries = 20000
+	for range tries {
+		if done() {
+			return
+		}
 		time.Sleep(time.Millisecond)
 	}
+	cl.t.Fatal("condition was never met")
 }
 
 func (gt *gate) ended(grants int) func() bool {
--- a/standin/bwfakeengine/generation_test.go
+++ b/standin/bwfakeengine/generation_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// Guards against a resume that computes again what had been issued.
+func TestResumeContinues(t *testing.T) {
+	const tokens, before = 200, 100
+	cl := newCluster(t, 2, 2, fastEngine)
+	cal := cl.post(cl.routers[0], "pokračovanie", tokens)
+	cal.read(before)
+	must(t, cl.nodes[0].engine.Die(t.Context()))
+	cal.read(all)
+	cal.check("pokračovanie", tokens)
+	if got := cl.nodes[1].engine.Counts().TokensGenerated; got > tokens-before {
+		t.Errorf("the second engine generated %d tokens, want at most %d", got, tokens-before)
+	}
+}
+
 // Guards against a caller that loses its answer with its router, its agent and
 // engine, or both.
 func TestRouterDeath(t *testing.T) {
