--- a/io/bwagent/reporter.go
+++ b/io/bwagent/reporter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"slices"
 	"time"
@@ -135,9 +136,9 @@
 	if rep.cfg.Load != nil {
 		var err error
 		if load, err = rep.cfg.Load(ctx); err != nil {
-			rep.cfg.Log.Warn("load report failed", "Upstream", rep.cfg.Upstream, "Error", err)
 			load = bwmodel.LoadReport{UpstreamIsDown: true}
 		}
+		rep.logChange(ctx, err)
 	}
 	events := rep.readCacheEvents(ctx)
 	now := rep.cfg.Now()
@@ -145,6 +146,18 @@
 	_ = rep.own.Post(ctx, func(st *reporterState) { st.observe(load, events, now) })
 }
 
+// logChange logs that the upstream has stopped or started to answer; a line for
+// each failed poll would be two a second for as long as the upstream is down.
+func (rep *Reporter) logChange(ctx context.Context, err error) {
+	wasDown := rep.own.Snapshot().Load.UpstreamIsDown
+	switch {
+	case err != nil && !wasDown && !errors.Is(ctx.Err(), context.Canceled):
+		rep.cfg.Log.Warn("upstream does not answer", "Upstream", rep.cfg.Upstream, "Error", err)
+	case err == nil && wasDown:
+		rep.cfg.Log.Info("upstream answers again", "Upstream", rep.cfg.Upstream)
+	}
+}
+
 func (rep *Reporter) readCacheEvents(ctx context.Context) []bwmodel.CacheEvent {
 	if rep.cfg.CacheEvents == nil {
 		return nil
@@ -155,7 +168,7 @@
 	}
 	events, err := rep.cfg.CacheEvents(ctx, after)
 	if err != nil {
-		rep.cfg.Log.Warn("reading cache events failed", "Upstream", rep.cfg.Upstream, "Error", err)
+		rep.cfg.Log.Debug("reading cache events failed", "Upstream", rep.cfg.Upstream, "Error", err)
 		return nil
 	}
 	return events
@@ -171,7 +184,7 @@
 	}
 	tick := time.NewTicker(rep.cfg.Interval)
 	defer tick.Stop()
-	sub := &subscriber{rep: rep}
+	sub := &subscriber{rep: rep, withoutCache: req.WithoutCache}
 	for {
 		view := rep.own.Snapshot()
 		if err := stm.Send(sub.event(view)); err != nil {
@@ -192,7 +205,8 @@
 	// told is the view of the last event; nil before the first.
 	told *ReporterView
 	// cached is the sequence number of the last cache event sent.
-	cached uint64
+	cached       uint64
+	withoutCache bool
 }
 
 // event returns what the subscriber has not been told yet.
@@ -211,15 +225,22 @@
 		}
 		event.Load = bwwire.NewLoadMessage(load)
 	}
-	fresh := after(view.cache, sub.cached)
-	if len(fresh) > 0 {
-		event.Cache = bwwire.NewCacheRuns(fresh)
-		sub.cached = fresh[len(fresh)-1].Sequence
+	if !sub.withoutCache {
+		event.Cache = sub.cacheRuns(view.cache)
 	}
 	sub.told = view
 	return event
 }
 
+func (sub *subscriber) cacheRuns(events []bwmodel.CacheEvent) []bwwire.CacheRun {
+	fresh := after(events, sub.cached)
+	if len(fresh) == 0 {
+		return nil
+	}
+	sub.cached = fresh[len(fresh)-1].Sequence
+	return bwwire.NewCacheRuns(fresh)
+}
+
 // after returns the events above a sequence number.
 func after(events []bwmodel.CacheEvent, sequence uint64) []bwmodel.CacheEvent {
 	for ix, event := range events {
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -56,6 +56,7 @@
 		Service:    rtr.services.Service,
 		Upstream:   rtr.upstream,
 		AgentClock: rtr.services.AgentClock,
+		Connected:  rtr.services.Connected,
 		Dispatch:   caller[bwwire.DispatchRequest, bwwire.DispatchResponse](rtr.proc.Client, bwwire.AgentDispatch),
 		Settle:     caller[bwwire.SettleRequest, bwwire.SettleResponse](rtr.proc.Client, bwwire.AgentSettle),
 		Table: bwaction.CoordinatorConfig{
@@ -74,6 +75,7 @@
 		Call:         caller[bwwire.CallRequest, bwwire.CallResponse](rtr.proc.Client, bwwire.AgentCall),
 		Hedge:        rtr.services.Hedge,
 		Budget:       bwretry.NewBudget(bwretry.BudgetConfig{}),
+		Metrics:      rtr.proc.Metrics,
 		Now:          rtr.cfg.Now,
 		NewRequestID: newRequestID,
 		StateNumber:  rtr.proc.StateNumber,
@@ -147,7 +149,7 @@
 	if errors.As(err, &bad) {
 		prb.Status = bad.Status
 	}
-	if errors.Is(err, bwhttp.ErrTooManyStreams) {
+	if errors.Is(err, bwhttp.ErrTooManyStreams) || errors.Is(err, bwhttp.ErrBodyMemory) {
 		prb.RetryAfter = time.Second
 	}
 	bwhttp.WriteProblem(wr, prb)
