Give true outcomes at a router that is away, and keep results in an outage

(2) The write of a result that failed was not repeated, so that the result was lost with its agent. (3) A response above the table's row size was never recorded. (4) A new router let teams in before it had the services and answered 404; the fleet of bwdev counted it as ready. Change: a refusal before the team is known says of an action Unknown with RequestOutcome NotRun, and 503 while the teams are not read; keys come into force after the services. bwaction.Recorder repeats failed writes of results within bounds. A response above 256 KiB goes to the object store before the row names it.

--- a/bench/bwsoak/ticket.go
+++ b/bench/bwsoak/ticket.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -60,7 +61,7 @@
 	defer cancel()
 	call := ses.tks.clock.Add(1)
 	ans, err := ses.flt.Router(router).Fleet().Apply(ctx, doc)
-	out := ticketOutput{previous: ans.Previous}
+	out := ticketOutput{previous: ans.Previous, err: err}
 	var conflict *bwticket.ConflictError
 	var faults bwticket.Faults
 	switch {
@@ -96,6 +97,7 @@
 type ticketOutput struct {
 	outcome  ticketOutcome
 	previous bwmodel.TicketNumber
+	err      error
 }
 
 type ticketOutcome string
@@ -177,11 +179,22 @@
 	}
 	his := ses.tks
 	his.add(his.clock.Add(1), ticketInput{number: head}, ticketOutput{outcome: ticketFinal})
-	if porcupine.CheckOperationsTimeout(ticketModel.ToModel(), his.ops, checkTime) != porcupine.Ok {
-		ses.rep.violate("TicketHistory", fmt.Sprintf("ticket %d", head), "no order of %d submissions explains the answers", len(his.ops)-1)
+	if res := porcupine.CheckOperationsTimeout(ticketModel.ToModel(), his.ops, checkTime); res != porcupine.Ok {
+		ses.rep.violate("TicketHistory", fmt.Sprintf("ticket %d", head), "%s: no order of %d submissions explains the answers:\n%s",
+			res, len(his.ops)-1, his.describe())
 	}
 }
 
+// describe lists all submissions in the order of their answers.
+func (his *ticketHistory) describe() string {
+	var txt strings.Builder
+	for _, op := range his.ops {
+		in, out := op.Input.(ticketInput), op.Output.(ticketOutput)
+		fmt.Fprintf(&txt, "  %d to %d: ticket %d (%s): %s after %d, error %v\n", op.Call, op.Return, in.number, in.content, out.outcome, out.previous, out.err)
+	}
+	return txt.String()
+}
+
 // head reads the number of the last accepted ticket from the store itself.
 func (ses *session) head(ctx context.Context) (bwmodel.TicketNumber, error) {
 	ctx, cancel := context.WithTimeout(ctx, readHeadTime)
--- a/cmd/bwdev/fleet.go
+++ b/cmd/bwdev/fleet.go
@@ -319,6 +319,11 @@
 		if err := rtr.Ready(); err != nil {
 			return fmt.Errorf("router %s: %w", rtr.Member().ID, err)
 		}
+		for _, name := range []bwmodel.ServiceID{flt.cfg.ModelService, flt.cfg.PlainService} {
+			if _, ok := rtr.Services().Service(name); !ok {
+				return fmt.Errorf("router %s: service %s is not in force", rtr.Member().ID, name)
+			}
+		}
 		if missing := rtr.Services().Unconnected(); len(missing) > 0 || rtr.Fleet().Snapshot().State.Number() == 0 {
 			return fmt.Errorf("router %s: no status from %v", rtr.Member().ID, missing)
 		}
--- a/core/bwaction/coordinator.go
+++ b/core/bwaction/coordinator.go
@@ -20,6 +20,9 @@
 	Insert func(context.Context, Row) error
 	// Swap replaces a row that is as expected.
 	Swap func(context.Context, Expect, Row) error
+	// Repeat takes the write of a result that has failed, as Recorder.Add does; nil
+	// leaves the result with the agent only.
+	Repeat func(Expect, Row)
 	// Choose returns an upstream that is not excluded, or an error when none takes work.
 	Choose func(context.Context, Request, []bwmodel.UpstreamID) (Target, error)
 	// Dispatch returns SettleDone with the response or SettleBroken, a
@@ -179,12 +182,14 @@
 	})
 }
 
-// record writes the end of an action; a failure loses nothing that the agent
-// does not still know.
+// record writes the end of an action; a write that fails is repeated later, and
+// until then the agent still knows the result.
 func (co *Coordinator) record(ctx context.Context, row Row, state State, rsp bwmodel.HTTPResponse) {
 	exp := row.Expect()
 	row.State = state
 	row.Response = rsp
 	row.Updated = co.cfg.Now()
-	_ = co.swap(ctx, exp, row)
+	if err := co.swap(ctx, exp, row); repeatable(err) && co.cfg.Repeat != nil {
+		co.cfg.Repeat(exp, row)
+	}
 }
--- a/io/bwrouter/actions_table.go
+++ b/io/bwrouter/actions_table.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/binary"
+	"encoding/hex"
 	"errors"
 	"fmt"
 
@@ -13,8 +15,18 @@
 
 // actionTable keeps the rows of actions in the platform's table.
 type actionTable struct {
-	table *bwstore.Table
-	codec *bwrpc.Codec
+	table   *bwstore.Table
+	objects *bwstore.Objects
+	codec   *bwrpc.Codec
+	batcher *bwaction.Batcher
+}
+
+// storedAction is a row as the table keeps it.
+type storedAction struct {
+	bwaction.Row
+	// ResponseObject names the object with the response's body when it is too
+	// large for a row.
+	ResponseObject string `cbor:",omitempty"`
 }
 
 // actionPartition starts the partition of each action; one partition per action
@@ -22,6 +34,9 @@
 const (
 	actionPartition = "Action/"
 	actionSort      = "Row"
+	// maxInlineResponse is below the table's row size of 400 KB, with room for the
+	// rest of the row.
+	maxInlineResponse = 256 << 10
 )
 
 // read returns a row with all writes confirmed before the call.
@@ -33,18 +48,57 @@
 	if stored == nil {
 		return bwaction.Row{}, false, nil
 	}
-	var row bwaction.Row
-	if err := att.codec.Unmarshal(stored.Body, &row); err != nil {
+	var act storedAction
+	if err := att.codec.Unmarshal(stored.Body, &act); err != nil {
 		return bwaction.Row{}, false, fmt.Errorf("row of action %v: %w", key, errors.Join(bwaction.ErrUnavailable, err))
 	}
-	return row, true, nil
+	if act.ResponseObject == "" {
+		return act.Row, true, nil
+	}
+	act.Response.Body, err = att.objects.Get(ctx, act.ResponseObject)
+	if err == nil && act.Response.Body == nil {
+		err = errNoResponseObject
+	}
+	if err != nil {
+		return bwaction.Row{}, false, fmt.Errorf("response of action %v: %w", key, errors.Join(bwaction.ErrUnavailable, err))
+	}
+	return act.Row, true, nil
+}
+
+var errNoResponseObject = errors.New("the object store does not have the response")
+
+// swap replaces a row that is as expected. A response that is too large for a row
+// is stored as an object first, so that the row never names one that is missing.
+func (att *actionTable) swap(ctx context.Context, exp bwaction.Expect, row bwaction.Row) error {
+	if len(row.Response.Body) > maxInlineResponse {
+		if err := att.objects.Put(ctx, responseObject(row), row.Response.Body); err != nil {
+			return errors.Join(bwaction.ErrUnavailable, err)
+		}
+	}
+	return att.batcher.Swap(ctx, exp, row)
+}
+
+// responseObject names the object with a row's response; each attempt has its own.
+func responseObject(row bwaction.Row) string {
+	sum := sha256.Sum256([]byte(row.Key.String()))
+	return actionPartition + hex.EncodeToString(sum[:]) + "/" + row.Attempt.String()
+}
+
+// storedRow is how the table keeps a row.
+func storedRow(row bwaction.Row) storedAction {
+	act := storedAction{Row: row}
+	if len(row.Response.Body) > maxInlineResponse {
+		act.ResponseObject = responseObject(row)
+		act.Response.Body = nil
+	}
+	return act
 }
 
 // commit writes all rows in one transaction or none.
 func (att *actionTable) commit(ctx context.Context, writes []bwaction.Write) ([]bool, error) {
 	stored := make([]bwstore.Write, 0, len(writes))
 	for _, wrt := range writes {
-		body, err := att.codec.Marshal(wrt.Row)
+		body, err := att.codec.Marshal(storedRow(wrt.Row))
 		if err != nil {
 			return nil, errors.Join(bwaction.ErrRejected, err)
 		}
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -37,6 +37,7 @@
 	actions     *Actions
 	calls       *Calls
 	batcher     *bwaction.Batcher
+	recorder    *bwaction.Recorder
 	actionRows  *actionTable
 	callers     *bwhttp.Server
 	operators   *bwhttp.Server
@@ -120,6 +121,7 @@
 	rtr.records.Start(ctx)
 	rtr.generations.Start(ctx)
 	rtr.batcher.Start(ctx)
+	rtr.recorder.Start(ctx)
 	flw := &follower{rtr: rtr, changes: changes}
 	go flw.loop(ctx)
 	rtr.operators.Start()
@@ -286,10 +288,13 @@
 	for _, ent := range snap.State.Upstreams() {
 		objects.Upstreams = append(objects.Upstreams, ent.Object)
 	}
-	rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
 	}
+	if snap.State.Number() > 0 {
+		// After the services, so that no team is let in before what it may call is known.
+		rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
+	}
 	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
 		rtr.proc.Log.Error("starting control duties failed", "Error", err)
 	}
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -26,9 +27,11 @@
 	if err != nil {
 		return err
 	}
-	table := &actionTable{table: rtr.proc.Store.Table, codec: codec}
+	table := &actionTable{table: rtr.proc.Store.Table, objects: rtr.proc.Store.Objects, codec: codec}
 	rtr.actionRows = table
 	rtr.batcher = bwaction.NewBatcher(bwaction.BatcherConfig{Commit: table.commit})
+	table.batcher = rtr.batcher
+	rtr.recorder = bwaction.NewRecorder(bwaction.RecorderConfig{Swap: table.swap, Now: rtr.cfg.Now})
 	rtr.generations, err = NewGenerations(GenerationsConfig{
 		Choose:       rtr.services.Choose,
 		Admit:        rtr.services.Admit,
@@ -62,7 +65,8 @@
 		Table: bwaction.CoordinatorConfig{
 			Read:       table.read,
 			Insert:     rtr.batcher.Insert,
-			Swap:       rtr.batcher.Swap,
+			Swap:       table.swap,
+			Repeat:     rtr.recorder.Add,
 			Now:        rtr.cfg.Now,
 			NewAttempt: newRequestID,
 		},
@@ -94,7 +98,7 @@
 		Attach: bwhttp.WithTeam,
 		Fail:   failRequest,
 	}
-	return rtr.refuseWhenStopping(gate.Wrap(routes))
+	return rtr.refuseWhenAway(gate.Wrap(routes))
 }
 
 // caller returns a function that calls one method of other processes.
@@ -123,27 +127,49 @@
 	}
 }
 
-// refuseWhenStopping refuses new requests once the router is stopping, so that
-// callers on connections that are still open go to another router.
-func (rtr *Router) refuseWhenStopping(next http.Handler) http.Handler {
+// refuseWhenAway refuses new requests once the router is stopping, so that
+// callers on connections that are still open go to another router, and before it
+// has read the teams, when it would find every key unknown.
+func (rtr *Router) refuseWhenAway(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(wr http.ResponseWriter, req *http.Request) {
-		if !rtr.proc.Stopping() {
+		var cause error
+		switch {
+		case rtr.proc.Stopping():
+			cause = bwprocess.ErrStopping
+		case rtr.keys.current.Load() == nil:
+			cause = errNoState
+		default:
 			next.ServeHTTP(wr, req)
 			return
 		}
 		wr.Header().Set("Connection", "close")
-		bwhttp.WriteProblem(wr, bwhttp.Problem{
-			Status:     http.StatusServiceUnavailable,
-			Detail:     bwprocess.ErrStopping.Error(),
-			Outcome:    bwhttp.OutcomeNotRun,
-			RetryAfter: time.Second,
-		})
+		prb := turnedAway(req, http.StatusServiceUnavailable, cause)
+		prb.RetryAfter = time.Second
+		bwhttp.WriteProblem(wr, prb)
 	})
 }
 
+var errNoState = errors.New("the router has not read the services and teams yet")
+
+// turnedAway says that a request has run nothing. Of an action only this request
+// is known not to have run: an earlier one with its key may have, and a router
+// that has not read the teams yet can't look up the key's row.
+func turnedAway(req *http.Request, status int, cause error) bwhttp.Problem {
+	prb := bwhttp.Problem{Status: status, Detail: cause.Error(), Outcome: bwhttp.OutcomeNotRun}
+	if isActionPath(req.URL.Path) {
+		prb.Outcome, prb.RequestOutcome = bwhttp.OutcomeUnknown, bwhttp.OutcomeNotRun
+	}
+	return prb
+}
+
+// isActionPath reports whether a path runs an action or asks for its outcome.
+func isActionPath(target string) bool {
+	return strings.HasPrefix(target, actionsPath) || strings.HasPrefix(target, "/v1/services/") && strings.Contains(target, "/actions/")
+}
+
 // failRequest answers a request that was refused before any handler ran.
-func failRequest(wr http.ResponseWriter, _ *http.Request, err error) {
-	prb := bwhttp.Problem{Status: http.StatusUnauthorized, Detail: err.Error(), Outcome: bwhttp.OutcomeNotRun}
+func failRequest(wr http.ResponseWriter, req *http.Request, err error) {
+	prb := turnedAway(req, http.StatusUnauthorized, err)
 	var bad *bwhttp.RequestError
 	if errors.As(err, &bad) {
 		prb.Status = bad.Status
