Tell an unsure ticket from one that was not written

Change: the cause is part of the text only. Test: TestSubmitTellsAwayFromUnsure demands ErrUnsure only; it fails before and passes after.

--- a/core/bwticket/registry.go
+++ b/core/bwticket/registry.go
@@ -167,7 +167,9 @@
 // way, since the store being away then says nothing about that write.
 func (sub *submission) failed(err error) error {
 	if sub.unsure {
-		return fmt.Errorf("%w: %w", ErrUnsure, err)
+		// The cause is not wrapped: errors.Is would find ErrAway, which says that
+		// nothing was written.
+		return fmt.Errorf("%w: %s", ErrUnsure, err.Error())
 	}
 	return err
 }
--- a/core/bwticket/registry_test.go
+++ b/core/bwticket/registry_test.go
@@ -90,8 +90,8 @@
 		mem.down = true
 		return nil
 	}
-	if _, err := reg.Submit(t.Context(), ticket(1, 1)); !errors.Is(err, bwticket.ErrUnsure) {
-		t.Errorf("store down after a delayed write: got %v, want ErrUnsure", err)
+	if _, err := reg.Submit(t.Context(), ticket(1, 1)); !errors.Is(err, bwticket.ErrUnsure) || errors.Is(err, bwticket.ErrAway) {
+		t.Errorf("store down after a delayed write: got %v, want ErrUnsure only", err)
 	}
 	if took := mem.deliver(); took != 1 {
 		t.Errorf("%d delayed writes took effect, want 1", took)
