--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -38,6 +38,7 @@
 	actions     *Actions
 	calls       *Calls
 	batcher     *bwaction.Batcher
+	recorder    *bwaction.Recorder
 	actionRows  *actionTable
 	callers     *bwhttp.Server
 	operators   *bwhttp.Server
@@ -128,6 +129,7 @@
 	rtr.records.Start(ctx)
 	rtr.generations.Start(ctx)
 	rtr.batcher.Start(ctx)
+	rtr.recorder.Start(ctx)
 	rtr.proc.Follow(ctx, changes, rtr.follow)
 	rtr.operators.Start()
 	rtr.callers.Start()
@@ -286,10 +288,13 @@
 	for _, ent := range snap.State.Upstreams() {
 		objects.Upstreams = append(objects.Upstreams, ent.Object)
 	}
-	rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
 	}
+	if snap.State.Number() > 0 {
+		// After the services, so that no team is let in before what it may call is known.
+		rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
+	}
 	if err := rtr.duties.Update(ctx, objects.Services); err != nil {
 		rtr.proc.Log.Error("starting control duties failed", "Error", err)
 	}
