Show leases and measure orders

Cause: nothing wrote LeaseHeld, LeaseChanges and Orders, and members showed no leases. Change: a router shows the leases that it holds and counts their changes and the orders by kind and result.

--- a/io/bwadmin/types.go
+++ b/io/bwadmin/types.go
@@ -94,7 +94,8 @@
 	Age bwwire.DurationText
 	// StateNumber is the ticket number in force at the member.
 	StateNumber bwmodel.TicketNumber
-	// Leases lists the control duties whose lease the member holds.
+	// Leases lists the control duties whose lease the member holds; it is known of
+	// the process that answers only.
 	Leases []string `json:",omitempty"`
 }
 
--- a/io/bwduty/duty.go
+++ b/io/bwduty/duty.go
@@ -39,7 +39,9 @@
 	Candidate func() bool
 	// Order calls Agent.Order.
 	Order func(context.Context, netip.AddrPort, *bwwire.OrderRequest) (*bwwire.OrderResponse, error)
-	Log   *slog.Logger
+	// Changed is told when the lease is acquired or lost; may be nil.
+	Changed func(duty string, held bool)
+	Log     *slog.Logger
 }
 
 // Order is an order to one engine.
@@ -126,6 +128,9 @@
 		fence, _ := dty.holder.Check()
 		if fence != held {
 			dty.cfg.Log.Info("lease", "Duty", dty.cfg.Name, "Fence", fence, "Before", held)
+			if dty.cfg.Changed != nil {
+				dty.cfg.Changed(dty.cfg.Name, fence != 0)
+			}
 			held = fence
 		}
 		select {
--- a/io/bwobserve/metrics.go
+++ b/io/bwobserve/metrics.go
@@ -252,7 +252,7 @@
 	mx.LeaseHeld = dc.gauges("lease_held",
 		"1 while this process holds the lease of a duty, and otherwise 0.", "duty")
 	mx.LeaseChanges = dc.counters("lease_changes_total",
-		"Changes of leases by duty and event (Acquired, Renewed, Lost, Released).", "duty", "event")
+		"Changes of leases by duty and event (Acquired, Lost).", "duty", "event")
 	mx.Orders = dc.counters("orders_total",
 		"Orders to engines by kind (Load, Unload, Role) and result (Done, StaleFence, Failed).", "kind", "result")
 	mx.Ready = dc.gauge("ready",
--- a/io/bwprocess/admin.go
+++ b/io/bwprocess/admin.go
@@ -21,6 +21,8 @@
 	API bwadmin.Config
 	// InProgress returns the number of requests that the process serves.
 	InProgress func() int
+	// Leases returns the duties whose lease the process holds; may be nil.
+	Leases func() []string
 	// UpstreamInProgress returns the number of the process's requests at an
 	// upstream; nil means 0.
 	UpstreamInProgress func(bwmodel.UpstreamID) int
@@ -80,6 +82,9 @@
 	if snap.Self.Leaving {
 		self.State = bwmember.Leaving.String()
 	}
+	if adm.Leases != nil {
+		self.Leases = adm.Leases()
+	}
 	list := &bwadmin.MemberList{
 		Self:      snap.Self.ID,
 		Head:      snap.State.Number(),
--- a/io/bwprocess/gauges.go
+++ b/io/bwprocess/gauges.go
@@ -28,6 +28,9 @@
 func (prc *Process) setGauges() {
 	prc.Metrics.Ready.Set(one(prc.Ready() == nil))
 	prc.Metrics.Draining.Set(one(prc.Stopping()))
+	if prc.cfg.Gauges != nil {
+		prc.cfg.Gauges()
+	}
 	snap := prc.Fleet.Snapshot()
 	prc.Metrics.TicketNumber.Set(float64(snap.State.Number()))
 	counts := make(map[memberKind]int)
--- a/io/bwprocess/process.go
+++ b/io/bwprocess/process.go
@@ -58,6 +58,8 @@
 	// Refusing returns a reason of its own why the process takes no new work, and
 	// nil when there is none; the field may be nil.
 	Refusing func() error
+	// Gauges sets the gauges of the process's own parts, once a second; may be nil.
+	Gauges func()
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
--- a/io/bwrouter/duties.go
+++ b/io/bwrouter/duties.go
@@ -36,7 +36,9 @@
 	Table  *bwstore.Table
 	Order  func(context.Context, netip.AddrPort, *bwwire.OrderRequest) (*bwwire.OrderResponse, error)
 	Report func(context.Context, netip.AddrPort, *bwwire.DemandReport) (*bwwire.DemandResponse, error)
-	Timing DutyTiming
+	// Changed is told of each lease that is acquired or lost; may be nil.
+	Changed func(duty string, held bool)
+	Timing  DutyTiming
 	// WeightRate is the bytes per second of the weight store that one region's
 	// loads of one service may use; 0 means 1 GiB/s.
 	WeightRate float64
@@ -162,6 +164,7 @@
 		Swap:        lease.Swap,
 		Candidate:   plg.candidate,
 		Order:       dts.cfg.Order,
+		Changed:     dts.cfg.Changed,
 		Log:         dts.cfg.Log,
 	})
 	if err != nil {
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -82,6 +82,7 @@
 	proc, err := bwprocess.New(bwprocess.Config{
 		Role:           bwmodel.RouterRole,
 		Refusing:       rtr.refusing,
+		Gauges:         rtr.setGauges,
 		Settings:       cfg.Settings.Common(),
 		Version:        cfg.Version,
 		LogOutput:      cfg.LogOutput,
@@ -215,12 +216,17 @@
 	})
 	rtr.records = NewRecords(RecordsConfig{Client: rtr.proc.Client, Now: rtr.cfg.Now, Log: rtr.proc.Log})
 	rtr.records.Register(rtr.proc.Server)
+	orders := &countingOrders{
+		order:   caller[bwwire.OrderRequest, bwwire.OrderResponse](rtr.proc.Client, bwwire.AgentOrder),
+		metrics: rtr.proc.Metrics,
+	}
 	rtr.duties = NewDuties(DutiesConfig{
 		Self:       rtr.proc.Self,
 		Snapshot:   rtr.proc.Fleet.Snapshot,
 		Services:   rtr.services,
 		Table:      rtr.proc.Store.Table,
-		Order:      caller[bwwire.OrderRequest, bwwire.OrderResponse](rtr.proc.Client, bwwire.AgentOrder),
+		Order:      orders.give,
+		Changed:    rtr.leaseChanged,
 		Report:     caller[bwwire.DemandReport, bwwire.DemandResponse](rtr.proc.Client, bwwire.PeerDemand),
 		Timing:     rtr.cfg.Duties,
 		WeightRate: float64(rtr.cfg.Settings.Placement.WeightBytesPerSecond),
@@ -231,6 +237,16 @@
 	return rtr.buildTraffic()
 }
 
+func (rtr *Router) setGauges() { rtr.duties.setGauges(rtr.proc.Metrics) }
+
+func (rtr *Router) leaseChanged(duty string, held bool) {
+	event := "Lost"
+	if held {
+		event = "Acquired"
+	}
+	rtr.proc.Metrics.LeaseChanges.With(duty, event).Inc()
+}
+
 // heardAgent takes the evidence that an agent's report carries.
 func (rtr *Router) heardAgent(rep Report) {
 	mem := rep.Member
--- a/io/bwrouter/router_admin.go
+++ b/io/bwrouter/router_admin.go
@@ -27,6 +27,7 @@
 			Generation: rtr.showGeneration,
 		},
 		InProgress:         rtr.inProgress,
+		Leases:             rtr.duties.Held,
 		UpstreamInProgress: rtr.services.InProgress,
 	}
 }
