--- a/cmd/bwdev/admin_test.go
+++ b/cmd/bwdev/admin_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +15,8 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwadmin"
 	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwrouter"
+	"bilberrywick/io/bwwire"
 	"bilberrywick/standin/bwfakeengine"
 )
 
@@ -174,3 +178,65 @@
 		return nil
 	})
 }
+
+// Guards against metrics of process, fleet, store and rpc that nothing writes.
+func TestProcessMetrics(t *testing.T) {
+	flt := startFleet(t, bwdev.Config{Routers: 2, Engines: 1})
+	want := []string{
+		`bilberrywick_ready 1`,
+		`bilberrywick_draining 0`,
+		`bilberrywick_ticket_number 1`,
+		`bilberrywick_members{role="Router",state="Live"} 1`,
+		`bilberrywick_members{role="Agent",state="Live"} 1`,
+		`bilberrywick_store_duration_seconds_count{store="Table",operation="Get"}`,
+		`bilberrywick_store_duration_seconds_count{store="VMList",operation="Read"}`,
+		`bilberrywick_rpc_duration_seconds_count{method="Peer.Exchange"}`,
+		`bilberrywick_control_sent_bytes_total{kind="Exchange"}`,
+		`bilberrywick_ticket_propagation_seconds_count{source=`,
+	}
+	for _, rtr := range flt.Routers {
+		cal := &teamCaller{t: t, addr: rtr.OperatorAddress(), key: bwdev.OperatorKey}
+		eventually(t, func() error {
+			_, body := cal.status(http.MethodGet, bwadmin.MetricsPath, "", nil)
+			for _, line := range want {
+				if !strings.Contains(body, line) {
+					return fmt.Errorf("%s: the metrics lack %s", rtr.Member().ID, line)
+				}
+			}
+			return nil
+		})
+	}
+}
+
+// Guards against a lease that operators can't find, and against one that two
+// routers show.
+func TestLeaseIsShown(t *testing.T) {
+	flt := startFleet(t, bwdev.Config{
+		Routers: 2, Engines: 1,
+		Models: []bwwire.ServedModelDocument{{Name: "pisar-model", Bytes: gib, MinEngines: 1}},
+		Duties: bwrouter.DutyTiming{TTL: 500 * time.Millisecond},
+	})
+	const duty = "Place/sk-stred/pisar-model"
+	eventually(t, func() error {
+		holders, gauges := 0, 0
+		for _, rtr := range flt.Routers {
+			list, err := operator(t, rtr.OperatorAddress()).Members(t.Context())
+			if err != nil {
+				return err
+			}
+			for _, mem := range list.Members {
+				if slices.Contains(mem.Leases, duty) {
+					holders++
+				}
+			}
+			cal := &teamCaller{t: t, addr: rtr.OperatorAddress(), key: bwdev.OperatorKey}
+			if _, body := cal.status(http.MethodGet, bwadmin.MetricsPath, "", nil); strings.Contains(body, `bilberrywick_lease_held{duty="`+duty+`"} 1`) {
+				gauges++
+			}
+		}
+		if holders != 1 || gauges != 1 {
+			return fmt.Errorf("%d members and %d gauges show the lease, want one each", holders, gauges)
+		}
+		return nil
+	})
+}
