--- a/cmd/bwdev/tls_test.go
+++ b/cmd/bwdev/tls_test.go
@@ -275,7 +275,7 @@
 		t.Fatal(err)
 	}
 	defer func() { _ = cl.Close() }()
-	msg := &bwwire.ExchangeMessage{From: bwmodel.Member{ID: "peer", Role: bwmodel.RouterRole, Incarnation: 1, Address: anyPort}}
+	msg := &bwwire.ExchangeMessage{From: bwwire.MemberRecord{Member: bwwire.NewMemberDocument(bwmodel.Member{ID: "peer", Role: bwmodel.RouterRole, Incarnation: 1, Address: anyPort})}}
 	_, err = bwrpc.Call[bwwire.ExchangeMessage, bwwire.ExchangeMessage](t.Context(), cl, addr, bwwire.PeerExchange, msg)
 	return err
 }
