--- a/core/bwadmit/queue_test.go
+++ b/core/bwadmit/queue_test.go
@@ -40,24 +40,17 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		var order []bwmodel.WorkClass
-		admit := func(class bwmodel.WorkClass) {
-			got, err := qu.Admit(ctx, request("small", class))
-			if err != nil {
-				t.Error(err)
-				return
-			}
-			order = append(order, class)
-			got.Finish(10)
-		}
-		go admit(bwmodel.Deferrable)
-		synctest.Wait()
-		go admit(bwmodel.Prompt)
-		synctest.Wait()
+		deferrable := send(ctx, qu, request("small", bwmodel.Deferrable))
+		prompt := send(ctx, qu, request("small", bwmodel.Prompt))
 		grant.Finish(10)
 		synctest.Wait()
-		if len(order) != 2 || order[0] != bwmodel.Prompt {
-			t.Fatalf("started %v", order)
+		if !prompt.ended || prompt.err != nil || deferrable.ended {
+			t.Fatalf("prompt started %v with %v, deferrable started %v", prompt.ended, prompt.err, deferrable.ended)
+		}
+		prompt.grant.Finish(10)
+		synctest.Wait()
+		if !deferrable.ended || deferrable.err != nil {
+			t.Fatalf("deferrable started %v with %v", deferrable.ended, deferrable.err)
 		}
 	})
 }
--- a/core/bwadmit/share_test.go
+++ b/core/bwadmit/share_test.go
@@ -26,7 +26,7 @@
 
 func (cl *caller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		go cl.call(ctx)
+		go (&oneCall{cl: cl}).run(ctx)
 		select {
 		case <-time.After(cl.every):
 		case <-ctx.Done():
@@ -34,6 +34,11 @@
 	}
 }
 
+// oneCall is one of a caller's requests.
+type oneCall struct{ cl *caller }
+
+func (oc *oneCall) run(ctx context.Context) { oc.cl.call(ctx) }
+
 func (cl *caller) call(ctx context.Context) {
 	grant, err := cl.qu.Admit(ctx, cl.req)
 	var refused *bwadmit.RefusedError
