--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -44,6 +44,8 @@
 	// Dial and Listen replace TCP, for tests that break connections; nil means TCP.
 	Dial   func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 	Listen func(ctx context.Context, addr netip.AddrPort) (net.Listener, error)
+	// CertificateInterval separates two readings of certificate files; 0 means 30 s.
+	CertificateInterval time.Duration
 	// Now reads a clock; nil means time.Now.
 	Now func() time.Time
 }
@@ -59,14 +61,15 @@
 	}
 	agt := &Agent{cfg: cfg}
 	proc, err := bwprocess.New(bwprocess.Config{
-		Role:      bwmodel.AgentRole,
-		Settings:  cfg.Settings.Common(),
-		Version:   cfg.Version,
-		LogOutput: cfg.LogOutput,
-		Dial:      cfg.Dial,
-		Listen:    cfg.Listen,
-		Refusing:  agt.refusing,
-		Now:       cfg.Now,
+		Role:           bwmodel.AgentRole,
+		Settings:       cfg.Settings.Common(),
+		Version:        cfg.Version,
+		LogOutput:      cfg.LogOutput,
+		Dial:           cfg.Dial,
+		Listen:         cfg.Listen,
+		ReloadInterval: cfg.CertificateInterval,
+		Refusing:       agt.refusing,
+		Now:            cfg.Now,
 	})
 	if err != nil {
 		return nil, err
@@ -101,8 +104,7 @@
 		agt.actions.Start(ctx)
 	}
 	agt.reporter.Start(ctx)
-	flw := &follower{agt: agt, changes: changes}
-	go flw.loop(ctx)
+	agt.proc.Follow(ctx, changes, agt.follow)
 	agt.operators.Start()
 	agt.proc.Log.Info("agent started", "Address", agt.Address(), "Upstream", agt.cfg.Settings.Upstream.Name, "Operators", agt.OperatorAddress())
 }
@@ -307,28 +309,11 @@
 
 var errLeaving = errors.New("the agent is leaving: a ticket or the platform's list drains its upstream")
 
-// follower takes drains in tickets and in the platform's list into effect.
-type follower struct {
-	agt     *Agent
-	changes <-chan struct{}
-}
-
-func (flw *follower) loop(ctx context.Context) {
-	for {
-		flw.apply(ctx)
-		select {
-		case <-flw.changes:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-func (flw *follower) apply(ctx context.Context) {
-	agt := flw.agt
+// follow takes drains in tickets and in the platform's list into effect.
+func (agt *Agent) follow(ctx context.Context) {
 	snap := agt.proc.Fleet.Snapshot()
 	ups, listed := snap.State.Upstream(agt.cfg.Settings.Upstream.Name)
-	leaving := snap.Self.Leaving || (listed && ups.Draining)
+	leaving := agt.proc.Stopping() || snap.Self.Leaving || (listed && ups.Draining)
 	if leaving == agt.Leaving() {
 		return
 	}
