--- a/core/bwroute/chooser.go
+++ b/core/bwroute/chooser.go
@@ -294,7 +294,7 @@
 func (chs *Chooser) publish() {
 	chs.refreshed = chs.cfg.Now()
 	for _, nd := range chs.ordered {
-		nd.past.add(chs.refreshed, nd.work.tokens.Load(), nd.work.inFlight.Load())
+		nd.past.add(chs.refreshed, nd.work.tokens.Load())
 	}
 	snap := newSnapshot(chs.ordered)
 	snap.routers = chs.routers
--- a/core/bwroute/node.go
+++ b/core/bwroute/node.go
@@ -47,9 +47,6 @@
 	queued float64
 	// own is the part of queued that came from this router.
 	own float64
-	// count is the number of requests at the upstream, ownCount this router's part.
-	count    float64
-	ownCount float64
 }
 
 func (nd *node) with(up bwmodel.Upstream, highest int) *node {
@@ -70,11 +67,8 @@
 	if st.Load.QueuedTokens > 0 {
 		queued = float64(st.Load.QueuedTokens)
 	}
-	tokens, requests := nd.past.at(now.Add(-st.Load.Age), nd.work.tokens.Load(), nd.work.inFlight.Load())
-	nd.report.Store(&report{
-		Status: st, queued: queued, own: min(float64(tokens), queued),
-		count: count, ownCount: min(float64(requests), count),
-	})
+	own := float64(nd.past.at(now.Add(-st.Load.Age), nd.work.tokens.Load()))
+	nd.report.Store(&report{Status: st, queued: queued, own: min(own, queued)})
 }
 
 // usable reports whether the upstream may get new work at all.
@@ -101,16 +95,6 @@
 	return max(own, rep.queued+peers*(own-rep.own))
 }
 
-// requests estimates the requests at the upstream in the same way.
-func (nd *node) requests(peers float64) float64 {
-	own := float64(nd.work.inFlight.Load())
-	rep := nd.report.Load()
-	if rep == nil {
-		return own
-	}
-	return max(own, rep.count+peers*(own-rep.ownCount))
-}
-
 // rate is the tokens per second that one request gets.
 func (nd *node) rate(fallback float64) float64 {
 	if pc := nd.work.pace.load(); pc > 0 {
@@ -181,9 +165,8 @@
 }
 
 type pastEntry struct {
-	at       time.Time
-	tokens   int64
-	requests int64
+	at     time.Time
+	tokens int64
 }
 
 // pastSize entries at least pastSpacing apart reach back 6.4 s, more than the
@@ -193,32 +176,33 @@
 	pastSpacing = 100 * time.Millisecond
 )
 
-func (ps *past) add(now time.Time, tokens, requests int64) {
+func (ps *past) add(now time.Time, tokens int64) {
 	newest := ps.entries[(ps.next+pastSize-1)%pastSize]
 	if !newest.at.IsZero() && now.Sub(newest.at) < pastSpacing {
 		return
 	}
-	ps.entries[ps.next] = pastEntry{at: now, tokens: tokens, requests: requests}
+	ps.entries[ps.next] = pastEntry{at: now, tokens: tokens}
 	ps.next = (ps.next + 1) % pastSize
 }
 
-// at returns the newest counts that are not newer than a time, or the oldest; it
-// returns the current ones when the time is later than every entry by the spacing.
-func (ps *past) at(tm time.Time, tokens, requests int64) (pastTokens, pastRequests int64) {
+// at returns the newest count that is not newer than a time, or the oldest; it
+// returns current when the time is later than every entry by the spacing.
+func (ps *past) at(tm time.Time, current int64) int64 {
+	oldest := current
 	for cnt := 1; cnt <= pastSize; cnt++ {
 		ent := ps.entries[(ps.next+pastSize-cnt)%pastSize]
 		if ent.at.IsZero() {
 			break
 		}
-		if cnt == 1 && tm.Sub(ent.at) >= pastSpacing {
-			break
-		}
-		tokens, requests = ent.tokens, ent.requests
 		if !ent.at.After(tm) {
-			break
+			if cnt == 1 && tm.Sub(ent.at) >= pastSpacing {
+				return current
+			}
+			return ent.tokens
 		}
+		oldest = ent.tokens
 	}
-	return tokens, requests
+	return oldest
 }
 
 // number is a float64 that several goroutines change.
--- a/core/bwroute/selection.go
+++ b/core/bwroute/selection.go
@@ -164,9 +164,8 @@
 	return nd
 }
 
-// price computes the cost of a request at an upstream: the request itself, a part
-// more the fuller the batch is, the time to work off what is outstanding when no
-// slot is free (beside a free one, long work delays nobody), the prefill of what is not
+// price computes the cost of a request at an upstream: the time to work off
+// what is outstanding there and the request itself, the prefill of what is not
 // cached, and the way to another zone; all of it times the slow factor.
 func (sel *selection) price(nd *node, inFlight, lim int) Candidate {
 	out := nd.outstanding(sel.snap.peers)
@@ -178,12 +177,7 @@
 	if median := sel.snap.medianRate; rate < median {
 		rate = median / faded(median/rate, age)
 	}
-	slots, tokens := float64(startLimit(nd.up)), float64(max(1, sel.req.Tokens))
-	count := nd.requests(sel.snap.peers)
-	sec := tokens * (1 + count/slots) / rate
-	if count >= slots {
-		sec += out / slots / rate
-	}
+	sec := (out/float64(startLimit(nd.up)) + float64(max(1, sel.req.Tokens))) / rate
 	cached := nd.cache.cached(sel.req.Prefix)
 	trust := nd.cache.trust.load()
 	missing := float64(len(sel.req.Prefix)) - float64(cached)*trust
