--- a/cmd/bwdev/action_test.go
+++ b/cmd/bwdev/action_test.go
@@ -19,13 +19,9 @@
 
 const plainService = "objednavky-pult"
 
-func startFleet(t *testing.T, cfg bwdev.Config) (*bwdev.Fleet, *bwcaller.Caller) {
+func startWithCaller(t *testing.T, cfg bwdev.Config) (*bwdev.Fleet, *bwcaller.Caller) {
 	t.Helper()
-	flt, err := bwdev.Start(t.Context(), cfg)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(flt.Close)
+	flt := startFleet(t, cfg)
 	cal := bwcaller.New(bwcaller.Config{Routers: flt.Callers, Key: flt.Teams()[0].Key, SingleUse: true})
 	t.Cleanup(cal.Close)
 	return flt, cal
@@ -92,7 +88,7 @@
 
 // Guards against a result above the table's row size that only the agent knows.
 func TestLargeResponseIsRecorded(t *testing.T) {
-	flt, cal := startFleet(t, bwdev.Config{Apps: 1})
+	flt, cal := startWithCaller(t, bwdev.Config{Apps: 1})
 	// Each of these characters takes six bytes in the app's answer.
 	act := &acting{cal: cal, body: []byte(strings.Repeat("<", 120<<10)), done: make(chan struct{})}
 	act.run(t.Context())
@@ -105,7 +101,7 @@
 // Guards against a result that is lost with its agent because the table was away
 // when it was to be recorded.
 func TestResultIsRecordedAfterAnOutage(t *testing.T) {
-	flt, cal := startFleet(t, bwdev.Config{Apps: 1, App: bwfakeapp.Config{Latency: 100 * time.Millisecond}})
+	flt, cal := startWithCaller(t, bwdev.Config{Apps: 1, App: bwfakeapp.Config{Latency: 100 * time.Millisecond}})
 	act := begin(t, flt, cal)
 	flt.Platform.SetFaults(bwfakestore.TableService, bwfakestore.Faults{Down: true})
 	<-act.done
@@ -129,7 +125,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			flt, cal := startFleet(t, bwdev.Config{Apps: 1, App: bwfakeapp.Config{Latency: 400 * time.Millisecond}})
+			flt, cal := startWithCaller(t, bwdev.Config{Apps: 1, App: bwfakeapp.Config{Latency: 400 * time.Millisecond}})
 			act := begin(t, flt, cal)
 			if err := tt.stop(t.Context(), flt); err != nil {
 				t.Errorf("stop: %v", err)
@@ -145,7 +141,7 @@
 // Guards against a router that tells a repeat "not run" before it has read the
 // teams, or once it is stopping, although the action ran under the key.
 func TestRouterThatIsAwayKnowsNoOutcome(t *testing.T) {
-	flt, cal := startFleet(t, bwdev.Config{Apps: 1})
+	flt, cal := startWithCaller(t, bwdev.Config{Apps: 1})
 	act := &acting{cal: cal, body: []byte("40"), done: make(chan struct{})}
 	act.run(t.Context())
 	if act.err != nil {
