Give leases up before a stopping router exits

The release ran in the duty's own goroutine, and the process could exit before its write was sent; other candidates then waited for the whole TTL.

--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -162,6 +162,8 @@
 	err := rtr.proc.Fleet.Leave(drain)
 	err = errors.Join(err, rtr.callers.Shutdown(drain))
 	err = errors.Join(err, rtr.proc.Stop(), rtr.operators.Close())
+	// The leases are given up, so that other routers need not wait for their end.
+	rtr.duties.Wait()
 	rtr.proc.Log.Info("router stopped", "Error", err)
 	return err
 }
