--- a/standin/bwfakeengine/admission_test.go
+++ b/standin/bwfakeengine/admission_test.go
@@ -114,6 +114,7 @@
 	cal := cl.post(cl.routers[0], "dlhý odkladný návrh", tokens)
 	cal.read(20)
 	close(gt.pause[0])
+	cl.until(func() bool { return cl.nodes[0].engine.Counts().Canceled == 1 })
 	cl.await(0)
 	close(gt.hold)
 	cal.read(all)
--- a/standin/bwfakeengine/budget_test.go
+++ b/standin/bwfakeengine/budget_test.go
@@ -53,7 +53,7 @@
 // Guards against an engine's death after which all its generations resume at
 // once, and against those that wait being forgotten.
 func TestResumesAreBudgeted(t *testing.T) {
-	const generations, burst, tokens = 6, 2, 60
+	const generations, burst, tokens = 6, 2, 1500
 	clk, los := new(clock), new(losses)
 	det := &detour{open: make(chan struct{})}
 	cl := newClusterWith(t, clusterConfig{engines: 2, routers: 2, engine: fastEngine, edit: func(cfg *bwrouter.GenerationsConfig) {
