--- a/core/bwadmit/dispatch.go
+++ b/core/bwadmit/dispatch.go
@@ -11,9 +11,10 @@
 // dispatch starts what may start and returns the time until the next look.
 func (st *state) dispatch(now time.Time) time.Duration {
 	st.expire(now)
+	st.demand.add(float64(len(st.running)-st.held+st.waiting[promptShort]), now)
 	capacity := st.cfg.Capacity()
 	for len(st.running) < capacity {
-		ln := st.next(capacity)
+		ln := st.next()
 		if ln == nil {
 			break
 		}
@@ -39,11 +40,11 @@
 // next returns the line whose head starts next, or nil. Deferrable work is
 // considered only when no prompt work waits, other than that of teams at their
 // own limit.
-func (st *state) next(capacity int) *line {
+func (st *state) next() *line {
 	if st.cfg.Policy.Plain {
 		return st.first(promptShort, promptLong, deferrableShort, deferrableLong)
 	}
-	spare := st.held < capacity-int(float64(capacity)*st.cfg.ShortReserve)
+	spare := float64(st.held) < st.heldLimit()
 	if st.heaps[promptShort].Len()+st.heaps[promptLong].Len() > 0 {
 		if spare {
 			return st.first(promptShort, promptLong)
@@ -169,11 +170,11 @@
 	if st.cfg.Policy.Plain || wt.req.Class != bwmodel.Prompt {
 		return false
 	}
-	if victim := st.newest(deferrableLong, deferrableShort); victim != nil {
+	if victim := st.crowds[deferrableGroup].newest(); victim != nil {
 		st.refuse(victim, &RefusedError{Reason: GaveWay, RetryAfter: st.waitFor(st.waitingTotal())})
 		return true
 	}
-	victim := st.newest(promptShort, promptLong)
+	victim := st.crowds[promptGroup].newest()
 	if victim == nil || victim.team == wt.team || victim.team.waiting <= wt.team.waiting+1 {
 		return false
 	}
@@ -181,22 +182,6 @@
 	return true
 }
 
-// newest returns the newest work, in lines of the given kinds, of the team that
-// has the most work waiting.
-func (st *state) newest(kinds ...int) *waiter {
-	var most *team
-	var found *waiter
-	for _, tm := range st.teams {
-		for _, kind := range kinds {
-			if tm.lines[kind].work.size() == 0 || (most != nil && tm.waiting <= most.waiting) {
-				continue
-			}
-			most, found = tm, tm.lines[kind].work.last()
-		}
-	}
-	return found
-}
-
 // hopeless returns the refusal of work that can't start before its deadline at
 // the rate at which work ends.
 func (st *state) hopeless(wt *waiter, now time.Time) *RefusedError {
--- a/core/bwroute/lease.go
+++ b/core/bwroute/lease.go
@@ -24,6 +24,7 @@
 	if first <= 0 || ls.done.Load() || ls.reported.Swap(true) {
 		return
 	}
+	ls.nd.work.answered(ls.since())
 	ls.sample(first)
 }
 
@@ -33,6 +34,9 @@
 		return
 	}
 	wk := ls.nd.work
+	if !ls.reported.Load() {
+		wk.answered(ls.since())
+	}
 	ls.learn(out)
 	wk.release(ls.tokens)
 	if ls.claimed {
@@ -101,7 +105,7 @@
 	}
 	wk.latency.blend(sec, smoothing)
 	wk.sampled.Store(int64(now))
-	wk.limit.learn(sec, wk.latency.load(), int(wk.inFlight.Load()), ls.chs.maxLimit(ls.nd.up))
+	wk.limit.learn(sec, wk.latency.load(), int(wk.inFlight.Load()), ls.nd.highest)
 	if relative(fromSeconds(wk.latency.load()), median) >= slowThreshold {
 		wk.health.suspend(now)
 	}
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -79,6 +79,7 @@
 		Call:         caller[bwwire.CallRequest, bwwire.CallResponse](rtr.proc.Client, bwwire.AgentCall),
 		Hedge:        rtr.services.Hedge,
 		Budget:       bwretry.NewBudget(bwretry.BudgetConfig{}),
+		Metrics:      rtr.proc.Metrics,
 		Now:          rtr.cfg.Now,
 		NewRequestID: newRequestID,
 		StateNumber:  rtr.proc.StateNumber,
@@ -174,7 +175,7 @@
 	if errors.As(err, &bad) {
 		prb.Status = bad.Status
 	}
-	if errors.Is(err, bwhttp.ErrTooManyStreams) {
+	if errors.Is(err, bwhttp.ErrTooManyStreams) || errors.Is(err, bwhttp.ErrBodyMemory) {
 		prb.RetryAfter = time.Second
 	}
 	bwhttp.WriteProblem(wr, prb)
--- a/io/bwrouter/services.go
+++ b/io/bwrouter/services.go
@@ -37,10 +37,10 @@
 	Order bwadmit.Policy
 	// Hedge configures the hedge of each plain service.
 	Hedge bwretry.HedgeConfig
-	// UpstreamsPerService bounds the upstreams that the router follows for one
-	// service; 0 means 32, which the chooser scans in full.
-	UpstreamsPerService int
-	StateNumber         func() bwmodel.TicketNumber
+	// MaxFollowed bounds the upstreams that the router follows in all; 0 means
+	// 128, whose reports take 7 KB/s of a control budget of 9 KB/s.
+	MaxFollowed int
+	StateNumber func() bwmodel.TicketNumber
 	// Observed is told of each agent's report; it may be nil.
 	Observed func(Report)
 	Metrics  *bwobserve.Metrics
@@ -49,9 +49,17 @@
 }
 
 const (
-	defaultUpstreamsPerService = 32
+	defaultMaxFollowed = 128
+	// A service gets its part of the followed upstreams within these bounds: 32
+	// are scanned in full, and 8 leave a choice in at least two zones.
+	minPerService = 8
+	maxPerService = 32
 	// refreshInterval is how often upstreams are compared with their peers.
 	refreshInterval = 250 * time.Millisecond
+	// maxCacheStreams is the number of followed upstreams up to which their cache
+	// events are read. At peak an engine publishes about 290 events a second,
+	// 2.6 KB, so a router that follows 128 would spend its budget on them.
+	maxCacheStreams = 64
 )
 
 // ErrNoService says that no service of the name is in force.
@@ -92,18 +100,21 @@
 	services  map[bwmodel.ServiceID]*service
 	upstreams map[bwmodel.UpstreamID]followed
 	watches   *Watches
+	// withCache says that the reports carry the upstreams' cache events.
+	withCache bool
 }
 
 // servicesView is what traffic goroutines read.
 type servicesView struct {
 	services  map[bwmodel.ServiceID]*service
 	upstreams map[bwmodel.UpstreamID]followed
+	withCache bool
 }
 
 // NewServices returns a Services without any service.
 func NewServices(cfg ServicesConfig) *Services {
-	if cfg.UpstreamsPerService == 0 {
-		cfg.UpstreamsPerService = defaultUpstreamsPerService
+	if cfg.MaxFollowed == 0 {
+		cfg.MaxFollowed = defaultMaxFollowed
 	}
 	svs := &Services{cfg: cfg}
 	state := &servicesState{
@@ -226,51 +237,37 @@
 
 // Choose waits for an upstream and logs the decision.
 func (svs *Services) Choose(ctx context.Context, req bwroute.Request) (bwroute.Choice, error) {
-	svc := svs.own.Snapshot().services[req.Service]
+	view := svs.own.Snapshot()
+	svc := view.services[req.Service]
 	if svc == nil {
 		return bwroute.Choice{}, fmt.Errorf("service %q: %w", req.Service, ErrNoService)
 	}
 	choice, dec, err := svc.chooser.Wait(ctx, req)
 	svs.logChoice(ctx, req, dec)
-	return choice, err
-}
-
-// Admit waits until the work may start.
-func (svs *Services) Admit(ctx context.Context, req bwadmit.Request) (bwadmit.Grant, error) {
-	svc := svs.own.Snapshot().services[req.Service]
-	if svc == nil {
-		return bwadmit.Grant{}, fmt.Errorf("service %q: %w", req.Service, ErrNoService)
-	}
-	grant, err := svc.queue.Admit(ctx, req)
-	var refused *bwadmit.RefusedError
-	if errors.As(err, &refused) {
-		svs.cfg.Metrics.Refusals.With(string(req.Service), string(refused.Reason)).Inc()
-		return grant, err
-	}
 	if err == nil {
-		svs.cfg.Metrics.QueueWait.With(string(req.Service), req.Class.String()).Update(grant.Waited.Seconds())
+		choice.Finish = svs.countErrors(choice)
+	}
+	if err == nil && !view.withCache && len(req.Prefix) > 0 {
+		choice.Finish = svs.remember(req, choice)
 	}
-	return grant, err
+	return choice, err
 }
 
-func (svs *Services) logChoice(ctx context.Context, req bwroute.Request, dec bwroute.Decision) {
-	svs.cfg.Metrics.UpstreamChoices.With(string(dec.Chosen), string(dec.Reason)).Inc()
-	if !svs.cfg.Log.Enabled(ctx, slog.LevelInfo) {
-		return
-	}
-	line := &bwobserve.Decision{
-		Kind:       "Route",
-		Request:    req.ID,
-		Team:       req.Team,
-		Service:    req.Service,
-		Choice:     dec.Chosen,
-		Reason:     string(dec.Reason),
-		Candidates: make([]bwobserve.Candidate, 0, len(dec.Candidates)),
-	}
-	for _, cnd := range dec.Candidates {
-		line.Candidates = append(line.Candidates, bwobserve.Candidate{Upstream: cnd.Upstream, Cost: cnd.Cost.Seconds()})
+// remember returns a Finish that notes the prefix which the upstream has
+// computed, in place of the cache events that it does not report.
+func (svs *Services) remember(req bwroute.Request, choice bwroute.Choice) func(bwroute.Outcome) {
+	return func(out bwroute.Outcome) {
+		choice.Finish(out)
+		if out.FirstToken == 0 {
+			return
+		}
+		// A failed post means that the router is stopping.
+		_ = svs.own.Post(context.Background(), func(st *servicesState) {
+			if svc := st.services[req.Service]; svc != nil {
+				svc.chooser.Remember(choice.Upstream.Name, req.Prefix)
+			}
+		})
 	}
-	bwobserve.LogDecision(ctx, svs.cfg.Log, line)
 }
 
 func (svs *Services) loop(ctx context.Context) {
@@ -279,7 +276,7 @@
 	for {
 		select {
 		case <-tick.C:
-			if svs.own.Post(ctx, (*servicesState).refresh) != nil {
+			if svs.own.Post(ctx, svs.refresh) != nil {
 				return
 			}
 		case <-ctx.Done():
@@ -310,18 +307,20 @@
 		}
 	}
 	teams := shareLimits(objects.Teams, objects.Routers)
+	perService := svs.perService(len(objects.Services))
 	var follow []bwmodel.Upstream
 	for _, spec := range objects.Services {
 		svc := st.services[spec.Name]
 		if svc == nil {
 			continue
 		}
-		ups := bwmember.Subset(svs.cfg.Self, upstreamsOf(objects.Upstreams, spec.Name), svs.cfg.UpstreamsPerService)
+		ups := bwmember.Subset(svs.cfg.Self, upstreamsOf(objects.Upstreams, spec.Name), perService)
 		// A copy, since traffic goroutines read the published one.
 		next := *svc
 		next.spec = spec
 		next.demand = newDemand(spec, next.demand)
 		st.services[spec.Name] = &next
+		next.chooser.SetRouters(objects.Routers)
 		next.chooser.Update(ups)
 		next.queue.Update(spec, teams)
 		follow = append(follow, ups...)
@@ -330,6 +329,11 @@
 	return failed
 }
 
+// perService returns the number of upstreams that are followed for one service.
+func (svs *Services) perService(services int) int {
+	return min(max(svs.cfg.MaxFollowed/max(services, 1), minPerService), maxPerService)
+}
+
 // open starts the decisions of a service that has come into force.
 func (svs *Services) open(ctx context.Context, spec bwmodel.Service) (*service, error) {
 	chooser, err := bwroute.New(bwroute.Config{
@@ -346,6 +350,7 @@
 		Now:      svs.cfg.Now,
 		Policy:   svs.cfg.Order,
 		Capacity: func() int { total, _ := chooser.Capacity(); return total },
+		Share:    chooser.Share,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("queue of service %q: %w", spec.Name, err)
@@ -422,12 +427,6 @@
 	rdg.connected, rdg.lose = context.WithCancel(context.Background())
 }
 
-func (st *servicesState) refresh() {
-	for _, svc := range st.services {
-		svc.chooser.Refresh()
-	}
-}
-
 // follow replaces the upstreams that have a status stream.
 func (st *servicesState) follow(ctx context.Context, ups []bwmodel.Upstream) {
 	next := make(map[bwmodel.UpstreamID]followed, len(ups))
@@ -440,11 +439,12 @@
 		next[up.Name] = fol
 	}
 	st.upstreams = next
-	st.watches.Set(ctx, ups)
+	st.withCache = len(ups) <= maxCacheStreams
+	st.watches.Set(ctx, ups, st.withCache)
 }
 
 func (st *servicesState) view() *servicesView {
-	return &servicesView{services: maps.Clone(st.services), upstreams: st.upstreams}
+	return &servicesView{services: maps.Clone(st.services), upstreams: st.upstreams, withCache: st.withCache}
 }
 
 // shareLimits gives each router an equal part of the teams' limits, at least one request.
