--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -309,7 +309,7 @@
 	if err := rtr.services.Update(ctx, objects); err != nil && ctx.Err() == nil {
 		rtr.proc.Log.Error("taking a ticket into force failed", "Number", snap.State.Number(), "Error", err)
 	}
-	if snap.State.Number() > 0 {
+	if snap.Started || snap.State.Number() > 0 {
 		// After the services, so that no team is let in before what it may call is known.
 		rtr.keys.set(bwhttp.NewKeyIndex(objects.Teams))
 	}
