Keep generations open until their engine dies in the budget's test

TestResumesAreBudgeted failed under load (2 of 2 runs, load average 12 to 29): the stand-in engine no longer slows down with late timers, so outputs of 60 tokens ended before the engine died and fewer than 6 were lost.

--- a/standin/bwfakeengine/budget_test.go
+++ b/standin/bwfakeengine/budget_test.go
@@ -53,7 +53,8 @@
 // Guards against an engine's death after which all its generations resume at
 // once, and against those that wait being forgotten.
 func TestResumesAreBudgeted(t *testing.T) {
-	const generations, burst, tokens = 6, 2, 60
+	// The outputs are long enough that none ends before the engine dies.
+	const generations, burst, tokens = 6, 2, 1000
 	clk, los := new(clock), new(losses)
 	det := &detour{open: make(chan struct{})}
 	cl := newClusterWith(t, clusterConfig{engines: 2, routers: 2, engine: fastEngine, edit: func(cfg *bwrouter.GenerationsConfig) {
