Count no message after its measurement has ended

Cause: the race detector saw TestDisseminationBySize read its counters while a message that was being encoded when the measurement ended was still counted. Ruled out: the fleet itself, both sides of the race are in the test's network. Change: a message is counted only if the measurement still runs once it is encoded. Conclusion: a fault of the test, its bounds are unchanged.

--- a/io/bwfleet/grid_test.go
+++ b/io/bwfleet/grid_test.go
@@ -226,6 +226,10 @@
 	}
 	grd.mu.Lock()
 	defer grd.mu.Unlock()
+	if !grd.counting {
+		// The measurement ended while the message was encoded.
+		return !lost
+	}
 	grd.messages++
 	grd.bytes += len(buf)
 	from.sent += len(buf)
