Say not run of a generation only when no engine took it, and keep causes in the log

Cause: a generation without a token was answered as not run even when engines had worked on it; problem details of actions carried the table client's text with internal addresses. Change: a session remembers whether an attempt reached an engine, and answers unknown if one did; actions answer with the typed reason and log the cause. Figures: TestOutcomeWithoutAToken fails without the change (outcome NotRun, want Unknown) and passes with it. Conclusion: not run is true for generations as for actions.

--- a/io/bwrouter/actions.go
+++ b/io/bwrouter/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -43,6 +44,8 @@
 	StateNumber func() bwmodel.TicketNumber
 	// MaxBodyBytes bounds the request's body; 0 means 256 KiB.
 	MaxBodyBytes int64
+	// Log receives the causes of actions that are not done; nil discards them.
+	Log *slog.Logger
 }
 
 const (
@@ -67,6 +70,9 @@
 	if cfg.StateNumber == nil {
 		cfg.StateNumber = noState
 	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
 	return &Actions{cfg: cfg}
 }
 
@@ -85,7 +91,7 @@
 		return
 	}
 	done, err := act.run(hrq.Context(), psd)
-	writeOutcome(wr, psd.req.Key, done, err)
+	act.answer(wr, psd.req.Key, done, err)
 }
 
 // run admits and runs an action; a refusal is checked against earlier requests
@@ -131,7 +137,7 @@
 	key := bwaction.Key{Team: team.Name, Name: name}
 	job := &actionJob{act: act}
 	done, err := act.coordinator(job).Query(hrq.Context(), key)
-	writeOutcome(wr, key, done, err)
+	act.answer(wr, key, done, err)
 }
 
 func (act *Actions) coordinator(job *actionJob) *bwaction.Coordinator {
--- a/io/bwrouter/actions_http.go
+++ b/io/bwrouter/actions_http.go
@@ -164,7 +164,16 @@
 	bwwire.Invalid:          bwaction.RefusedInvalid,
 }
 
-// writeOutcome sends an action's outcome as the whole response.
+// answer logs what went wrong and sends an action's outcome as the whole
+// response. Causes stay in the log: they name addresses of the platform.
+func (act *Actions) answer(wr http.ResponseWriter, key bwaction.Key, done bwaction.Done, err error) {
+	if err != nil {
+		act.cfg.Log.Warn("action not done", "Team", key.Team, "Key", key.Name, "Error", err)
+	}
+	writeOutcome(wr, key, done, err)
+}
+
+// writeOutcome sends an outcome as the whole response.
 func writeOutcome(wr http.ResponseWriter, key bwaction.Key, done bwaction.Done, err error) {
 	if err == nil {
 		hdr := wr.Header()
@@ -179,7 +188,7 @@
 	if errors.As(err, &not) {
 		bwhttp.WriteProblem(wr, bwhttp.Problem{
 			Status:     notRunStatus[not.Reason],
-			Detail:     err.Error(),
+			Detail:     string(not.Reason),
 			Outcome:    bwhttp.OutcomeNotRun,
 			RetryAfter: not.RetryAfter,
 		})
@@ -187,13 +196,13 @@
 	}
 	prb := bwhttp.Problem{
 		Status:     http.StatusBadGateway,
-		Detail:     err.Error(),
 		Instance:   actionsPath + url.PathEscape(key.Name),
 		Outcome:    bwhttp.OutcomeUnknown,
 		RetryAfter: retryAfter,
 	}
 	unk := new(bwaction.UnknownError)
 	if errors.As(err, &unk) {
+		prb.Detail = string(unk.Reason)
 		if unk.RequestNotRun {
 			prb.RequestOutcome = bwhttp.OutcomeNotRun
 		}
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -46,6 +46,7 @@
 		ses.exclude = nil
 	}
 	refused := code == bwwire.Leaving || code == bwwire.Overloaded
+	ses.reached = ses.reached || !noEngine && !refused && code != bwrpc.Unreachable
 	if noEngine || refused {
 		ses.refund()
 	}
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -29,6 +29,8 @@
 	tokens  int
 	pace    *bwstream.Pace
 
+	// reached says that an engine may have worked on the request.
+	reached bool
 	// failures counts the attempts in a row without a token; the retry waits until retryAt.
 	failures int
 	retryAt  time.Time
@@ -90,6 +92,7 @@
 	ses.opn = ses.gns.open.add(ses)
 	defer ses.gns.open.remove(ses.rec.Request(), ses.opn)
 	err := ses.run(ctx)
+	ses.reached = ses.reached || ses.choice != nil
 	ses.end(attemptEnd{Outcome: bwroute.Outcome{Canceled: true}})
 	ses.refund()
 	ses.prm.finish()
@@ -106,7 +109,7 @@
 	}
 	ses.gns.cfg.Log.Warn("generation ended early", "Request", ses.rec.Request(), "Error", err)
 	prb := bwhttp.Problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: bwhttp.OutcomeUnknown}
-	if ses.rec.Position() == 0 {
+	if !ses.reached {
 		prb.Outcome = bwhttp.OutcomeNotRun
 	}
 	ses.out.fail(prb)
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -54,6 +54,7 @@
 		return err
 	}
 	rtr.actions = NewActions(ActionsConfig{
+		Log:        rtr.proc.Log,
 		Choose:     rtr.services.Choose,
 		Admit:      rtr.services.Admit,
 		Service:    rtr.services.Service,
--- a/standin/bwfakeengine/fault_test.go
+++ b/standin/bwfakeengine/fault_test.go
@@ -1,13 +1,16 @@
 package bwfakeengine_test
 
 import (
+	"encoding/json"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"bilberrywick/core/bwstream"
+	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwrouter"
+	"bilberrywick/standin/bwfakeengine"
 )
 
 // Guards against a frozen engine that stops its callers, and against its late
@@ -131,3 +134,44 @@
 		})
 	}
 }
+
+// Guards against "not run" for a generation that an engine may have worked on
+// although no token arrived, and against "unknown" for one that no engine took.
+func TestOutcomeWithoutAToken(t *testing.T) {
+	silent := fastEngine
+	silent.FirstToken = time.Hour
+	tests := []struct {
+		name   string
+		engine bwfakeengine.Config
+		kill   bool
+		want   bwhttp.Outcome
+	}{
+		{"engines took it", silent, false, bwhttp.OutcomeUnknown},
+		{"agents are gone", fastEngine, true, bwhttp.OutcomeNotRun},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cl := newClusterWith(t, clusterConfig{engines: 2, routers: 1, engine: tt.engine, edit: func(cfg *bwrouter.GenerationsConfig) {
+				cfg.MaxAttempts = 2
+				cfg.Pace.FirstToken = 100 * time.Millisecond
+			}})
+			if tt.kill {
+				for _, nd := range cl.nodes {
+					nd.kill(t)
+				}
+			}
+			body := strings.NewReader(`{"model":"` + testModel + `","prompt":"bez slov","max_tokens":4}`)
+			req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, cl.routers[0].web.URL+"/v1/completions", body)
+			must(t, err)
+			req.Header.Set("Team", "alpha")
+			rsp, err := http.DefaultClient.Do(req)
+			must(t, err)
+			defer func() { _ = rsp.Body.Close() }()
+			var prb bwhttp.Problem
+			must(t, json.NewDecoder(rsp.Body).Decode(&prb))
+			if rsp.StatusCode != http.StatusServiceUnavailable || prb.Outcome != tt.want {
+				t.Errorf("status %d and outcome %s, want 503 and %s", rsp.StatusCode, prb.Outcome, tt.want)
+			}
+		})
+	}
+}
