Write the metrics of generations and actions

Cause: 17 declared metrics were never written. Change: sessions count requests, tokens, gaps, first tokens, refused tokens, preemptions, acknowledgements and changes of holders and takeovers; actions count outcomes, dispatch times and batches; descriptions name the values that occur. A generation that was taken over is never answered as not run. Conclusion: the page of metrics lists what a process writes.

--- a/io/bwobserve/metrics.go
+++ b/io/bwobserve/metrics.go
@@ -175,27 +175,27 @@
 	mx.TokensDelivered = dc.counters("tokens_delivered_total",
 		"Tokens delivered to callers by service.", "service")
 	mx.TokensRecomputed = dc.counters("tokens_recomputed_total",
-		"Tokens that an engine computed a second time in recovery, by cause (Closed, Silence, Router, Preempted).", "cause")
+		"Tokens that an engine computed a second time in recovery, by cause, in the words of the log.", "cause")
 	mx.TokensRefused = dc.counter("tokens_refused_total",
 		"Tokens dropped since they were not the next position of the current attempt.")
 }
 
 func (mx *Metrics) declareRecovery(dc *declarer) {
 	mx.ResumeLatency = dc.histograms("resume_latency_seconds",
-		"Time from the loss of an attempt to the next token delivered, by cause (Closed, Silence, Router, Preempted).",
+		"Time from the loss of an attempt to the next token delivered, by cause, in the words of the log.",
 		latencyBuckets, "cause")
 	mx.Resumes = dc.counters("resumes_total",
-		"Resumed generations by cause and result (Attached, Continued, Failed).", "cause", "result")
+		"Losses made up for, by cause in the words of the log and result (Resumed, GaveUp).", "cause", "result")
 	mx.HolderAck = dc.histogram("holder_ack_seconds",
 		"Time until the holder acknowledged an append to a generation record.", shortBuckets)
 	mx.HolderChanges = dc.counters("holder_changes_total",
-		"Changes of a generation's holder by reason (Died, Slow, Leaving).", "reason")
+		"Changes of a generation's holder by reason, in the words of the log.", "reason")
 	mx.RecordsHeld = dc.gauge("records_held",
 		"Generation records kept for other routers.")
 	mx.RecordBytes = dc.gauge("record_bytes",
 		"Size of the generation records kept for other routers.")
 	mx.TakeOvers = dc.counters("take_overs_total",
-		"Generations taken over from another router by result (Holder, Agent, Stale, Missing).", "result")
+		"Generations taken over from another router by result (Done, Refused).", "result")
 }
 
 func (mx *Metrics) declareAdmission(dc *declarer) {
@@ -234,7 +234,7 @@
 	mx.Actions = dc.counters("actions_total",
 		"Answered actions by service and outcome (Done, NotRun, Unknown).", "service", "outcome")
 	mx.ActionDuration = dc.histograms("action_duration_seconds",
-		"Duration of the steps of actions by step (Reserve, Dispatch, Settle).", latencyBuckets, "step")
+		"Duration of the steps of actions by step (Dispatch).", latencyBuckets, "step")
 	mx.ReservationBatch = dc.histogram("reservation_batch_actions",
 		"Reservations in one table transaction.", batchBuckets)
 }
--- a/io/bwrouter/actions.go
+++ b/io/bwrouter/actions.go
@@ -16,6 +16,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwroute"
 	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwwire"
 )
 
@@ -44,6 +45,8 @@
 	StateNumber func() bwmodel.TicketNumber
 	// MaxBodyBytes bounds the request's body; 0 means 256 KiB.
 	MaxBodyBytes int64
+	// Metrics counts the outcomes; nil discards them.
+	Metrics *bwobserve.Metrics
 	// Log receives the causes of actions that are not done; nil discards them.
 	Log *slog.Logger
 }
@@ -70,6 +73,9 @@
 	if cfg.StateNumber == nil {
 		cfg.StateNumber = noState
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = bwobserve.NewMetrics()
+	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
@@ -91,7 +97,7 @@
 		return
 	}
 	done, err := act.run(hrq.Context(), psd)
-	act.answer(wr, psd.req.Key, done, err)
+	act.answer(wr, psd.req.Service, psd.req.Key, done, err)
 }
 
 // run admits and runs an action; a refusal is checked against earlier requests
@@ -137,7 +143,7 @@
 	key := bwaction.Key{Team: team.Name, Name: name}
 	job := &actionJob{act: act}
 	done, err := act.coordinator(job).Query(hrq.Context(), key)
-	act.answer(wr, key, done, err)
+	act.answer(wr, "", key, done, err)
 }
 
 func (act *Actions) coordinator(job *actionJob) *bwaction.Coordinator {
@@ -203,6 +209,7 @@
 		HTTP:        dis.HTTP,
 	})
 	took := job.act.cfg.Table.Now().Sub(began)
+	job.act.cfg.Metrics.ActionDuration.With("Dispatch").Update(took.Seconds())
 	if err != nil {
 		err = agentError(err)
 		ref := new(bwaction.RefusedError)
--- a/io/bwrouter/actions_http.go
+++ b/io/bwrouter/actions_http.go
@@ -164,15 +164,30 @@
 	bwwire.Invalid:          bwaction.RefusedInvalid,
 }
 
-// answer logs what went wrong and sends an action's outcome as the whole
+// answer logs and counts what went wrong and sends an action's outcome as the whole
 // response. Causes stay in the log: they name addresses of the platform.
-func (act *Actions) answer(wr http.ResponseWriter, key bwaction.Key, done bwaction.Done, err error) {
+func (act *Actions) answer(wr http.ResponseWriter, svc bwmodel.ServiceID, key bwaction.Key, done bwaction.Done, err error) {
 	if err != nil {
 		act.cfg.Log.Warn("action not done", "Team", key.Team, "Key", key.Name, "Error", err)
 	}
+	// A query of an outcome names no service and is no action.
+	if svc != "" {
+		act.cfg.Metrics.Actions.With(string(svc), string(outcomeOf(err))).Inc()
+	}
 	writeOutcome(wr, key, done, err)
 }
 
+func outcomeOf(err error) bwhttp.Outcome {
+	not := new(bwaction.NotRunError)
+	switch {
+	case err == nil:
+		return bwhttp.OutcomeDone
+	case errors.As(err, &not):
+		return bwhttp.OutcomeNotRun
+	}
+	return bwhttp.OutcomeUnknown
+}
+
 // writeOutcome sends an outcome as the whole response.
 func writeOutcome(wr http.ResponseWriter, key bwaction.Key, done bwaction.Done, err error) {
 	if err == nil {
--- a/io/bwrouter/actions_table.go
+++ b/io/bwrouter/actions_table.go
@@ -9,12 +9,14 @@
 	"fmt"
 
 	"bilberrywick/core/bwaction"
+	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwstore"
 )
 
 // actionTable keeps the rows of actions in the platform's table.
 type actionTable struct {
+	metrics *bwobserve.Metrics
 	table   *bwstore.Table
 	objects *bwstore.Objects
 	codec   *bwrpc.Codec
@@ -96,6 +98,7 @@
 
 // commit writes all rows in one transaction or none.
 func (att *actionTable) commit(ctx context.Context, writes []bwaction.Write) ([]bool, error) {
+	att.metrics.ReservationBatch.Update(float64(len(writes)))
 	stored := make([]bwstore.Write, 0, len(writes))
 	for _, wrt := range writes {
 		body, err := att.codec.Marshal(storedRow(wrt.Row))
--- a/io/bwrouter/generations.go
+++ b/io/bwrouter/generations.go
@@ -19,6 +19,7 @@
 	"bilberrywick/core/bwstream"
 	"bilberrywick/io/bwengine"
 	"bilberrywick/io/bwhttp"
+	"bilberrywick/io/bwobserve"
 	"bilberrywick/io/bwrpc"
 )
 
@@ -86,8 +87,10 @@
 	// HolderTime is how long a holder may take to acknowledge; 0 means 1 s.
 	HolderTime   time.Duration
 	NewRequestID func() bwmodel.RequestID
-	Now          func() time.Time
-	Log          *slog.Logger
+	// Metrics counts what the sessions do; nil discards it.
+	Metrics *bwobserve.Metrics
+	Now     func() time.Time
+	Log     *slog.Logger
 }
 
 const (
@@ -131,6 +134,9 @@
 	if cfg.StateNumber == nil {
 		cfg.StateNumber = func() bwmodel.TicketNumber { return 0 }
 	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = bwobserve.NewMetrics()
+	}
 	if cfg.SawState == nil {
 		cfg.SawState = func(bwmodel.TicketNumber) {}
 	}
@@ -248,12 +254,16 @@
 	}
 	tko := &takeover{gns: gns, team: team.Name, hd: hd}
 	if prb := tko.run(req.Context()); prb != nil {
+		gns.cfg.Metrics.TakeOvers.With("Refused").Inc()
 		bwhttp.WriteProblem(wrt, *prb)
 		return
 	}
+	gns.cfg.Metrics.TakeOvers.With("Done").Inc()
 	ids := req.FormValue("return_token_ids") == "true"
 	out := newOutput(wrt, gns.cfg.Now(), true, ids, tko.rec, hd.Mark)
 	ses := newSession(gns, tko.rec, out)
+	// The router before this one may have started it.
+	ses.reached = true
 	ses.adopt(req.Context(), tko)
 	ses.serve(req.Context())
 }
--- a/io/bwrouter/generations_admission.go
+++ b/io/bwrouter/generations_admission.go
@@ -67,6 +67,7 @@
 
 // giveWay ends the running attempt on its engine and waits for another place.
 func (ses *session) giveWay(ctx context.Context) {
+	ses.gns.cfg.Metrics.Preemptions.With(string(ses.rec.Spec().Service)).Inc()
 	ses.gns.cfg.Log.Info("generation gives way", "Request", ses.rec.Request(), "Position", uint64(ses.rec.Position()))
 	ses.end(attemptEnd{Outcome: bwroute.Outcome{Canceled: true}, Cancel: true})
 	ses.prm.finish()
--- a/io/bwrouter/generations_holder.go
+++ b/io/bwrouter/generations_holder.go
@@ -109,6 +109,9 @@
 	if err != nil {
 		return err
 	}
+	if !ses.askedAt.IsZero() {
+		ses.gns.cfg.Metrics.HolderAck.Update(ses.gns.cfg.Now().Sub(ses.askedAt).Seconds())
+	}
 	if !ses.rec.Waiting() {
 		ses.askedAt = time.Time{}
 		ses.holdLost = time.Time{}
@@ -130,6 +133,7 @@
 	if err := ses.gns.cfg.Records.stopped(); err != nil {
 		return err
 	}
+	ses.gns.cfg.Metrics.HolderChanges.With(cause).Inc()
 	if ses.holdLost.IsZero() {
 		ses.holdLost = ses.gns.cfg.Now()
 	}
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -57,6 +57,7 @@
 	}
 	ses.failures++
 	if ses.failures >= ses.gns.cfg.MaxAttempts {
+		ses.gns.cfg.Metrics.Resumes.With(ses.loss.cause, "GaveUp").Inc()
 		return errGaveUp
 	}
 	ses.retryAt = now.Add(retryDelay(ses.failures))
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -28,6 +28,8 @@
 	first   time.Duration
 	tokens  int
 	pace    *bwstream.Pace
+	// last is when the last token arrived.
+	last time.Time
 
 	// reached says that an engine may have worked on the request.
 	reached bool
@@ -89,6 +91,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer ses.timer.Stop()
+	mx, name := ses.gns.cfg.Metrics, string(ses.rec.Spec().Service)
+	mx.RequestsInProgress.With(name).Inc()
+	defer mx.RequestsInProgress.With(name).Dec()
 	ses.opn = ses.gns.open.add(ses)
 	defer ses.gns.open.remove(ses.rec.Request(), ses.opn)
 	err := ses.run(ctx)
@@ -100,19 +105,26 @@
 		_ = ses.cpy.Close(ctx)
 	}
 	if err == nil || ctx.Err() != nil {
+		mx.Requests.With(name, endOf(err)).Inc()
 		return
 	}
+	outcome := bwhttp.OutcomeUnknown
+	if !ses.reached {
+		outcome = bwhttp.OutcomeNotRun
+	}
+	mx.Requests.With(name, string(outcome)).Inc()
 	if errors.Is(err, errStopped) {
 		// A caller that has gone reconnects without the event too.
 		_ = ses.out.handOver()
 		return
 	}
 	ses.gns.cfg.Log.Warn("generation ended early", "Request", ses.rec.Request(), "Error", err)
-	prb := bwhttp.Problem{Status: http.StatusServiceUnavailable, Title: "Generation interrupted", Detail: err.Error(), Outcome: bwhttp.OutcomeUnknown}
-	if !ses.reached {
-		prb.Outcome = bwhttp.OutcomeNotRun
-	}
-	ses.out.fail(prb)
+	ses.out.fail(bwhttp.Problem{
+		Status:  http.StatusServiceUnavailable,
+		Title:   "Generation interrupted",
+		Detail:  err.Error(),
+		Outcome: outcome,
+	})
 }
 
 func (ses *session) run(ctx context.Context) error {
@@ -301,6 +313,7 @@
 	ses.notePrompt(evt.Output.PromptTokens)
 	fresh, err := ses.rec.Take(evt.Output.Attempt, evt.Output.Position, evt.Output.Tokens)
 	if err != nil {
+		ses.gns.cfg.Metrics.TokensRefused.Add(len(evt.Output.Tokens))
 		return ses.lose("bad tokens", err)
 	}
 	if fresh > 0 {
@@ -319,6 +332,7 @@
 	}
 	ses.prm.progress(fresh)
 	ses.tokens += fresh
+	ses.observe(evt, fresh)
 	ses.failures = 0
 	ses.exclude = nil
 	if ses.first == 0 {
@@ -340,6 +354,30 @@
 	ses.loss = nil
 }
 
+// observe counts new tokens and the time that the caller waited for them.
+func (ses *session) observe(evt attemptEvent, fresh int) {
+	mx, spec := ses.gns.cfg.Metrics, ses.rec.Spec()
+	name := string(spec.Service)
+	mx.TokensDelivered.With(name).Add(fresh)
+	if evt.Output.CachedTokens > 0 {
+		mx.CachedPromptTokens.With(name).Add(evt.Output.CachedTokens)
+	}
+	if ses.last.IsZero() && ses.rec.Position() == bwmodel.Position(fresh) {
+		mx.FirstToken.With(name, spec.Class.String()).Update(evt.At.Sub(spec.Created).Seconds())
+	} else if !ses.last.IsZero() {
+		mx.TokenGap.With(name).Update(evt.At.Sub(ses.last).Seconds())
+	}
+	ses.last = evt.At
+}
+
+// endOf names the end of a session that its caller has seen or caused.
+func endOf(err error) string {
+	if err == nil {
+		return "Done"
+	}
+	return "Canceled"
+}
+
 // begin starts the next attempt.
 func (ses *session) begin(ctx context.Context) {
 	spec := ses.rec.Spec()
--- a/io/bwrouter/router.go
+++ b/io/bwrouter/router.go
@@ -259,6 +259,9 @@
 	mem.Leaving = false
 	rtr.proc.Fleet.Hear(mem, rep.StateNumber)
 	rtr.proc.Fleet.Learn(rep.StateNumber, rep.Upstream.Agent)
+	held := rtr.records.View()
+	rtr.proc.Metrics.RecordsHeld.Set(float64(held.Held))
+	rtr.proc.Metrics.RecordBytes.Set(float64(held.HeldBytes))
 }
 
 // holder returns the router that holds a request's copy.
--- a/io/bwrouter/router_handler.go
+++ b/io/bwrouter/router_handler.go
@@ -27,12 +27,13 @@
 	if err != nil {
 		return err
 	}
-	table := &actionTable{table: rtr.proc.Store.Table, objects: rtr.proc.Store.Objects, codec: codec}
+	table := &actionTable{metrics: rtr.proc.Metrics, table: rtr.proc.Store.Table, objects: rtr.proc.Store.Objects, codec: codec}
 	rtr.actionRows = table
 	rtr.batcher = bwaction.NewBatcher(bwaction.BatcherConfig{Commit: table.commit})
 	table.batcher = rtr.batcher
 	rtr.recorder = bwaction.NewRecorder(bwaction.RecorderConfig{Swap: table.swap, Now: rtr.cfg.Now})
 	rtr.generations, err = NewGenerations(GenerationsConfig{
+		Metrics:      rtr.proc.Metrics,
 		Choose:       rtr.services.Choose,
 		Admit:        rtr.services.Admit,
 		Asked:        rtr.services.Asked,
@@ -54,6 +55,7 @@
 		return err
 	}
 	rtr.actions = NewActions(ActionsConfig{
+		Metrics:    rtr.proc.Metrics,
 		Log:        rtr.proc.Log,
 		Choose:     rtr.services.Choose,
 		Admit:      rtr.services.Admit,
@@ -122,6 +124,7 @@
 }
 
 func (rtr *Router) resumed(cause string, took time.Duration, recomputed int) {
+	rtr.proc.Metrics.Resumes.With(cause, "Resumed").Inc()
 	rtr.proc.Metrics.ResumeLatency.With(cause).Update(took.Seconds())
 	rtr.proc.Metrics.TokensRecomputed.With(cause).Add(recomputed)
 	if rtr.cfg.Resumed != nil {
