Refuse work above an engine's slots at its agent

Cause: routers see each other's work in load reports up to 5 s late, so short work and resumed work queued in engines that another router had just filled. Change: the agent, which knows the exact number, refuses generations above the slots; the router asks the next engine, or waits 12 to 37 ms without counting a failure when all are full, and such a wait is no resume. TestFullEnginesAreLeftAlone fails without the refusal (4 generations on 2 slots).

--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -196,6 +196,7 @@
 		report.Load, report.CacheEvents = eng.Load, eng.CacheEvents
 		agt.generations = NewGenerations(GenerationsConfig{
 			Generate:    eng.Generate,
+			Slots:       ups.Slots,
 			Address:     agt.proc.Self.Address,
 			Leaving:     agt.Leaving,
 			StateNumber: agt.proc.StateNumber,
--- a/io/bwagent/generations.go
+++ b/io/bwagent/generations.go
@@ -33,6 +33,10 @@
 	StateNumber func() bwmodel.TicketNumber
 	// SawState is told the ticket numbers of routers; it may be nil.
 	SawState func(bwmodel.TicketNumber)
+	// Slots is the number of generations that the engine runs at a time; more are
+	// refused, so that they wait in a router, which can order them or go to
+	// another engine. 0 means no bound.
+	Slots int
 	// Grace is how long a generation is kept without a router; 0 means 10 s.
 	Grace time.Duration
 	Now   func() time.Time
@@ -155,7 +159,7 @@
 	sub := newSubscription(ctx)
 	defer sub.end()
 	var refusal error
-	err = gns.control.Do(ctx, func(tbl *generationTable) { refusal = tbl.start(run, sub) })
+	err = gns.control.Do(ctx, func(tbl *generationTable) { refusal = tbl.start(run, sub, gns.cfg.Slots) })
 	if err = firstError(err, refusal); err != nil {
 		// The change may still be applied after the wait for it has ended.
 		_ = gns.control.Post(gns.ctx, func(tbl *generationTable) { tbl.drop(run) })
--- a/io/bwagent/generations_table.go
+++ b/io/bwagent/generations_table.go
@@ -68,9 +68,23 @@
 	return &vw
 }
 
+// running counts the generations that the engine works on, but for one request's.
+func (tbl *generationTable) running(except *generationEntry) int {
+	count := 0
+	for _, ent := range tbl.entries {
+		if ent != except && ent.run != nil && !ent.run.ended() {
+			count++
+		}
+	}
+	return count
+}
+
 // start makes a run the current one of its request, or returns a refusal.
-func (tbl *generationTable) start(run *generationRun, sub *subscription) error {
+func (tbl *generationTable) start(run *generationRun, sub *subscription, slots int) error {
 	ent := tbl.entries[run.req.Request]
+	if slots > 0 && tbl.running(ent) >= slots {
+		return bwrpc.Refuse(bwwire.Overloaded, "all %d slots of the engine are taken", slots)
+	}
 	if ent == nil {
 		ent = &generationEntry{team: run.req.Spec.Team}
 		tbl.entries[run.req.Request] = ent
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -2,7 +2,9 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"time"
 
@@ -30,14 +32,13 @@
 	if !noEngine && code == bwwire.Invalid {
 		return err
 	}
-	if ses.loss == nil {
+	if ses.loss == nil || ses.loss.cause == causeFull && cause != causeFull && !noEngine {
 		ses.loss = &loss{cause: cause, since: now, begun: now}
 		if err == nil && ses.pace != nil {
 			ses.loss.since = ses.pace.Last()
 		}
 	}
-	ses.gns.cfg.Log.Warn("attempt lost", "Request", ses.rec.Request(), "Cause", cause, "Agent", ses.rec.Agent(),
-		"Attempt", uint32(ses.rec.Attempt()), "Position", uint64(ses.rec.Position()), "Error", err)
+	ses.logLoss(cause, err, code == bwwire.Overloaded || ses.full && noEngine)
 	if ses.choice != nil {
 		ses.exclude = append(ses.exclude, ses.choice.Upstream.Name)
 	}
@@ -55,6 +56,12 @@
 	if ses.rec.Position() > 0 && !ses.gns.cfg.Resume(cause) {
 		return errNotResumed
 	}
+	// A full engine is no failure: the work waits here until one has a slot.
+	ses.full = code == bwwire.Overloaded || ses.full && noEngine
+	if ses.full {
+		ses.retryAt = now.Add(fullDelay(noEngine))
+		return nil
+	}
 	ses.failures++
 	if ses.failures >= ses.gns.cfg.MaxAttempts {
 		ses.gns.cfg.Metrics.Resumes.With(ses.loss.cause, "GaveUp").Inc()
@@ -64,6 +71,17 @@
 	return nil
 }
 
+// logLoss writes a line for a lost attempt. Work that waits for a slot asks about
+// 40 times a second, so its lines are for debugging.
+func (ses *session) logLoss(cause string, err error, waiting bool) {
+	level := slog.LevelWarn
+	if waiting {
+		level = slog.LevelDebug
+	}
+	ses.gns.cfg.Log.Log(context.Background(), level, "attempt lost", "Request", ses.rec.Request(), "Cause", cause, "Agent", ses.rec.Agent(),
+		"Attempt", uint32(ses.rec.Attempt()), "Position", uint64(ses.rec.Position()), "Error", err)
+}
+
 // Resumes are taken from a budget, which they get back with their first token.
 // So it bounds the resumes that are under way at once, and those that fail use
 // it up until new requests fill it.
@@ -126,6 +144,9 @@
 	ses.att, ses.choice, ses.pace = nil, nil, nil
 }
 
+// causeFull is the cause of an attempt that found no free slot.
+const causeFull = "overloaded"
+
 // causeOf names a loss for logs and metrics.
 func causeOf(err error) string {
 	if _, ok := errors.AsType[*chooseError](err); ok {
@@ -135,7 +156,7 @@
 	case bwwire.Leaving:
 		return "leaving"
 	case bwwire.Overloaded:
-		return "overloaded"
+		return causeFull
 	case bwwire.UpstreamFailed:
 		return "engine failed"
 	case bwwire.Stale:
@@ -146,6 +167,19 @@
 	return "connection closed"
 }
 
+// fullRetry is about half the time between two tokens at the target size; a slot
+// that becomes free is found within it.
+const fullRetry = 25 * time.Millisecond
+
+// fullDelay returns no delay while there are other engines to ask, and otherwise
+// one with jitter, so that waiting requests don't ask together.
+func fullDelay(noEngine bool) time.Duration {
+	if !noEngine {
+		return 0
+	}
+	return fullRetry/2 + rand.N(fullRetry)
+}
+
 // retryDelay returns no delay after one failure, and then a growing one with
 // jitter, so that many losses at once don't retry together.
 func retryDelay(failures int) time.Duration {
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -31,6 +31,8 @@
 	// last is when the last token arrived.
 	last time.Time
 
+	// full says that the engines asked last had no free slot.
+	full bool
 	// reached says that an engine may have worked on the request.
 	reached bool
 	// failures counts the attempts in a row without a token; the retry waits until retryAt.
@@ -334,6 +336,7 @@
 	ses.tokens += fresh
 	ses.observe(evt, fresh)
 	ses.failures = 0
+	ses.full = false
 	ses.exclude = nil
 	if ses.first == 0 {
 		ses.first = max(evt.At.Sub(ses.started), 1)
@@ -350,7 +353,10 @@
 	again := len(ses.rec.PromptTokens()) + int(evt.Output.Position) - evt.Output.CachedTokens
 	ses.gns.cfg.Log.Info("generation resumed", "Request", ses.rec.Request(), "Cause", ses.loss.cause, "Took", took,
 		"Position", uint64(evt.Output.Position), "Recomputed", again, "Attempt", uint32(ses.rec.Attempt()))
-	ses.gns.cfg.Resumed(ses.loss.cause, took, again)
+	// Work that only waited for a slot has lost nothing.
+	if ses.loss.cause != causeFull {
+		ses.gns.cfg.Resumed(ses.loss.cause, took, again)
+	}
 	ses.loss = nil
 }
 
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -41,12 +41,15 @@
 	nodes   []*engineNode
 	routers []*routerNode
 	resumed atomic.Int64
+	slots   int
 	edit    func(*bwrouter.GenerationsConfig)
 }
 
 type clusterConfig struct {
 	engines, routers int
 	engine           bwfakeengine.Config
+	// slots bounds the generations that each agent takes; 0 means no bound.
+	slots int
 	// edit changes each router's configuration; nil changes nothing.
 	edit func(*bwrouter.GenerationsConfig)
 }
@@ -78,7 +81,7 @@
 
 func newClusterWith(t *testing.T, cfg clusterConfig) *cluster {
 	t.Helper()
-	cl := &cluster{t: t, edit: cfg.edit}
+	cl := &cluster{t: t, edit: cfg.edit, slots: cfg.slots}
 	for range cfg.engines {
 		cl.addEngine(cfg.engine)
 	}
@@ -101,6 +104,7 @@
 		Generate: bwengine.NewEngine(bwengine.EngineConfig{Address: eng.Address()}).Generate,
 		Address:  addr,
 		Leaving:  nd.left.Load,
+		Slots:    cl.slots,
 	})
 	srv, err := bwrpc.NewServer(bwrpc.ServerConfig{})
 	must(cl.t, err)
--- a/standin/bwfakeengine/fault_test.go
+++ b/standin/bwfakeengine/fault_test.go
@@ -175,3 +175,26 @@
 		})
 	}
 }
+
+// Guards against work that queues in a full engine while another has a slot,
+// and against work that gives up although it only waits for a slot.
+func TestFullEnginesAreLeftAlone(t *testing.T) {
+	const slots, generations, tokens = 2, 7, 60
+	cl := newClusterWith(t, clusterConfig{engines: 2, routers: 2, engine: fastEngine, slots: slots})
+	var callers []*caller
+	for ix := range generations {
+		callers = append(callers, cl.post(cl.routers[ix%2], "plná linka", tokens))
+	}
+	for _, nd := range cl.nodes {
+		if running, waiting := nd.engine.Running(); running+waiting > slots {
+			t.Errorf("%s has %d generations, want at most %d", nd.name, running+waiting, slots)
+		}
+	}
+	for _, cal := range callers {
+		cal.read(all)
+		cal.check("plná linka", tokens)
+	}
+	if got := cl.resumed.Load(); got != 0 {
+		t.Errorf("%d resumes were counted, want none: the work only waited", got)
+	}
+}
