Replace a holder only with a proof that its record was not taken over

Cause: a router that got no answer from its record's holder counted that as no takeover and gave the record to another router under a higher epoch, so that it went on delivering beside the router that had taken over. A router whose attempt an agent had given away started another one.

Change: the holder releases the record, or the agents that the record may name seal the generation; without either the caller gets nothing new. An agent's word that an attempt was replaced ends the generation.

--- a/core/bwstream/record_test.go
+++ b/core/bwstream/record_test.go
@@ -16,6 +16,22 @@
 	request = bwmodel.RequestID{7}
 )
 
+// Guards against a takeover at a holder that the record's router has left.
+func TestReleasedRecordStays(t *testing.T) {
+	str := bwstream.NewStore(bwstream.StoreConfig{Now: time.Now})
+	rec := bwmodel.GenerationRecord{Request: bwmodel.RequestID{7}, Spec: bwmodel.GenerationSpec{Team: "alpha"}}
+	str.Append(bwstream.Append{Request: rec.Request, Epoch: 1, Record: &rec})
+	if err := str.Release(rec.Request, "alpha", 2); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := str.TakeOver(rec.Request, "alpha", 3); !errors.Is(err, bwstream.ErrUnknownRecord) {
+		t.Errorf("got %v, want ErrUnknownRecord", err)
+	}
+	if ack := str.Append(bwstream.Append{Request: rec.Request, Epoch: 3, Record: &rec}); ack.Refused {
+		t.Error("the record is refused when it comes back under a later epoch")
+	}
+}
+
 // Guards against tokens taken from an old attempt, after a gap, twice, or with
 // other content than before.
 func TestReceiverRefuses(t *testing.T) {
--- a/core/bwstream/store.go
+++ b/core/bwstream/store.go
@@ -80,6 +80,8 @@
 	epoch   bwmodel.Epoch
 	touched time.Time
 	bytes   int
+	// released says that the record's router keeps it at another holder.
+	released bool
 }
 
 // NewStore returns an empty store.
@@ -144,6 +146,9 @@
 	if ep <= hld.epoch {
 		return bwmodel.GenerationRecord{}, ErrStaleEpoch
 	}
+	if hld.released {
+		return bwmodel.GenerationRecord{}, ErrUnknownRecord
+	}
 	hld.epoch = ep
 	hld.rec.Epoch = ep
 	hld.touched = str.cfg.Now()
@@ -152,6 +157,16 @@
 	return rec, nil
 }
 
+// Release seals a record whose own router moves it to another holder, so that
+// no router takes it over here; its errors are those of TakeOver.
+func (str *Store) Release(req bwmodel.RequestID, team bwmodel.TeamID, ep bwmodel.Epoch) error {
+	if _, err := str.TakeOver(req, team, ep); err != nil {
+		return err
+	}
+	str.records[req].released = true
+	return nil
+}
+
 // Find returns a record without changing it, and whether there is one.
 func (str *Store) Find(req bwmodel.RequestID) (bwmodel.GenerationRecord, bool) {
 	hld := str.records[req]
--- a/io/bwagent/generations.go
+++ b/io/bwagent/generations.go
@@ -107,6 +107,7 @@
 	bwrpc.HandleStream(srv, bwwire.AgentGenerate, gns.generate)
 	bwrpc.HandleStream(srv, bwwire.AgentAttach, gns.attach)
 	bwrpc.HandleUnary(srv, bwwire.AgentCancel, gns.cancel)
+	bwrpc.HandleUnary(srv, bwwire.AgentSeal, gns.seal)
 }
 
 // Move ends all generations and tells their routers to go on elsewhere.
@@ -200,6 +201,15 @@
 	return &bwwire.CancelResponse{Canceled: canceled}, nil
 }
 
+func (gns *Generations) seal(ctx context.Context, req *bwwire.SealRequest) (*bwwire.SealResponse, error) {
+	var refusal error
+	err := gns.control.Do(ctx, func(tbl *generationTable) { refusal = tbl.seal(req) })
+	if err = firstError(err, refusal); err != nil {
+		return nil, err
+	}
+	return &bwwire.SealResponse{}, nil
+}
+
 // detach notes that a router no longer reads, which starts the grace time.
 func (gns *Generations) detach(sub *subscription, req bwmodel.RequestID) {
 	now := gns.cfg.Now()
--- a/io/bwagent/generations_table.go
+++ b/io/bwagent/generations_table.go
@@ -20,6 +20,8 @@
 	epoch   bwmodel.Epoch
 	attempt bwmodel.Attempt
 	team    bwmodel.TeamID
+	// sealed is the highest epoch under which no router may take the request over.
+	sealed bwmodel.Epoch
 	// run is nil once the generation is canceled; the entry then only fences.
 	run *generationRun
 	// sub is nil while no router reads.
@@ -113,14 +115,18 @@
 // attach hands a running generation to a router under a higher epoch.
 func (tbl *generationTable) attach(req *bwwire.AttachRequest, sub *subscription) (*generationRun, error) {
 	ent := tbl.entries[req.Request]
-	if ent == nil || ent.run == nil {
-		return nil, bwrpc.Refuse(bwwire.NotFound, "request is not running here")
+	if ent == nil {
+		return nil, bwrpc.Refuse(bwwire.NotFound, "request is not known here")
 	}
 	if ent.team != req.Team {
 		return nil, bwrpc.Refuse(bwwire.Forbidden, "request belongs to another team")
 	}
-	if req.Epoch <= ent.epoch {
-		return nil, bwrpc.Refuse(bwwire.Stale, "epoch %d is replaced by epoch %d", req.Epoch, ent.epoch)
+	// A seal also binds a router that comes after the run has ended.
+	if limit := max(ent.epoch, ent.sealed); req.Epoch <= limit {
+		return nil, bwrpc.Refuse(bwwire.Stale, "epoch %d is replaced by epoch %d", req.Epoch, limit)
+	}
+	if ent.run == nil {
+		return nil, bwrpc.Refuse(bwwire.NotFound, "request is not running here")
 	}
 	if ent.sub != nil {
 		ent.sub.end()
@@ -130,6 +136,22 @@
 	return ent.run, nil
 }
 
+// seal refuses later takeovers up to the seal's epoch, unless one has happened.
+func (tbl *generationTable) seal(req *bwwire.SealRequest) error {
+	ent := tbl.entries[req.Request]
+	if ent == nil {
+		return bwrpc.Refuse(bwwire.NotFound, "request is not known here")
+	}
+	if ent.team != req.Team {
+		return bwrpc.Refuse(bwwire.Forbidden, "request belongs to another team")
+	}
+	if ent.epoch > req.Epoch {
+		return bwrpc.Refuse(bwwire.Stale, "epoch %d is replaced by epoch %d", req.Epoch, ent.epoch)
+	}
+	ent.sealed = max(ent.sealed, req.Seal)
+	return nil
+}
+
 // cancel ends what the request names, and fences it.
 func (tbl *generationTable) cancel(req *bwwire.CancelRequest, now time.Time) bool {
 	ent := tbl.entries[req.Request]
--- a/io/bwrouter/generations_holder.go
+++ b/io/bwrouter/generations_holder.go
@@ -9,8 +9,6 @@
 
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwstream"
-	"bilberrywick/io/bwrpc"
-	"bilberrywick/io/bwwire"
 )
 
 // hold picks a holder for the record under an epoch. Only when no other router
@@ -72,6 +70,7 @@
 	if !ok {
 		return nil
 	}
+	ses.noteAgent()
 	err := ses.append(ctx, app)
 	if err == nil && ses.askedAt.IsZero() {
 		ses.askedAt = ses.gns.cfg.Now()
@@ -113,6 +112,7 @@
 		ses.gns.cfg.Metrics.HolderAck.Update(ses.gns.cfg.Now().Sub(ses.askedAt).Seconds())
 	}
 	if !ses.rec.Waiting() {
+		ses.noteAck()
 		ses.askedAt = time.Time{}
 		ses.holdLost = time.Time{}
 	} else if ses.rec.Covered() > before {
@@ -138,10 +138,14 @@
 		ses.holdLost = ses.gns.cfg.Now()
 	}
 	old := ses.rec.Holder()
+	if ses.unsure.IsValid() {
+		old = ses.unsure
+	}
 	next := ses.rec.Epoch() + 1
-	if err := ses.confirm(ctx, old, next); err != nil {
-		return err
+	if err := ses.prove(ctx, old); err != nil {
+		return ses.unproven(ctx, old, err)
 	}
+	ses.unsure = netip.AddrPort{}
 	ses.bad = append(ses.bad, old)
 	if err := ses.hold(ctx, next+1); err != nil {
 		return err
@@ -152,20 +156,19 @@
 	return nil
 }
 
-// confirmTime bounds the question to a holder that may be dead.
-const confirmTime = 250 * time.Millisecond
-
-// confirm seals the record at the old holder, so that no other router can take
-// it over there. It returns ErrFenced when one has; a holder that does not
-// answer can't be asked. A router that was paused learns this way that it was
-// replaced meanwhile, before it delivers anything under a new holder.
-func (ses *session) confirm(ctx context.Context, holder netip.AddrPort, ep bwmodel.Epoch) error {
-	ctx, cancel := context.WithTimeout(ctx, confirmTime)
-	defer cancel()
-	req := &bwwire.TakeOverRequest{Request: ses.rec.Request(), Team: ses.rec.Spec().Team, Epoch: ep}
-	_, err := bwrpc.Call[bwwire.TakeOverRequest, bwwire.TakeOverResponse](ctx, ses.gns.cfg.Client, holder, bwwire.PeerTakeOver, req)
-	if code := bwrpc.CodeOf(err); code == bwwire.Stale || code == bwwire.Forbidden {
-		return bwstream.ErrFenced
+// unproven keeps a lost holder under question; until a proof is found the
+// caller gets nothing new.
+func (ses *session) unproven(ctx context.Context, holder netip.AddrPort, err error) error {
+	if !errors.Is(err, errUnproven) {
+		return err
+	}
+	if ses.unsure != holder {
+		ses.gns.cfg.Log.Warn("holder kept under question", "Request", ses.rec.Request(), "Holder", holder,
+			"Epoch", uint64(ses.rec.Epoch()), "Acked", ses.acked, "Error", err)
 	}
+	ses.unsure = holder
+	ses.unhold(ctx)
+	ses.rec.Unhold(ses.rec.Epoch())
+	ses.holdRetry = ses.gns.cfg.Now().Add(holdPause)
 	return nil
 }
--- a/io/bwrouter/generations_loss.go
+++ b/io/bwrouter/generations_loss.go
@@ -10,6 +10,7 @@
 
 	"bilberrywick/core/bwretry"
 	"bilberrywick/core/bwroute"
+	"bilberrywick/core/bwstream"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
 )
@@ -32,6 +33,10 @@
 	if !noEngine && code == bwwire.Invalid {
 		return err
 	}
+	// An agent replaces the current attempt only for another router.
+	if code == bwwire.Stale {
+		return bwstream.ErrFenced
+	}
 	if ses.loss == nil || ses.loss.cause == causeFull && cause != causeFull && !noEngine {
 		ses.loss = &loss{cause: cause, since: now, begun: now}
 		if err == nil && ses.pace != nil {
--- a/io/bwrouter/generations_session.go
+++ b/io/bwrouter/generations_session.go
@@ -54,6 +54,13 @@
 	holdLost  time.Time
 	// askedAt is when the holder was first owed an acknowledgement; zero when it owes none.
 	askedAt time.Time
+	// handed is the holder that the caller's handle may name, acked when it last
+	// had the whole record, and agents are those that its record may name.
+	handed netip.AddrPort
+	acked  time.Time
+	agents []netip.AddrPort
+	// unsure is a lost holder from which another router may have the record.
+	unsure netip.AddrPort
 	// refresh says that the caller needs a new handle.
 	refresh bool
 	bad     []netip.AddrPort
@@ -268,6 +275,9 @@
 		return errNoHolder
 	}
 	if !ses.holdRetry.IsZero() && !now.Before(ses.holdRetry) {
+		if ses.unsure.IsValid() {
+			return ses.replaceHolder(ctx, "no proof")
+		}
 		return ses.hold(ctx, ses.rec.Epoch())
 	}
 	if !ses.askedAt.IsZero() && now.Sub(ses.askedAt) >= ses.gns.cfg.HolderTime {
--- a/io/bwrouter/generations_takeover.go
+++ b/io/bwrouter/generations_takeover.go
@@ -50,6 +50,10 @@
 	}
 	if rec == nil || rec.Finish == "" {
 		held, err := tko.attach(ctx, agent)
+		if err != nil && rec != nil && bwrpc.CodeOf(err) == bwwire.Stale {
+			tko.gns.cfg.Log.Warn("generation has moved to another holder", "Request", tko.hd.Request, "Epoch", uint64(tko.epoch), "Error", err)
+			return &bwhttp.Problem{Status: http.StatusConflict, Title: "Generation goes on elsewhere", Outcome: bwhttp.OutcomeUnknown}
+		}
 		if err != nil && rec == nil {
 			tko.gns.cfg.Log.Warn("generation not found", "Request", tko.hd.Request, "Error", err)
 			return &bwhttp.Problem{Status: http.StatusNotFound, Title: "Unknown generation", Outcome: bwhttp.OutcomeUnknown}
@@ -188,6 +192,9 @@
 	if tko.holder.IsValid() && tko.holder != ses.gns.cfg.Address {
 		ses.holder = tko.holder
 	}
+	ses.handed = ses.holder
+	ses.acked = ses.gns.cfg.Now()
+	ses.noteAgent()
 	ses.refresh = true
 	now := ses.gns.cfg.Now()
 	if ses.rec.Finished() != "" || tko.att == nil {
--- a/io/bwrouter/records.go
+++ b/io/bwrouter/records.go
@@ -173,6 +173,10 @@
 	var rsp bwwire.TakeOverResponse
 	var refusal error
 	err := rcs.control.Do(ctx, func(rst *recordsState) {
+		if req.Release {
+			refusal = rst.store.Release(req.Request, req.Team, req.Epoch)
+			return
+		}
 		rsp.Record, refusal = rst.store.TakeOver(req.Request, req.Team, req.Epoch)
 	})
 	if err != nil {
@@ -186,6 +190,6 @@
 	case errors.Is(refusal, bwstream.ErrStaleEpoch):
 		return nil, bwrpc.Refuse(bwwire.Stale, "%w", refusal)
 	}
-	rcs.cfg.Log.Info("generation record taken over", "Request", req.Request, "Epoch", uint64(req.Epoch))
+	rcs.cfg.Log.Info("generation record taken over", "Request", req.Request, "Epoch", uint64(req.Epoch), "Released", req.Release)
 	return &rsp, nil
 }
--- a/io/bwwire/generation.go
+++ b/io/bwwire/generation.go
@@ -65,6 +65,19 @@
 // CancelResponse answers a CancelRequest.
 type CancelResponse struct{ Canceled bool }
 
+// SealRequest asks an agent that no other router takes a generation over under
+// the seal's epoch or a lower one.
+type SealRequest struct {
+	Request bwmodel.RequestID
+	Team    bwmodel.TeamID
+	// Epoch is the epoch of the router that asks.
+	Epoch bwmodel.Epoch
+	Seal  bwmodel.Epoch
+}
+
+// SealResponse says that the generation is sealed.
+type SealResponse struct{}
+
 // AppendBatch carries the appends of many generations to one holder.
 type AppendBatch struct{ Appends []RecordAppend }
 
@@ -105,6 +118,9 @@
 	Request bwmodel.RequestID
 	Team    bwmodel.TeamID
 	Epoch   bwmodel.Epoch
+	// Release says that the record's own router moves it to another holder, so
+	// that no router may take it over here any more.
+	Release bool
 }
 
 // TakeOverResponse carries the record as it was sealed.
--- a/io/bwwire/method.go
+++ b/io/bwwire/method.go
@@ -7,6 +7,7 @@
 	AgentGenerate = "Agent.Generate"
 	AgentAttach   = "Agent.Attach"
 	AgentCancel   = "Agent.Cancel"
+	AgentSeal     = "Agent.Seal"
 	AgentCall     = "Agent.Call"
 	AgentDispatch = "Agent.Dispatch"
 	AgentSettle   = "Agent.Settle"
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -13,6 +13,7 @@
 	"net/netip"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -70,7 +71,7 @@
 	down    atomic.Bool
 	records *bwrouter.Records
 	// paused holds back the router's connections to other processes.
-	paused atomic.Pointer[chan struct{}]
+	paused atomic.Pointer[connGate]
 	next   atomic.Int64
 }
 
@@ -212,14 +213,21 @@
 	rt.web.Close()
 }
 
-// pause holds back all the router's connections to other processes until the
-// returned function is called.
-func (rt *routerNode) pause() (resume func()) {
-	gate := make(chan struct{})
-	rt.paused.Store(&gate)
+// connGate holds back connections until it is opened.
+type connGate struct {
+	open chan struct{}
+	// peers are the processes behind the gate; none means all.
+	peers []netip.AddrPort
+}
+
+// pause holds back the router's connections to some processes, or to all when
+// none is named, until the returned function is called.
+func (rt *routerNode) pause(peers ...netip.AddrPort) (resume func()) {
+	gat := &connGate{open: make(chan struct{}), peers: peers}
+	rt.paused.Store(gat)
 	return func() {
 		rt.paused.Store(nil)
-		close(gate)
+		close(gat.open)
 	}
 }
 
@@ -229,13 +237,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pausedConn{Conn: conn, rt: rt}, nil
+	return &pausedConn{Conn: conn, rt: rt, peer: addr, closed: make(chan struct{})}, nil
 }
 
-// pausedConn stops reading and writing while its router is paused.
+// pausedConn stops reading and writing while its router is paused, or is cut
+// off from the peer.
 type pausedConn struct {
 	net.Conn
-	rt *routerNode
+	rt   *routerNode
+	peer netip.AddrPort
+	once sync.Once
+	// closed ends the waits of a connection that its owner gives up.
+	closed chan struct{}
+}
+
+func (pc *pausedConn) Close() error {
+	pc.once.Do(func() { close(pc.closed) })
+	return pc.Conn.Close()
 }
 
 func (pc *pausedConn) Read(buf []byte) (int, error) {
@@ -250,8 +268,12 @@
 }
 
 func (pc *pausedConn) wait() {
-	if gate := pc.rt.paused.Load(); gate != nil {
-		<-*gate
+	gat := pc.rt.paused.Load()
+	if gat != nil && (len(gat.peers) == 0 || slices.Contains(gat.peers, pc.peer)) {
+		select {
+		case <-gat.open:
+		case <-pc.closed:
+		}
 	}
 }
 
--- a/standin/bwfakeengine/fault_test.go
+++ b/standin/bwfakeengine/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -99,6 +100,45 @@
 	}
 }
 
+// Guards against a router that loses its holder, and gives the record to
+// another one although a takeover has already happened at the old holder.
+func TestCutRouterDeliversNothing(t *testing.T) {
+	const tokens = 400
+	tests := []struct {
+		name string
+		// cut returns the processes that the router no longer reaches.
+		cut func(*cluster) []netip.AddrPort
+	}{
+		{"holder", func(cl *cluster) []netip.AddrPort {
+			return []netip.AddrPort{cl.routers[1].addr}
+		}},
+		{"holder and agent", func(cl *cluster) []netip.AddrPort {
+			return []netip.AddrPort{cl.routers[1].addr, cl.nodes[0].addr}
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cl := newClusterWith(t, clusterConfig{engines: 2, routers: 3, engine: fastEngine, edit: func(cfg *bwrouter.GenerationsConfig) {
+				cfg.HolderTime = 200 * time.Millisecond
+				cfg.ResumeTime = 3 * time.Second
+			}})
+			old := cl.post(cl.routers[0], "odrezaný smerovač", tokens)
+			old.read(20)
+			resume := cl.routers[0].pause(tt.cut(cl)...)
+			defer resume()
+			cal := &caller{t: t, ids: old.ids, last: old.last}
+			cal.text.WriteString(old.text.String())
+			cal.reconnect(cl.routers[2])
+			cal.read(all)
+			cal.check("odrezaný smerovač", tokens)
+			old.read(all)
+			if len(old.ids) >= tokens || old.finish != "" {
+				t.Errorf("cut router delivered %d tokens and finish %q after the takeover", len(old.ids), old.finish)
+			}
+		})
+	}
+}
+
 // Guards against a handle of another team, a stale one and a malformed one
 // that opens a generation.
 func TestRefusedHandles(t *testing.T) {
