Serve callers on the users' platform through a gateway

A gateway forwards plain requests, actions and event streams as they are, on the decisions in core/bwforward; platform/ translates headers, the manifest, engines' entries and the store's calls.

--- /dev/null
+++ b/cmd/bilberrywick-gateway/main.go
@@ -0,0 +1,74 @@
+// Command bilberrywick-gateway serves callers on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwgateway"
+	"bilberrywick/io/bwobserve"
+	"bilberrywick/platform"
+)
+
+// version is set by the linker in released builds.
+var version = "dev"
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	cmd := &cobra.Command{
+		Use:           "bilberrywick-gateway",
+		Short:         "Serve callers on the users' platform",
+		Version:       version,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	cmd.AddCommand(newServeCommand())
+	if err := cmd.ExecuteContext(ctx); err != nil {
+		_, _ = fmt.Fprintln(os.Stderr, "bilberrywick-gateway:", err)
+		return 1
+	}
+	return 0
+}
+
+func newServeCommand() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:   "serve",
+		Short: "Serve until SIGTERM, and then drain",
+		Args:  cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			sts, err := bwgateway.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			return serve(cmd.Context(), sts)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "settings file in JSON")
+	return cmd
+}
+
+func serve(ctx context.Context, sts *bwgateway.Settings) error {
+	log := bwobserve.NewLog(bwobserve.LogConfig{
+		Output:  os.Stdout,
+		Level:   slog.LevelInfo,
+		Member:  bwmodel.Member{ID: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone)},
+		Version: version,
+	})
+	src := bwplatform.NewSource(bwplatform.SourceConfig{Store: bwplatform.NewStore(bwplatform.StoreConfig{Address: sts.Store}), Log: log})
+	prc, err := bwgateway.NewProcess(bwgateway.ProcessConfig{Settings: sts, Dialect: bwplatform.Dialect(), Watch: src.Watch, Log: log})
+	if err != nil {
+		return err
+	}
+	return prc.Run(ctx)
+}
--- /dev/null
+++ b/core/bwforward/directory.go
@@ -0,0 +1,126 @@
+package bwforward
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Directory keeps the list of upstreams that the platform publishes. Its
+// control goroutine owns it.
+type Directory struct {
+	entries map[bwmodel.UpstreamID]*entry
+	// away is set while the list can't be read, and back is when it could be again.
+	away bool
+	back time.Time
+}
+
+type entry struct {
+	up Upstream
+	// missing is when the entry was found to be gone while it may come back.
+	missing time.Time
+}
+
+// RecallTime is how long after an outage of the list an entry that lapsed
+// meanwhile may come back, by the platform's word about two seconds. An upstream
+// that has left must get nothing more after 2 s on today's deployments.
+const RecallTime = 1800 * time.Millisecond
+
+// NewDirectory returns an empty directory.
+func NewDirectory() *Directory {
+	return &Directory{entries: make(map[bwmodel.UpstreamID]*entry)}
+}
+
+// Lost notes that the list can't be read, so that entries may lapse.
+func (dir *Directory) Lost() { dir.away = true }
+
+// Regained notes that the list is read again.
+func (dir *Directory) Regained(now time.Time) {
+	if dir.away {
+		dir.away = false
+		dir.back = now
+	}
+}
+
+// Put adds or replaces an upstream. An older run of the same upstream is left out.
+func (dir *Directory) Put(up Upstream) {
+	if ent := dir.entries[up.ID]; ent != nil && up.Born.Before(ent.up.Born) {
+		return
+	}
+	dir.entries[up.ID] = &entry{up: up}
+}
+
+// Remove takes an upstream away that the list no longer has; one that may only
+// have lapsed during an outage stays until RecallTime after it.
+func (dir *Directory) Remove(id bwmodel.UpstreamID, now time.Time) {
+	ent := dir.entries[id]
+	if ent == nil {
+		return
+	}
+	if dir.recalls(now) {
+		if ent.missing.IsZero() {
+			ent.missing = now
+		}
+		return
+	}
+	delete(dir.entries, id)
+}
+
+// Drop takes an upstream away whose entry can't be used.
+func (dir *Directory) Drop(id bwmodel.UpstreamID) { delete(dir.entries, id) }
+
+// Replace takes in the whole list.
+func (dir *Directory) Replace(ups []Upstream, now time.Time) {
+	listed := make(map[bwmodel.UpstreamID]bool, len(ups))
+	for _, up := range ups {
+		listed[up.ID] = true
+		dir.Put(up)
+	}
+	for id := range dir.entries {
+		if !listed[id] {
+			dir.Remove(id, now)
+		}
+	}
+}
+
+func (dir *Directory) recalls(now time.Time) bool {
+	return dir.away || !dir.back.IsZero() && now.Sub(dir.back) < RecallTime
+}
+
+// Expire removes the entries that have not come back, and returns them.
+func (dir *Directory) Expire(now time.Time) []bwmodel.UpstreamID {
+	if dir.recalls(now) {
+		return nil
+	}
+	var gone []bwmodel.UpstreamID
+	for id, ent := range dir.entries {
+		if !ent.missing.IsZero() {
+			delete(dir.entries, id)
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
+// Missing returns the number of entries that may come back.
+func (dir *Directory) Missing() int {
+	count := 0
+	for _, ent := range dir.entries {
+		if !ent.missing.IsZero() {
+			count++
+		}
+	}
+	return count
+}
+
+// Upstreams returns all upstreams in the order of their IDs.
+func (dir *Directory) Upstreams() []Upstream {
+	ups := make([]Upstream, 0, len(dir.entries))
+	for _, ent := range dir.entries {
+		ups = append(ups, ent.up)
+	}
+	slices.SortFunc(ups, func(ua, ub Upstream) int { return cmp.Compare(ua.ID, ub.ID) })
+	return ups
+}
--- /dev/null
+++ b/core/bwforward/node.go
@@ -0,0 +1,131 @@
+package bwforward
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Node is an upstream with what this process knows of it.
+type Node struct {
+	Upstream
+	*counters
+}
+
+// counters are shared by the nodes that follow each other for one upstream.
+type counters struct {
+	running, unread, tokens atomic.Int64
+	// suspended is when the upstream may be used again, failed when it last
+	// failed, in nanoseconds of the Unix time; failures counts those in a row.
+	suspended, failed, failures atomic.Int64
+	report                      atomic.Pointer[loadReport]
+}
+
+// Load is what an upstream says of itself.
+type Load struct {
+	Running, Waiting, Slots int
+	// Pace is how long work takes relative to the usual; 0 means unknown.
+	Pace float64
+}
+
+type loadReport struct {
+	Load
+	at time.Time
+}
+
+// renew returns a node for a changed entry; an upstream that started again is
+// not held to what it did before.
+func (nd *Node) renew(up Upstream) *Node {
+	if nd == nil || !nd.Born.Equal(up.Born) || nd.Address != up.Address {
+		return &Node{Upstream: up, counters: new(counters)}
+	}
+	return &Node{Upstream: up, counters: nd.counters}
+}
+
+func (nd *Node) load(now time.Time) (Load, bool) {
+	rep := nd.report.Load()
+	if rep == nil || now.Sub(rep.at) > loadAge {
+		return Load{}, false
+	}
+	return rep.Load, true
+}
+
+// ObserveLoad notes a load report.
+func (nd *Node) ObserveLoad(ld Load, now time.Time) {
+	nd.report.Store(&loadReport{Load: ld, at: now})
+}
+
+// Suspension of an upstream that fails: short, since most failures are of one
+// request, and doubled while it goes on, so that a dead one costs few attempts.
+const (
+	firstSuspension = 250 * time.Millisecond
+	maxSuspension   = 4 * time.Second
+)
+
+// Fail notes that the upstream did not answer or broke its answer off.
+func (nd *Node) Fail(now time.Time) {
+	count := nd.failures.Add(1)
+	pause := min(firstSuspension<<min(count-1, 8), maxSuspension)
+	nd.suspended.Store(now.Add(pause).UnixNano())
+	nd.failed.Store(now.UnixNano())
+}
+
+// Answer notes that the upstream has answered.
+func (nd *Node) Answer() {
+	nd.failures.Store(0)
+	nd.suspended.Store(0)
+}
+
+// FailedSince reports whether the upstream has failed another request after a
+// time and not answered since.
+func (nd *Node) FailedSince(at time.Time) bool {
+	return nd.failures.Load() > 0 && nd.failed.Load() > at.UnixNano()
+}
+
+// Expect returns how long the engine is expected to read before the first
+// token of work that was just placed there.
+func (nd *Node) Expect() time.Duration {
+	return time.Duration(nd.unread.Load()) * time.Millisecond / prefillRate
+}
+
+// Place counts work at the upstream until End of what it returns.
+func (nd *Node) Place(wrk Work) *Placement {
+	plc := &Placement{node: nd, prompt: int64(wrk.Prompt), memory: int64(wrk.Prompt + wrk.Output)}
+	nd.running.Add(1)
+	nd.unread.Add(plc.prompt)
+	nd.tokens.Add(plc.memory)
+	return plc
+}
+
+// PlaceCopy counts the memory of a copy at the upstream.
+func (nd *Node) PlaceCopy(wrk Work) *Placement {
+	plc := &Placement{node: nd, memory: int64(wrk.Prompt + wrk.Output), copied: true}
+	nd.tokens.Add(plc.memory)
+	return plc
+}
+
+// Placement is the work of one attempt at an upstream. One goroutine uses it.
+type Placement struct {
+	node   *Node
+	prompt int64
+	memory int64
+	copied bool
+}
+
+// Read notes that the engine has read the prompt.
+func (plc *Placement) Read() {
+	plc.node.unread.Add(-plc.prompt)
+	plc.prompt = 0
+}
+
+// End takes the work away.
+func (plc *Placement) End() {
+	if plc == nil || plc.node == nil {
+		return
+	}
+	plc.node.unread.Add(-plc.prompt)
+	plc.node.tokens.Add(-plc.memory)
+	if !plc.copied {
+		plc.node.running.Add(-1)
+	}
+	plc.node = nil
+}
--- /dev/null
+++ b/core/bwforward/pool.go
@@ -0,0 +1,203 @@
+package bwforward
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Pool knows the upstreams of all services and chooses among them.
+type Pool struct {
+	cfg  PoolConfig
+	view atomic.Pointer[poolView]
+}
+
+// PoolConfig configures a Pool.
+type PoolConfig struct {
+	// Zone is the zone of this process.
+	Zone bwmodel.ZoneID
+	Now  func() time.Time
+}
+
+type poolView struct {
+	services map[bwmodel.ServiceID][]*Node
+	nodes    map[bwmodel.UpstreamID]*Node
+}
+
+// Upstream is one process that runs requests of a service.
+type Upstream struct {
+	ID      bwmodel.UpstreamID
+	Service bwmodel.ServiceID
+	Zone    bwmodel.ZoneID
+	Address netip.AddrPort
+	// Born tells the runs of an upstream apart that starts again under its ID.
+	Born time.Time
+	// Slots is the number of requests that it works on at a time.
+	Slots   int
+	Leaving bool
+}
+
+// NewPool returns a pool without upstreams.
+func NewPool(cfg PoolConfig) *Pool {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	pl := &Pool{cfg: cfg}
+	pl.view.Store(&poolView{})
+	return pl
+}
+
+// Update replaces the upstreams; what is known of those that remain stays.
+// Only the control goroutine calls it.
+func (pl *Pool) Update(ups []Upstream) {
+	old := pl.view.Load()
+	vw := &poolView{services: make(map[bwmodel.ServiceID][]*Node), nodes: make(map[bwmodel.UpstreamID]*Node, len(ups))}
+	for _, up := range ups {
+		nd := old.nodes[up.ID]
+		if nd == nil || nd.Upstream != up {
+			nd = nd.renew(up)
+		}
+		vw.nodes[up.ID] = nd
+		vw.services[up.Service] = append(vw.services[up.Service], nd)
+	}
+	pl.view.Store(vw)
+}
+
+// Size returns the number of upstreams of a service that take new work.
+func (pl *Pool) Size(svc bwmodel.ServiceID) int {
+	count := 0
+	for _, nd := range pl.view.Load().services[svc] {
+		if !nd.Leaving {
+			count++
+		}
+	}
+	return count
+}
+
+// Current reports whether a node still takes new work.
+func (pl *Pool) Current(nd *Node) bool {
+	now := pl.view.Load().nodes[nd.ID]
+	return now != nil && !now.Leaving && now.Address == nd.Address && now.Born.Equal(nd.Born)
+}
+
+// Work is what a choice is made for.
+type Work struct {
+	Service Service
+	// Prompt is the number of tokens that an engine reads first, Output the
+	// number that it may produce; both are 0 for plain requests.
+	Prompt, Output int
+	// Exclude lists upstreams that have failed the request.
+	Exclude []bwmodel.UpstreamID
+}
+
+// Costs of a choice, as the time that the request is expected to take longer.
+const (
+	// prefillRate is the number of prompt tokens that an engine reads in a
+	// millisecond on today's deployments; only its ratio to the other costs matters.
+	prefillRate = 8
+	// streamZoneCost keeps streams in the zone of the router until its engines
+	// have one and a half prompts of today's size more to read than others.
+	streamZoneCost = 1500 * time.Millisecond
+	// plainZoneCost is two requests of today's size on the engine nearby.
+	plainZoneCost = 30 * time.Millisecond
+	// slotCost is what one more running stream adds to an answer of 800 tokens.
+	slotCost = 16 * time.Millisecond
+	// plainCost is the usual work of a plain request.
+	plainCost = 15 * time.Millisecond
+	// waitingCost is added for each request that already waits at the upstream.
+	waitingCost = 100 * time.Millisecond
+	// fullCost is added where the request does not fit into slots or memory.
+	fullCost = 10 * time.Second
+	// suspendedCost puts upstreams that have just failed last.
+	suspendedCost = time.Minute
+	// loadAge is how long a load report is used; plain engines finish most of
+	// the work that it counts within that time.
+	loadAge = 500 * time.Millisecond
+	// usableMemory is the part of an engine's memory that is planned with; the
+	// rest is for the requests of other routers that are not known yet.
+	usableMemory = 0.9
+)
+
+// Choose returns the upstream with the lowest cost, or nil when there is none.
+func (pl *Pool) Choose(wrk Work) *Node {
+	return pl.pick(wrk, func(*Node) time.Duration { return 0 })
+}
+
+// ChooseCopy returns the engine that keeps a copy of a run on another one, or
+// nil. Engines of one zone fail together more often than others, so it is in
+// another zone if there is one.
+func (pl *Pool) ChooseCopy(wrk Work, run *Node) *Node {
+	wrk.Exclude = append(slices.Clone(wrk.Exclude), run.ID)
+	return pl.pick(wrk, func(nd *Node) time.Duration {
+		if nd.Zone == run.Zone {
+			return fullCost
+		}
+		return 0
+	})
+}
+
+func (pl *Pool) pick(wrk Work, extra func(*Node) time.Duration) *Node {
+	now := pl.cfg.Now()
+	var best *Node
+	var least time.Duration
+	for _, nd := range pl.view.Load().services[wrk.Service.Name] {
+		if nd.Leaving || slices.Contains(wrk.Exclude, nd.ID) {
+			continue
+		}
+		cost := pl.cost(nd, wrk, now) + extra(nd) + rand.N(time.Millisecond)
+		if best == nil || cost < least {
+			best, least = nd, cost
+		}
+	}
+	return best
+}
+
+func (pl *Pool) cost(nd *Node, wrk Work, now time.Time) time.Duration {
+	cost := time.Duration(0)
+	if now.UnixNano() < nd.suspended.Load() {
+		cost += suspendedCost
+	}
+	ld, fresh := nd.load(now)
+	if fresh {
+		cost += time.Duration(ld.Waiting) * waitingCost
+	}
+	running := int(nd.running.Load())
+	if fresh {
+		running = max(running, ld.Running)
+	}
+	if nd.Slots > 0 && running >= nd.Slots {
+		cost += fullCost
+	}
+	if wrk.Service.Model == nil {
+		cost += pl.plainCost(nd, running, ld, fresh)
+		return cost
+	}
+	unread := int(nd.unread.Load()) + wrk.Prompt
+	cost += time.Duration(unread) * time.Millisecond / prefillRate
+	cost += time.Duration(running) * slotCost
+	need := int(nd.tokens.Load()) + wrk.Prompt + wrk.Output
+	if memory := wrk.Service.Model.Memory; memory > 0 && float64(need) > usableMemory*float64(memory) {
+		cost += fullCost
+	}
+	if nd.Zone != pl.cfg.Zone {
+		cost += streamZoneCost
+	}
+	return cost
+}
+
+// plainCost grows with the requests that share the upstream's slots.
+func (pl *Pool) plainCost(nd *Node, running int, ld Load, fresh bool) time.Duration {
+	cost := plainCost
+	if fresh && ld.Pace > 0 {
+		cost = time.Duration(float64(cost) * ld.Pace)
+	}
+	cost += cost * time.Duration(running) / time.Duration(max(nd.Slots, 1))
+	if nd.Zone != pl.cfg.Zone {
+		cost += plainZoneCost
+	}
+	return cost
+}
--- /dev/null
+++ b/io/bwgateway/call.go
@@ -0,0 +1,174 @@
+package bwgateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
+)
+
+// call is one request of a caller. One goroutine owns it.
+type call struct {
+	gw      *Gateway
+	wrt     http.ResponseWriter
+	ctx     context.Context
+	arrived time.Time
+	// until is when the caller has to have its answer.
+	until   time.Time
+	ask     Ask
+	caller  http.Header
+	out     outgoing
+	match   bwforward.Match
+	version uint64
+
+	// exclude lists the upstreams that have failed this request, sent counts
+	// those that may have run it, and tries all that were chosen.
+	exclude []bwmodel.UpstreamID
+	sent    int
+	tries   int
+	// status and reason are what the caller was told, for the log.
+	status   int
+	reason   string
+	upstream bwmodel.UpstreamID
+	resumes  int
+	first    time.Duration
+}
+
+const (
+	// defaultPatience holds for callers that don't say how long they wait.
+	defaultPatience = 30 * time.Second
+	// maxTries bounds the upstreams asked by one request, with those that
+	// refused it or could not be reached.
+	maxTries = 8
+	// answerMargin is left to send the last answer before the deadline.
+	answerMargin = 5 * time.Millisecond
+)
+
+// readBody takes the whole body, so that it can be sent again; it answers the
+// caller itself when it can't.
+func (cl *call) readBody(req *http.Request, lim bwforward.Limits) bool {
+	limit := lim.Body
+	if limit == 0 {
+		limit = cl.gw.cfg.MaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(cl.wrt, req.Body, limit))
+	if _, tooLong := errors.AsType[*http.MaxBytesError](err); tooLong {
+		cl.refuse(http.StatusRequestEntityTooLarge, "body is too long")
+		return false
+	}
+	if err != nil {
+		cl.reason = "body broke off: " + err.Error()
+		cl.abort()
+	}
+	cl.out.body = body
+	return true
+}
+
+func (cl *call) setDeadline() {
+	patience := cl.ask.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if limit := cl.match.Route.Timeout; limit > 0 {
+		patience = min(patience, limit)
+	}
+	cl.until = cl.arrived.Add(patience - answerMargin)
+}
+
+// left returns how long the caller still waits.
+func (cl *call) left() time.Duration { return cl.until.Sub(cl.gw.cfg.Now()) }
+
+func (cl *call) work() bwforward.Work {
+	wrk := bwforward.Work{Service: cl.match.Service, Exclude: cl.exclude}
+	if wrk.Service.Model != nil {
+		wrk.Prompt, wrk.Output = cl.ask.Prompt, cl.ask.Output
+	}
+	return wrk
+}
+
+// dispatch returns what an upstream is told.
+func (cl *call) dispatch(nd *bwforward.Node) Dispatch {
+	dsp := Dispatch{
+		Upstream:  nd.ID,
+		Team:      cl.match.Team,
+		Left:      cl.left(),
+		Priority:  -1,
+		LastEvent: cl.ask.LastEvent,
+		Request:   cl.ask.Request,
+	}
+	if cl.match.Service.Model != nil {
+		dsp.Priority = cl.match.Priority
+	}
+	return dsp
+}
+
+// open sends the request to an upstream and counts the attempt.
+func (cl *call) open(ctx context.Context, nd *bwforward.Node, dsp Dispatch) (*exchange, error) {
+	out := cl.out
+	out.header = cl.gw.cfg.Dialect.Forward(cl.caller, dsp)
+	exc, err := open(ctx, cl.gw.cfg.Dial, nd.Address, &out)
+	if errors.Is(err, ErrNotSent) {
+		nd.Fail(cl.gw.cfg.Now())
+		cl.exclude = append(cl.exclude, nd.ID)
+		return nil, err
+	}
+	cl.sent++
+	return exc, err
+}
+
+// observe takes in the head of a response, and reports whether it is this
+// request's.
+func (cl *call) observe(nd *bwforward.Node, rsp *http.Response) (Answer, error) {
+	ans := cl.gw.cfg.Dialect.Answer(rsp)
+	if ans.Load != nil {
+		nd.ObserveLoad(*ans.Load, cl.gw.cfg.Now())
+	}
+	if ans.Request != "" && ans.Request != cl.ask.Request {
+		return ans, ErrForeign
+	}
+	if ans.NotRun || ans.OtherUpstream {
+		cl.sent--
+		cl.exclude = append(cl.exclude, nd.ID)
+	}
+	return ans, nil
+}
+
+// refuse answers with a status of the gateway itself.
+func (cl *call) refuse(status int, reason string) {
+	cl.status, cl.reason = status, reason
+	retry := time.Duration(0)
+	if status == http.StatusServiceUnavailable {
+		retry = retryAfter
+	}
+	hdr := cl.wrt.Header()
+	cl.gw.cfg.Dialect.Refusal(hdr, cl.ask.Request, retry)
+	hdr.Set("Content-Length", "0")
+	cl.wrt.WriteHeader(status)
+}
+
+// retryAfter is about the time after which a crashed upstream is replaced or a
+// full one has finished a part of its work.
+const retryAfter = 300 * time.Millisecond
+
+// abort breaks the caller's connection, so that no partial answer looks whole.
+func (cl *call) abort() { panic(http.ErrAbortHandler) }
+
+// gone reports whether the caller has left.
+func (cl *call) gone() bool { return cl.ctx.Err() != nil }
+
+// finish writes the line of the request's end.
+func (cl *call) finish() {
+	took := cl.gw.cfg.Now().Sub(cl.arrived)
+	kind, route := "", ""
+	if cl.match.Route != nil {
+		kind, route = cl.match.Route.Kind.String(), cl.match.Route.Name
+	}
+	cl.gw.cfg.Metrics.observe(kind, cl.status, took)
+	cl.gw.cfg.Log.Info("request ended", "Request", cl.ask.Request, "Route", route, "Team", cl.match.Team, "Version", cl.version,
+		"Upstream", cl.upstream, "Status", cl.status, "Reason", cl.reason, "Sent", cl.sent, "Tries", cl.tries,
+		"Resumes", cl.resumes, "First", cl.first, "Took", took, "CallerLeft", cl.gone())
+}
--- /dev/null
+++ b/io/bwgateway/connection.go
@@ -0,0 +1,128 @@
+package bwgateway
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+)
+
+// Errors of an exchange with an upstream.
+var (
+	// ErrNotSent says that no connection could be made, so nothing has run.
+	ErrNotSent = errors.New("request was not sent")
+	// ErrBroken says that the upstream may have run the request and did not
+	// answer it whole.
+	ErrBroken = errors.New("upstream did not answer")
+	// ErrForeign says that the bytes received belong to no request of this connection.
+	ErrForeign = errors.New("upstream answered another request")
+)
+
+const (
+	// dialTime bounds a new connection; a round trip takes a few milliseconds,
+	// and a lost opening packet is repeated only after a second.
+	dialTime = 250 * time.Millisecond
+	// readBuffer holds about ten events.
+	readBuffer = 2048
+)
+
+// exchange is one request on a connection of its own. A kept connection could
+// carry a late answer to an earlier request, and may be dropped in silence.
+type exchange struct {
+	conn net.Conn
+	rdr  *bufio.Reader
+	rsp  *http.Response
+	// unwatch ends the watch for a caller that leaves.
+	unwatch func() bool
+}
+
+// outgoing is a caller's request as an upstream gets it.
+type outgoing struct {
+	method string
+	// target is the path and query as the caller sent them.
+	target string
+	host   string
+	header http.Header
+	body   []byte
+}
+
+// open connects and sends a request. Its errors are ErrNotSent and ErrBroken.
+// The connection closes with the context, so that the upstream stops its work.
+func open(ctx context.Context, dial DialFunc, addr netip.AddrPort, out *outgoing) (*exchange, error) {
+	dctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	conn, err := dial(dctx, addr)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	exc := &exchange{conn: conn, rdr: bufio.NewReaderSize(conn, readBuffer)}
+	exc.unwatch = context.AfterFunc(ctx, exc.abort)
+	req := &http.Request{
+		Method:        out.method,
+		URL:           &url.URL{Scheme: "http", Host: addr.String(), Opaque: out.target},
+		Host:          out.host,
+		Header:        out.header,
+		ContentLength: int64(len(out.body)),
+	}
+	if len(out.body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(out.body))
+	}
+	var buf bytes.Buffer
+	if err := req.Write(&buf); err != nil {
+		exc.close()
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	if _, err := conn.Write(buf.Bytes()); err != nil {
+		// The upstream may answer before it has read the whole body.
+		exc.rsp, _ = http.ReadResponse(exc.rdr, req)
+		if exc.rsp == nil {
+			exc.close()
+			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
+		}
+		return exc, nil
+	}
+	return exc, nil
+}
+
+// DialFunc opens a connection to an upstream.
+type DialFunc func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
+
+// head reads the head of the response by a time.
+func (exc *exchange) head(by time.Time, method string) error {
+	if exc.rsp != nil {
+		return nil
+	}
+	if err := exc.conn.SetReadDeadline(by); err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	if _, err := exc.rdr.Peek(1); err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	rsp, err := http.ReadResponse(exc.rdr, &http.Request{Method: method})
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	exc.rsp = rsp
+	return nil
+}
+
+// abort ends the work at the upstream at once.
+func (exc *exchange) abort() { _ = exc.conn.Close() }
+
+func (exc *exchange) close() {
+	exc.unwatch()
+	_ = exc.conn.Close()
+}
+
+// isTimeout reports whether the upstream was silent, as opposed to gone.
+func isTimeout(err error) bool {
+	nerr, ok := errors.AsType[net.Error](err)
+	return ok && nerr.Timeout()
+}
--- /dev/null
+++ b/io/bwgateway/gateway.go
@@ -0,0 +1,152 @@
+package bwgateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwretry"
+)
+
+// Gateway answers callers' requests.
+type Gateway struct {
+	cfg    Config
+	budget *bwretry.Budget
+	// leaving is set once the process stops.
+	leaving atomic.Bool
+	// refusing is set once the process takes no more requests.
+	refusing atomic.Bool
+}
+
+// Config configures a Gateway.
+type Config struct {
+	Dialect Dialect
+	// Table returns the state in force; nil means that none is known yet.
+	Table func() *bwforward.Table
+	Pool  *bwforward.Pool
+	// Dial opens connections to upstreams; nil means TCP.
+	Dial DialFunc
+	// Retries bounds the requests that are sent once more.
+	Retries bwretry.BudgetConfig
+	// MaxBody bounds a request's body where the state has no bound.
+	MaxBody int64
+	Metrics *Metrics
+	Now     func() time.Time
+	Log     *slog.Logger
+}
+
+// defaultMaxBody is the bound of today's deployments.
+const defaultMaxBody = 4 << 20
+
+// New returns a Gateway, or an error when a needed field is unset.
+func New(cfg Config) (*Gateway, error) {
+	if cfg.Table == nil || cfg.Pool == nil {
+		return nil, errors.New("gateway: table or pool is unset")
+	}
+	dlc := cfg.Dialect
+	if dlc.Read == nil || dlc.Forward == nil || dlc.Answer == nil || dlc.Refusal == nil {
+		return nil, errors.New("gateway: a function field of the dialect is unset")
+	}
+	if cfg.Dial == nil {
+		cfg.Dial = dialTCP
+	}
+	if cfg.MaxBody == 0 {
+		cfg.MaxBody = defaultMaxBody
+	}
+	if cfg.Metrics == nil {
+		cfg.Metrics = NewMetrics()
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &Gateway{cfg: cfg, budget: bwretry.NewBudget(cfg.Retries)}, nil
+}
+
+// Ready reports whether callers should be sent here.
+func (gw *Gateway) Ready() bool { return gw.cfg.Table() != nil && !gw.leaving.Load() }
+
+// Leave makes the gateway not ready; connections close with their next answer.
+func (gw *Gateway) Leave() { gw.leaving.Store(true) }
+
+// Refuse makes the gateway refuse new requests.
+func (gw *Gateway) Refuse() { gw.refusing.Store(true) }
+
+// ServeHTTP answers one request of a caller.
+func (gw *Gateway) ServeHTTP(wrt http.ResponseWriter, req *http.Request) {
+	cl := &call{
+		gw:      gw,
+		wrt:     wrt,
+		ctx:     req.Context(),
+		arrived: gw.cfg.Now(),
+		ask:     gw.cfg.Dialect.Read(req.Header),
+		caller:  req.Header,
+		out:     outgoing{method: req.Method, target: req.RequestURI, host: req.Host},
+	}
+	if gw.leaving.Load() {
+		wrt.Header().Set("Connection", "close")
+	}
+	defer cl.finish()
+	if gw.refusing.Load() {
+		cl.refuse(http.StatusServiceUnavailable, "stopping")
+		return
+	}
+	tbl := gw.cfg.Table()
+	if tbl == nil {
+		cl.refuse(http.StatusServiceUnavailable, "no state known")
+		return
+	}
+	cl.version = tbl.Version()
+	mt, err := tbl.Find(req.Host, pathOf(req.RequestURI), cl.ask.Key)
+	if errors.Is(err, bwforward.ErrNoRoute) {
+		cl.refuse(http.StatusNotFound, "no route")
+		return
+	}
+	cl.match = mt
+	if err != nil {
+		cl.refuse(http.StatusUnauthorized, "unknown key")
+		return
+	}
+	if !cl.readBody(req, tbl.Limits()) {
+		return
+	}
+	cl.setDeadline()
+	gw.budget.Request()
+	if mt.Route.Kind == bwforward.EventStream {
+		cl.serveStream()
+		return
+	}
+	cl.servePlain()
+}
+
+// pathOf returns the path of a request target as it was sent.
+func pathOf(target string) string {
+	if ix := strings.Index(target, "://"); ix > 0 && target[0] != '/' {
+		target = target[ix+len("://"):]
+		slash := strings.IndexByte(target, '/')
+		if slash < 0 {
+			return "/"
+		}
+		target = target[slash:]
+	}
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
+// userTimeout ends a connection whose peer acknowledges nothing. It is above
+// the silences that streams are allowed.
+const userTimeout = 3 * time.Second
+
+func dialTCP(ctx context.Context, addr netip.AddrPort) (net.Conn, error) {
+	dlr := net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: int(userTimeout / time.Second)}}
+	return dlr.DialContext(ctx, "tcp4", addr.String())
+}
--- /dev/null
+++ b/io/bwgateway/metrics.go
@@ -0,0 +1,32 @@
+package bwgateway
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+)
+
+// Metrics counts what a Gateway does.
+type Metrics struct{ set *metrics.Set }
+
+// NewMetrics returns metrics without values.
+func NewMetrics() *Metrics { return &Metrics{set: metrics.NewSet()} }
+
+// ServeHTTP writes the metrics in the Prometheus text format.
+func (mx *Metrics) ServeHTTP(wrt http.ResponseWriter, _ *http.Request) {
+	wrt.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	mx.set.WritePrometheus(wrt)
+	metrics.WriteProcessMetrics(wrt)
+}
+
+// Gauge adds a value that is read when the metrics are.
+func (mx *Metrics) Gauge(name string, read func() float64) { mx.set.GetOrCreateGauge(name, read) }
+
+// observe counts the end of a request; the status is 0 when the caller got none.
+func (mx *Metrics) observe(kind string, status int, took time.Duration) {
+	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_requests_total{kind=%q,status=%q}", kind, strconv.Itoa(status))).Inc()
+	mx.set.GetOrCreateHistogram(fmt.Sprintf("bilberrywick_gateway_request_seconds{kind=%q}", kind)).Update(took.Seconds())
+}
--- /dev/null
+++ b/io/bwgateway/process.go
@@ -0,0 +1,156 @@
+package bwgateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"log/slog"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
+)
+
+// Process is a running gateway.
+type Process struct {
+	cfg     ProcessConfig
+	state   *State
+	gateway *Gateway
+	metrics *Metrics
+	callers *http.Server
+	status  *http.Server
+}
+
+// ProcessConfig configures a Process.
+type ProcessConfig struct {
+	Settings *Settings
+	Dialect  Dialect
+	// Watch keeps a state current until the context ends.
+	Watch func(context.Context, *State)
+	Log   *slog.Logger
+}
+
+const (
+	// settleTime is how long a stopping process takes requests: the platform
+	// asks every second and sends no new connections after two misses.
+	settleTime = 2600 * time.Millisecond
+	// endMargin is left of the grace time to close what has not ended.
+	endMargin = 500 * time.Millisecond
+	// headTime bounds the head of a request, idleTime a connection without one;
+	// callers keep connections for 12 s on today's deployments.
+	headTime = 5 * time.Second
+	idleTime = time.Minute
+	// maxHead bounds a request's head in bytes.
+	maxHead = 64 << 10
+	// memoryShare of the limit is where the collector works harder; the rest is
+	// for stacks and what the limit counts beside the heap.
+	memoryShare = 0.7
+)
+
+// NewProcess returns a process that Run starts.
+func NewProcess(cfg ProcessConfig) (*Process, error) {
+	sts := cfg.Settings
+	pool := bwforward.NewPool(bwforward.PoolConfig{Zone: bwmodel.ZoneID(sts.Zone)})
+	prc := &Process{cfg: cfg, state: NewState(StateConfig{Pool: pool, Log: cfg.Log}), metrics: NewMetrics()}
+	gw, err := New(Config{
+		Dialect: cfg.Dialect,
+		Table:   prc.state.Table,
+		Pool:    pool,
+		Retries: bwretry.BudgetConfig{Share: sts.RetryShare, Burst: retryBurst},
+		Metrics: prc.metrics,
+		Log:     cfg.Log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	prc.gateway = gw
+	prc.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead, ErrorLog: serverLog(cfg.Log)}
+	rtr := mux.NewRouter()
+	rtr.HandleFunc("/ready", prc.serveReady)
+	rtr.Handle("/metrics", prc.metrics)
+	prc.status = &http.Server{Handler: rtr, ReadHeaderTimeout: headTime, ErrorLog: serverLog(cfg.Log)}
+	return prc, nil
+}
+
+// retryBurst is about the streams of a router whose engines fail together.
+const retryBurst = 32
+
+func serverLog(lgr *slog.Logger) *log.Logger { return slog.NewLogLogger(lgr.Handler(), slog.LevelDebug) }
+
+// Run serves until the context ends, and then drains; it returns the error that
+// ended it earlier.
+func (prc *Process) Run(ctx context.Context) error {
+	sts := prc.cfg.Settings
+	debug.SetMemoryLimit(int64(sts.MemoryLimit * memoryShare * (1 << 20)))
+	callers, err := net.Listen("tcp4", sts.Callers.String())
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	status, err := net.Listen("tcp4", sts.Status.String())
+	if err != nil {
+		return fmt.Errorf("listen for status: %w", err)
+	}
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	prc.state.Start(work)
+	go prc.watch(work)
+	failed := make(chan error, 2)
+	for _, srv := range []*server{{prc.callers, callers, failed}, {prc.status, status, failed}} {
+		go srv.run()
+	}
+	prc.cfg.Log.Info("started", "Callers", sts.Callers, "Status", sts.Status, "Store", sts.Store, "GraceTime", sts.GraceTime,
+		"RetryShare", sts.RetryShare, "MemoryLimit", sts.MemoryLimit)
+	select {
+	case err := <-failed:
+		return err
+	case <-ctx.Done():
+	}
+	prc.drain()
+	return nil
+}
+
+func (prc *Process) watch(ctx context.Context) { prc.cfg.Watch(ctx, prc.state) }
+
+// drain lets open requests end within the grace time.
+func (prc *Process) drain() {
+	begun := time.Now()
+	prc.cfg.Log.Info("stopping", "GraceTime", prc.cfg.Settings.GraceTime)
+	prc.gateway.Leave()
+	time.Sleep(min(settleTime, prc.cfg.Settings.GraceTime/3))
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(prc.cfg.Settings.GraceTime-endMargin))
+	defer cancel()
+	err := prc.callers.Shutdown(ctx)
+	if err != nil {
+		_ = prc.callers.Close()
+	}
+	_ = prc.status.Close()
+	prc.cfg.Log.Info("stopped", "Took", time.Since(begun), "Error", err)
+}
+
+func (prc *Process) serveReady(wrt http.ResponseWriter, _ *http.Request) {
+	if !prc.gateway.Ready() {
+		http.Error(wrt, "no state is known, or the process is stopping", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintf(wrt, "version %d\n", prc.state.Table().Version())
+}
+
+// server serves one listener.
+type server struct {
+	srv    *http.Server
+	lis    net.Listener
+	failed chan<- error
+}
+
+func (sv *server) run() {
+	if err := sv.srv.Serve(sv.lis); !errors.Is(err, http.ErrServerClosed) {
+		sv.failed <- fmt.Errorf("serve %v: %w", sv.lis.Addr(), err)
+	}
+}
--- /dev/null
+++ b/io/bwgateway/state.go
@@ -0,0 +1,163 @@
+package bwgateway
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"bilberrywick/core/bwcontrol"
+	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
+)
+
+// State keeps the gateway's state current with what a source publishes. One
+// goroutine changes it; traffic reads its table and its pool.
+type State struct {
+	cfg     StateConfig
+	control *bwcontrol.Owner[controlState, View]
+}
+
+// StateConfig configures a State.
+type StateConfig struct {
+	Pool *bwforward.Pool
+	Now  func() time.Time
+	Log  *slog.Logger
+}
+
+// View is the published state.
+type View struct {
+	// Table is nil until a state is known.
+	Table     *bwforward.Table
+	Upstreams int
+	// Away says that the list of upstreams can't be read.
+	Away bool
+}
+
+type controlState struct {
+	table *bwforward.Table
+	dir   *bwforward.Directory
+	away  bool
+}
+
+// expiryStep is short against RecallTime.
+const expiryStep = 200 * time.Millisecond
+
+// NewState returns an empty state that Start makes ready.
+func NewState(cfg StateConfig) *State {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	return &State{cfg: cfg, control: bwcontrol.New(bwcontrol.Config[controlState, View]{
+		State: &controlState{dir: bwforward.NewDirectory()},
+		View: func(cst *controlState) *View {
+			return &View{Table: cst.table, Upstreams: len(cst.dir.Upstreams()), Away: cst.away}
+		},
+	})}
+}
+
+// Start runs the control goroutine until the context ends.
+func (st *State) Start(ctx context.Context) {
+	st.control.Start(ctx)
+	go st.loop(ctx)
+}
+
+// View returns the published state; it never blocks.
+func (st *State) View() *View { return st.control.Snapshot() }
+
+// Table returns the table in force, or nil.
+func (st *State) Table() *bwforward.Table { return st.control.Snapshot().Table }
+
+// SetTable puts a table in force unless a higher version is.
+func (st *State) SetTable(ctx context.Context, tbl *bwforward.Table) error {
+	return st.control.Do(ctx, func(cst *controlState) {
+		if cst.table != nil && tbl.Version() <= cst.table.Version() {
+			return
+		}
+		cst.table = tbl
+		st.cfg.Log.Info("state in force", "Version", tbl.Version(), "Routes", tbl.Routes())
+	})
+}
+
+// ListLost notes that the list of upstreams can't be read.
+func (st *State) ListLost(ctx context.Context, cause error) error {
+	return st.control.Do(ctx, func(cst *controlState) {
+		if !cst.away {
+			st.cfg.Log.Warn("list of upstreams lost", "Error", cause, "Upstreams", len(cst.dir.Upstreams()))
+		}
+		cst.away = true
+		cst.dir.Lost()
+	})
+}
+
+// Change is one change of the list of upstreams.
+type Change struct {
+	ID bwmodel.UpstreamID
+	// Upstream is nil when the entry is gone.
+	Upstream *bwforward.Upstream
+	// Invalid says why the entry can't be used.
+	Invalid error
+}
+
+// Apply takes in changes of the list; with whole set they are all of it.
+func (st *State) Apply(ctx context.Context, changes []Change, whole bool) error {
+	return st.control.Do(ctx, func(cst *controlState) {
+		now := st.cfg.Now()
+		if cst.away {
+			st.cfg.Log.Info("list of upstreams regained", "Entries", len(changes), "Whole", whole)
+		}
+		cst.away = false
+		cst.dir.Regained(now)
+		st.apply(cst, changes, whole, now)
+		st.cfg.Pool.Update(cst.dir.Upstreams())
+	})
+}
+
+func (st *State) apply(cst *controlState, changes []Change, whole bool, now time.Time) {
+	var ups []bwforward.Upstream
+	for _, chg := range changes {
+		switch {
+		case chg.Invalid != nil:
+			st.cfg.Log.Warn("entry can't be used", "Upstream", chg.ID, "Error", chg.Invalid)
+			cst.dir.Drop(chg.ID)
+		case chg.Upstream == nil:
+			st.cfg.Log.Info("entry removed", "Upstream", chg.ID)
+			cst.dir.Remove(chg.ID, now)
+		default:
+			st.cfg.Log.Info("entry", "Upstream", chg.ID, "Service", chg.Upstream.Service, "Address", chg.Upstream.Address,
+				"Zone", chg.Upstream.Zone, "Leaving", chg.Upstream.Leaving, "Born", chg.Upstream.Born)
+			cst.dir.Put(*chg.Upstream)
+			ups = append(ups, *chg.Upstream)
+		}
+	}
+	if whole {
+		cst.dir.Replace(ups, now)
+	}
+}
+
+// loop takes entries away that have not come back after an outage.
+func (st *State) loop(ctx context.Context) {
+	tick := time.NewTicker(expiryStep)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			if err := st.control.Do(ctx, st.expire); err != nil {
+				return
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (st *State) expire(cst *controlState) {
+	gone := cst.dir.Expire(st.cfg.Now())
+	if len(gone) == 0 {
+		return
+	}
+	st.cfg.Log.Info("entries did not come back", "Upstreams", gone)
+	st.cfg.Pool.Update(cst.dir.Upstreams())
+}
