--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -99,9 +99,9 @@
 	// prefillRate is the number of prompt tokens that an engine reads in a
 	// millisecond on today's deployments; only its ratio to the other costs matters.
 	prefillRate = 8
-	// streamZoneCost keeps streams in the zone of the router until its engines
-	// have one and a half prompts of today's size more to read than others.
-	streamZoneCost = 1500 * time.Millisecond
+	// streamZoneCost is the price of bytes between zones, where they are dear,
+	// against that of a prompt which has to wait for another one.
+	streamZoneCost = 100 * time.Millisecond
 	// plainZoneCost is two requests of today's size on the engine nearby.
 	plainZoneCost = 30 * time.Millisecond
 	// slotCost is what one more running stream adds to an answer of 800 tokens.
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -133,6 +133,9 @@
 	if ans.NotRun || ans.OtherUpstream {
 		cl.sent--
 		cl.exclude = append(cl.exclude, nd.ID)
+		if ans.OtherUpstream {
+			nd.Fail(cl.gw.cfg.Now())
+		}
 	}
 	return ans, nil
 }
--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -39,6 +39,10 @@
 	conn net.Conn
 	rdr  *bufio.Reader
 	rsp  *http.Response
+	// by bounds each read; check, which may be nil, is asked in each pause of
+	// checkStep whether to go on waiting.
+	by    time.Time
+	check func() error
 	// unwatch ends the watch for a caller that leaves.
 	unwatch func() bool
 }
@@ -62,7 +66,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	exc := &exchange{conn: conn, rdr: bufio.NewReaderSize(conn, readBuffer)}
+	exc := &exchange{conn: conn}
+	exc.rdr = bufio.NewReaderSize(exc, readBuffer)
 	exc.unwatch = context.AfterFunc(ctx, exc.abort)
 	req := &http.Request{
 		Method:        out.method,
@@ -94,17 +99,36 @@
 // DialFunc opens a connection to an upstream.
 type DialFunc func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
+// Read waits for bytes of the upstream as long as the check and the deadline allow.
+func (exc *exchange) Read(buf []byte) (int, error) {
+	for {
+		now := time.Now()
+		by := exc.by
+		if exc.check != nil {
+			by = earliest(by, now.Add(checkStep))
+		}
+		if err := exc.conn.SetReadDeadline(by); err != nil {
+			return 0, err
+		}
+		size, err := exc.conn.Read(buf)
+		if size > 0 || !isTimeout(err) || exc.check == nil || !time.Now().Before(exc.by) {
+			return size, err
+		}
+		if err := exc.check(); err != nil {
+			return 0, err
+		}
+	}
+}
+
+// checkStep is short against the pauses that streams are allowed.
+const checkStep = 50 * time.Millisecond
+
 // head reads the head of the response by a time.
 func (exc *exchange) head(by time.Time, method string) error {
+	exc.by = by
 	if exc.rsp != nil {
 		return nil
 	}
-	if err := exc.conn.SetReadDeadline(by); err != nil {
-		return fmt.Errorf("%w: %w", ErrBroken, err)
-	}
-	if _, err := exc.rdr.Peek(1); err != nil {
-		return fmt.Errorf("%w: %w", ErrBroken, err)
-	}
 	rsp, err := http.ReadResponse(exc.rdr, &http.Request{Method: method})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -82,7 +82,9 @@
 // retryBurst is about the streams of a router whose engines fail together.
 const retryBurst = 32
 
-func serverLog(lgr *slog.Logger) *log.Logger { return slog.NewLogLogger(lgr.Handler(), slog.LevelDebug) }
+func serverLog(lgr *slog.Logger) *log.Logger {
+	return slog.NewLogLogger(lgr.Handler(), slog.LevelDebug)
+}
 
 // Run serves until the context ends, and then drains; it returns the error that
 // ended it earlier.
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -33,23 +33,21 @@
 	// waitShare is the part of the target for which a stream waits for an engine.
 	waitShare = 0.125
 	waitStep  = 50 * time.Millisecond
-	// checkStep is how often a wait looks for failures of other streams at its engine.
-	checkStep = 150 * time.Millisecond
-	// copiedGapShare of the allowed pause is waited for the next event where an
-	// engine has a copy, which goes on within a tenth of a second.
-	copiedGapShare = 0.5
-	// bareGapShare is waited where the prompt has to be read again, which takes
-	// longer than the allowed pause anyway.
-	bareGapShare = 1.5
-	// suspectGapShare is waited once another stream of the engine has failed.
-	suspectGapShare = 0.3
-	// firstShare of the target is the longest wait for the first event, so that
-	// another engine can still read the prompt in time.
-	firstShare = 0.5
-	// firstFactor allows for engines that are slowed by their neighbours.
-	firstFactor = 3
-	// firstMargin is what the first token takes beside the reading of prompts.
-	firstMargin = 500 * time.Millisecond
+	// suspectShare of the allowed pause without a byte makes an engine suspect:
+	// it is asked for a connection, which costs far less than reading a prompt
+	// on another engine for nothing.
+	suspectShare = 0.35
+	// probeTime bounds the connection; a round trip takes a few milliseconds.
+	probeTime = 150 * time.Millisecond
+	// firstFactor of the expected time to the first event passes before the
+	// engine is suspect, since engines are slowed by their neighbours.
+	firstFactor = 1.3
+	// muteShare of the allowed pause ends the wait for an engine that takes
+	// connections and is silent, and muteFirst of the target, or muteFactor of
+	// the expected time, that for the first event.
+	muteShare  = 4
+	muteFirst  = 0.9
+	muteFactor = 3
 	// defaultGap and defaultTarget hold for routes that state none.
 	defaultGap    = time.Second
 	defaultTarget = 10 * time.Second
@@ -117,7 +115,7 @@
 			return nd, true
 		}
 	}
-	until := stm.gw.cfg.Now().Add(time.Duration(float64(stm.target()) * waitShare))
+	until := stm.gw.cfg.Now().Add(scale(stm.target(), waitShare))
 	for {
 		if nd := stm.gw.cfg.Pool.Choose(stm.work()); nd != nil {
 			return nd, false
@@ -209,14 +207,16 @@
 	plc    *bwforward.Placement
 	backup *bwforward.Node
 	sent   time.Time
+	// heard is when the engine's last event came, probed when it was last asked
+	// for a connection.
+	heard, probed time.Time
 	// events counts those that this engine has sent.
 	events int
 }
 
 func (run *streamRun) read() error {
-	if err := run.awaitFirst(); err != nil {
-		return run.lost(err)
-	}
+	run.heard, run.probed = run.sent, run.sent
+	run.exc.check = run.check
 	if err := run.exc.head(run.until, run.out.method); err != nil {
 		return run.lost(err)
 	}
@@ -230,36 +230,54 @@
 	if run.exc.rsp.StatusCode != http.StatusOK {
 		return run.readFailure()
 	}
-	if err := run.awaitFirst(); err != nil {
-		return run.lost(err)
-	}
 	return run.readEvents()
 }
 
-// awaitFirst waits for the next bytes before the first event.
-func (run *streamRun) awaitFirst() error {
-	patience := firstFactor*run.node.Expect() + firstMargin
-	limit := time.Duration(float64(run.target()) * firstShare)
-	if run.begun {
-		limit = run.gapPatience() + run.node.Expect()
-	}
-	until := run.sent.Add(max(min(patience, limit), run.gap()))
-	for {
-		now := run.gw.cfg.Now()
-		if !now.Before(until) || !now.Before(run.until) {
-			return fmt.Errorf("%w: silent for %v before the first event", ErrBroken, now.Sub(run.sent))
-		}
-		err := run.exc.peek(earliest(now.Add(checkStep), until))
-		if err == nil {
-			return nil
-		}
-		if !isTimeout(err) {
-			return fmt.Errorf("%w: %w", ErrBroken, err)
-		}
-		if run.node.FailedSince(run.sent) {
-			return fmt.Errorf("%w: engine failed another stream", ErrBroken)
-		}
+// patience says how long the engine may be silent before it is suspect, and
+// before it is given up.
+func (run *streamRun) patience() (suspect, mute time.Duration) {
+	gap := run.gap()
+	if run.events > 0 {
+		return scale(gap, suspectShare), scale(gap, muteShare)
+	}
+	expected := run.node.Expect()
+	suspect = scale(expected, firstFactor) + scale(gap, suspectShare)
+	return suspect, max(scale(run.target(), muteFirst), scale(expected, muteFactor)+gap)
+}
+
+// check decides whether to go on waiting for a silent engine.
+func (run *streamRun) check() error {
+	now := run.gw.cfg.Now()
+	suspect, mute := run.patience()
+	silent := now.Sub(run.heard)
+	if silent >= mute {
+		return fmt.Errorf("%w: silent for %v", ErrBroken, silent)
 	}
+	if run.node.FailedSince(run.probed) {
+		suspect = 0
+	}
+	if silent < suspect || now.Sub(run.probed) < scale(run.gap(), suspectShare) {
+		return nil
+	}
+	run.probed = now
+	return run.probe()
+}
+
+// probe asks the engine for a connection; one without power gives no answer.
+func (run *streamRun) probe() error {
+	ctx, cancel := context.WithTimeout(run.ctx, probeTime)
+	defer cancel()
+	conn, err := run.gw.cfg.Dial(ctx, run.node.Address)
+	if err != nil {
+		return fmt.Errorf("%w: silent, and takes no connection: %w", ErrBroken, err)
+	}
+	// Nothing was sent on it.
+	_ = conn.Close()
+	return nil
+}
+
+func scale(dur time.Duration, factor float64) time.Duration {
+	return time.Duration(float64(dur) * factor)
 }
 
 // readFailure keeps the engine's failure, which the caller gets if no other
@@ -278,9 +296,6 @@
 func (run *streamRun) readEvents() error {
 	rdr := newEventReader(run.exc.rsp.Body)
 	for {
-		if err := run.exc.conn.SetReadDeadline(earliest(run.gw.cfg.Now().Add(run.gapPatience()), run.until)); err != nil {
-			return run.lost(err)
-		}
 		evt, err := rdr.next()
 		if errors.Is(err, io.EOF) {
 			return run.finish()
@@ -300,18 +315,6 @@
 	}
 }
 
-// gapPatience returns how long the next event may take.
-func (run *streamRun) gapPatience() time.Duration {
-	share := bareGapShare
-	if run.backup != nil {
-		share = copiedGapShare
-		if run.node.FailedSince(run.sent) {
-			share = suspectGapShare
-		}
-	}
-	return time.Duration(float64(run.gap()) * share)
-}
-
 // pass writes an event to the caller.
 func (run *streamRun) pass(evt event) error {
 	now := run.gw.cfg.Now()
@@ -320,6 +323,7 @@
 		run.node.Answer()
 	}
 	run.events++
+	run.heard = now
 	if !run.begun {
 		run.begun = true
 		run.first = now.Sub(run.arrived)
@@ -372,22 +376,9 @@
 	return now.Sub(at)
 }
 
-// peek waits for a byte until a time.
-func (exc *exchange) peek(by time.Time) error {
-	if exc.rdr.Buffered() > 0 {
-		return nil
-	}
-	if err := exc.conn.SetReadDeadline(by); err != nil {
-		return err
-	}
-	_, err := exc.rdr.Peek(1)
-	return err
-}
-
 func earliest(ta, tb time.Time) time.Time {
 	if tb.Before(ta) {
 		return tb
 	}
 	return ta
 }
-
