--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -51,22 +51,33 @@
 			if err != nil {
 				return err
 			}
-			return serve(cmd.Context(), sts)
+			return serve(cmd.Context(), path, sts)
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", "", "settings file in JSON")
 	return cmd
 }
 
-func serve(ctx context.Context, sts *bwgateway.Settings) error {
+func serve(ctx context.Context, path string, sts *bwgateway.Settings) error {
 	log := bwobserve.NewLog(bwobserve.LogConfig{
 		Output:  os.Stdout,
 		Level:   slog.LevelInfo,
 		Member:  bwmodel.Member{ID: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone)},
 		Version: version,
 	})
-	src := bwplatform.NewSource(bwplatform.SourceConfig{Store: bwplatform.NewStore(bwplatform.StoreConfig{Address: sts.Store}), Log: log})
-	prc, err := bwgateway.NewProcess(bwgateway.ProcessConfig{Settings: sts, Dialect: bwplatform.Dialect(), Watch: src.Watch, Log: log})
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	str := bwplatform.NewStore(bwplatform.StoreConfig{Address: sts.Store})
+	src := bwplatform.NewSource(bwplatform.SourceConfig{Store: str, Log: log})
+	prc, err := bwgateway.NewProcess(bwgateway.ProcessConfig{
+		Settings: sts,
+		Dialect:  bwplatform.Dialect(),
+		Watch:    src.Watch,
+		Reload:   func() (*bwgateway.Settings, error) { return bwgateway.LoadSettings(path) },
+		Moved:    str.Move,
+		Reloads:  reloads,
+		Log:      log,
+	})
 	if err != nil {
 		return err
 	}
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -8,7 +8,8 @@
 	"log/slog"
 	"net"
 	"net/http"
-	"runtime/debug"
+	"net/netip"
+	"os"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -34,7 +35,13 @@
 	Dialect  Dialect
 	// Watch keeps a state current until the context ends.
 	Watch func(context.Context, *State)
-	Log   *slog.Logger
+	// Reload returns the settings as they are now; nil means that they never change.
+	Reload func() (*Settings, error)
+	// Moved is told the store's address when it has changed; it may be nil.
+	Moved func(netip.AddrPort)
+	// Reloads asks for the settings to be read again at once; it may be nil.
+	Reloads <-chan os.Signal
+	Log     *slog.Logger
 }
 
 const (
@@ -90,7 +97,7 @@
 // ended it earlier.
 func (prc *Process) Run(ctx context.Context) error {
 	sts := prc.cfg.Settings
-	debug.SetMemoryLimit(int64(sts.MemoryLimit * memoryShare * (1 << 20)))
+	setMemoryLimit(sts.MemoryLimit)
 	callers, err := net.Listen("tcp4", sts.Callers.String())
 	if err != nil {
 		return fmt.Errorf("listen for callers: %w", err)
@@ -103,6 +110,8 @@
 	defer cancel()
 	prc.state.Start(work)
 	go prc.watch(work)
+	rld := &reloader{cfg: prc.cfg, gateway: prc.gateway, current: *sts}
+	go rld.run(work)
 	failed := make(chan error, 2)
 	for _, srv := range []*server{{prc.callers, callers, failed}, {prc.status, status, failed}} {
 		go srv.run()
--- /dev/null
+++ b/io/bwgateway/reload.go
@@ -0,0 +1,73 @@
+package bwgateway
+
+import (
+	"context"
+	"log/slog"
+	"runtime/debug"
+	"time"
+)
+
+// reloader takes in settings that change while the process runs.
+type reloader struct {
+	cfg     ProcessConfig
+	gateway *Gateway
+	current Settings
+}
+
+// reloadInterval finds settings that changed without a signal; operators
+// expect a change in force within seconds.
+const reloadInterval = 5 * time.Second
+
+func (rld *reloader) run(ctx context.Context) {
+	if rld.cfg.Reload == nil {
+		return
+	}
+	tick := time.NewTicker(reloadInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			rld.reload("interval")
+		case <-rld.cfg.Reloads:
+			rld.reload("signal")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload applies what can change in a running process, and says what can't.
+func (rld *reloader) reload(cause string) {
+	sts, err := rld.cfg.Reload()
+	if err != nil {
+		rld.cfg.Log.Error("settings can't be used; the old ones stay", "Cause", cause, "Error", err)
+		return
+	}
+	if *sts == rld.current {
+		if cause == "signal" {
+			rld.cfg.Log.Info("settings reloaded", "Cause", cause, "Changed", false)
+		}
+		return
+	}
+	old := rld.current
+	rld.current = *sts
+	if sts.Store != old.Store && rld.cfg.Moved != nil {
+		rld.cfg.Moved(sts.Store)
+	}
+	setMemoryLimit(sts.MemoryLimit)
+	rld.cfg.Log.Info("settings reloaded", "Cause", cause, "Changed", true, "Store", sts.Store, "MemoryLimit", sts.MemoryLimit)
+	if needsRestart(old, *sts) {
+		rld.cfg.Log.Log(context.Background(), slog.LevelWarn, "settings need a restart", "Callers", sts.Callers, "Status", sts.Status,
+			"Zone", sts.Zone, "GraceTime", sts.GraceTime, "RetryShare", sts.RetryShare)
+	}
+}
+
+// needsRestart reports whether settings differ that a running process keeps.
+func needsRestart(old, sts Settings) bool {
+	old.Store, old.MemoryLimit = sts.Store, sts.MemoryLimit
+	return old != sts
+}
+
+func setMemoryLimit(mebibytes float64) {
+	debug.SetMemoryLimit(int64(mebibytes * memoryShare * (1 << 20)))
+}
