Bound repeated requests by service and by the number of gateways

Two streams ended because plain requests had used the budget, and callers with 0.2 s left made engines read prompts for nothing.

Change: of several entries at one address the last started counts; a refusing address is not used again under its old entry; every arrival after the first takes from its service's budget, whose size follows from the number of gateways announced in the store; a stream with less time than its prompt takes is refused at once; a session prefers one engine.

--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -68,7 +68,7 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	str := bwplatform.NewStore(bwplatform.StoreConfig{Address: sts.Store})
-	src := bwplatform.NewSource(bwplatform.SourceConfig{Store: str, Log: log})
+	src := bwplatform.NewSource(bwplatform.SourceConfig{Store: str, Member: bwmodel.MemberID(sts.Member), Log: log})
 	prc, err := bwgateway.NewProcess(bwgateway.ProcessConfig{
 		Settings: sts,
 		Dialect:  bwplatform.Dialect(),
--- /dev/null
+++ b/core/bwforward/budget.go
@@ -0,0 +1,99 @@
+package bwforward
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
+)
+
+// Budgets bounds the requests that each service gets beyond the first of each
+// caller's. Any goroutine may use it.
+type Budgets struct {
+	cfg BudgetsConfig
+	// burst is what each service's budget saves up.
+	burst    atomic.Int64
+	services sync.Map // bwmodel.ServiceID to *serviceBudget
+}
+
+// BudgetsConfig configures Budgets.
+type BudgetsConfig struct {
+	// Share is the bound of the whole fleet as a share of the requests, Slack
+	// what it allows beside that.
+	Share float64
+	Slack int
+}
+
+type serviceBudget struct {
+	*bwretry.Budget
+	burst int64
+}
+
+const (
+	// usedShare and usedSlack are the parts of the bounds that are used, since
+	// the fleet's are checked on windows that begin at any moment.
+	usedShare = 0.75
+	usedSlack = 0.6
+	// minBurst lets a gateway of a large fleet resume a few streams at once, and
+	// maxBurst is about the streams that one has on a zone's engines.
+	minBurst = 4
+	maxBurst = 40
+	// streamReserve is the part of a budget that only streams use, as they have
+	// more to lose.
+	streamReserve = 2
+)
+
+// NewBudgets returns full budgets for a gateway that knows no others.
+func NewBudgets(cfg BudgetsConfig) *Budgets {
+	bds := &Budgets{cfg: cfg}
+	bds.burst.Store(minBurst)
+	return bds
+}
+
+// SetMembers sets the number of gateways that share the slack.
+func (bds *Budgets) SetMembers(count int) {
+	burst := int(float64(bds.cfg.Slack)*usedSlack) / max(count, 1)
+	bds.burst.Store(int64(min(max(burst, minBurst), maxBurst)))
+}
+
+// Burst returns what each service's budget may save up.
+func (bds *Budgets) Burst() int { return int(bds.burst.Load()) }
+
+// Request counts a caller's request.
+func (bds *Budgets) Request(svc bwmodel.ServiceID) { bds.of(svc).Request() }
+
+// Take reports whether a service may get one more request, and counts it.
+func (bds *Budgets) Take(svc bwmodel.ServiceID, stream bool) bool {
+	bud := bds.of(svc)
+	if !stream && bud.Left() <= streamReserve {
+		return false
+	}
+	return bud.Take()
+}
+
+// of returns the service's budget, a new one when the burst has changed. A new
+// one holds what the old one had left.
+func (bds *Budgets) of(svc bwmodel.ServiceID) *serviceBudget {
+	burst := bds.burst.Load()
+	val, ok := bds.services.Load(svc)
+	if ok && val.(*serviceBudget).burst == burst {
+		return val.(*serviceBudget)
+	}
+	bud := &serviceBudget{Budget: bwretry.NewBudget(bwretry.BudgetConfig{Share: bds.cfg.Share * usedShare, Burst: int(burst)}), burst: burst}
+	left := int(burst)
+	if ok {
+		left = val.(*serviceBudget).Left() + max(int(burst-val.(*serviceBudget).burst), 0)
+	}
+	for range left {
+		bud.Give()
+	}
+	if ok && !bds.services.CompareAndSwap(svc, val, bud) {
+		return bds.of(svc)
+	}
+	if !ok {
+		val, _ = bds.services.LoadOrStore(svc, bud)
+		return val.(*serviceBudget)
+	}
+	return bud
+}
--- a/core/bwforward/directory.go
+++ b/core/bwforward/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -115,11 +116,21 @@
 	return count
 }
 
-// Upstreams returns all upstreams in the order of their IDs.
+// Upstreams returns all upstreams in the order of their IDs. Of several at one
+// address only the last that started is there: an entry stays for seconds after
+// its upstream has crashed and another one has taken its place.
 func (dir *Directory) Upstreams() []Upstream {
+	latest := make(map[netip.AddrPort]time.Time, len(dir.entries))
+	for _, ent := range dir.entries {
+		if ent.up.Born.After(latest[ent.up.Address]) {
+			latest[ent.up.Address] = ent.up.Born
+		}
+	}
 	ups := make([]Upstream, 0, len(dir.entries))
 	for _, ent := range dir.entries {
-		ups = append(ups, ent.up)
+		if !ent.up.Born.Before(latest[ent.up.Address]) {
+			ups = append(ups, ent.up)
+		}
 	}
 	slices.SortFunc(ups, func(ua, ub Upstream) int { return cmp.Compare(ua.ID, ub.ID) })
 	return ups
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -18,6 +18,7 @@
 	// failed, in nanoseconds of the Unix time; failures counts those in a row.
 	suspended, failed, failures atomic.Int64
 	report                      atomic.Pointer[loadReport]
+	replaced                    atomic.Bool
 }
 
 // Load is what an upstream says of itself.
@@ -69,6 +70,10 @@
 	nd.failed.Store(now.UnixNano())
 }
 
+// Replaced notes that another upstream has this one's address, so that it never
+// comes back under this entry.
+func (nd *Node) Replaced() { nd.replaced.Store(true) }
+
 // Answer notes that the upstream has answered.
 func (nd *Node) Answer() {
 	nd.failures.Store(0)
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bilberrywick/core/bwmodel"
 )
 
@@ -90,10 +92,17 @@
 	// Prompt is the number of tokens that an engine reads first, Output the
 	// number that it may produce; both are 0 for plain requests.
 	Prompt, Output int
+	// Session is the same for requests that repeat or continue each other.
+	Session string
 	// Exclude lists upstreams that have failed the request.
 	Exclude []bwmodel.UpstreamID
 }
 
+// ReadTime returns how long an engine with nothing else to do takes to read a prompt.
+func (pl *Pool) ReadTime(wrk Work) time.Duration {
+	return time.Duration(wrk.Prompt) * time.Millisecond / prefillRate
+}
+
 // Costs of a choice, as the time that the request is expected to take longer.
 const (
 	// prefillRate is the number of prompt tokens that an engine reads in a
@@ -102,6 +111,9 @@
 	// streamZoneCost is the price of bytes between zones, where they are dear,
 	// against that of a prompt which has to wait for another one.
 	streamZoneCost = 100 * time.Millisecond
+	// homeGain outweighs another zone, but not a prompt of today's size that has
+	// to be read first.
+	homeGain = 300 * time.Millisecond
 	// plainZoneCost is two requests of today's size on the engine nearby.
 	plainZoneCost = 30 * time.Millisecond
 	// slotCost is what one more running stream adds to an answer of 800 tokens.
@@ -144,11 +156,16 @@
 	now := pl.cfg.Now()
 	var best *Node
 	var least time.Duration
-	for _, nd := range pl.view.Load().services[wrk.Service.Name] {
-		if nd.Leaving || slices.Contains(wrk.Exclude, nd.ID) {
+	nodes := pl.view.Load().services[wrk.Service.Name]
+	home := homeOf(nodes, wrk.Session)
+	for _, nd := range nodes {
+		if nd.Leaving || nd.replaced.Load() || slices.Contains(wrk.Exclude, nd.ID) {
 			continue
 		}
 		cost := pl.cost(nd, wrk, now) + extra(nd) + rand.N(time.Millisecond)
+		if nd == home {
+			cost -= homeGain
+		}
 		if best == nil || cost < least {
 			best, least = nd, cost
 		}
@@ -156,6 +173,26 @@
 	return best
 }
 
+// homeOf returns the node that every gateway prefers for a session, so that
+// one which goes on after a gateway was lost finds its prompt still in memory.
+func homeOf(nodes []*Node, session string) *Node {
+	if session == "" {
+		return nil
+	}
+	var home *Node
+	var highest uint64
+	for _, nd := range nodes {
+		dig := xxhash.New()
+		// A digest's writes never fail.
+		_, _ = dig.WriteString(session)
+		_, _ = dig.WriteString(string(nd.ID))
+		if sum := dig.Sum64(); home == nil || sum > highest {
+			home, highest = nd, sum
+		}
+	}
+	return home
+}
+
 func (pl *Pool) cost(nd *Node, wrk Work, now time.Time) time.Duration {
 	cost := time.Duration(0)
 	if now.UnixNano() < nd.suspended.Load() {
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -30,6 +30,8 @@
 	exclude []bwmodel.UpstreamID
 	sent    int
 	tries   int
+	// arrivals counts the requests that upstreams have got, with those refused.
+	arrivals int
 	// status and reason are what the caller was told, for the log.
 	status   int
 	reason   string
@@ -85,7 +87,7 @@
 func (cl *call) work() bwforward.Work {
 	wrk := bwforward.Work{Service: cl.match.Service, Exclude: cl.exclude}
 	if wrk.Service.Model != nil {
-		wrk.Prompt, wrk.Output = cl.ask.Prompt, cl.ask.Output
+		wrk.Prompt, wrk.Output, wrk.Session = cl.ask.Prompt, cl.ask.Output, cl.ask.Session
 	}
 	return wrk
 }
@@ -117,9 +119,19 @@
 		return nil, err
 	}
 	cl.sent++
+	cl.arrivals++
 	return exc, err
 }
 
+// mayArrive takes an arrival beyond the first from the budget, also when the
+// first was refused: the budget protects the upstreams, which see each of them.
+func (cl *call) mayArrive() bool {
+	if cl.arrivals == 0 {
+		return true
+	}
+	return cl.gw.cfg.Budgets.Take(cl.match.Service.Name, cl.match.Route.Kind == bwforward.EventStream)
+}
+
 // observe takes in the head of a response, and reports whether it is this
 // request's.
 func (cl *call) observe(nd *bwforward.Node, rsp *http.Response) (Answer, error) {
@@ -134,7 +146,7 @@
 		cl.sent--
 		cl.exclude = append(cl.exclude, nd.ID)
 		if ans.OtherUpstream {
-			nd.Fail(cl.gw.cfg.Now())
+			nd.Replaced()
 		}
 	}
 	return ans, nil
--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -31,6 +31,9 @@
 	Patience time.Duration
 	// Prompt is the number of tokens to read, Output the most to produce.
 	Prompt, Output int
+	// Session names the part of the prompt that is the request's own or its
+	// session's; empty if there is none.
+	Session string
 	// LastEvent is the event after which a stream goes on; empty means its start.
 	LastEvent string
 }
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -12,13 +12,11 @@
 	"time"
 
 	"bilberrywick/core/bwforward"
-	"bilberrywick/core/bwretry"
 )
 
 // Gateway answers callers' requests.
 type Gateway struct {
-	cfg    Config
-	budget *bwretry.Budget
+	cfg Config
 	// leaving is set once the process stops.
 	leaving atomic.Bool
 	// refusing is set once the process takes no more requests.
@@ -33,8 +31,8 @@
 	Pool  *bwforward.Pool
 	// Dial opens connections to upstreams; nil means TCP.
 	Dial DialFunc
-	// Retries bounds the requests that are sent once more.
-	Retries bwretry.BudgetConfig
+	// Budgets bounds the requests that are sent once more.
+	Budgets *bwforward.Budgets
 	// MaxBody bounds a request's body where the state has no bound.
 	MaxBody int64
 	Metrics *Metrics
@@ -47,8 +45,8 @@
 
 // New returns a Gateway, or an error when a needed field is unset.
 func New(cfg Config) (*Gateway, error) {
-	if cfg.Table == nil || cfg.Pool == nil {
-		return nil, errors.New("gateway: table or pool is unset")
+	if cfg.Table == nil || cfg.Pool == nil || cfg.Budgets == nil {
+		return nil, errors.New("gateway: table, pool or budgets are unset")
 	}
 	dlc := cfg.Dialect
 	if dlc.Read == nil || dlc.Forward == nil || dlc.Answer == nil || dlc.Refusal == nil {
@@ -69,7 +67,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Gateway{cfg: cfg, budget: bwretry.NewBudget(cfg.Retries)}, nil
+	return &Gateway{cfg: cfg}, nil
 }
 
 // Ready reports whether callers should be sent here.
@@ -120,7 +118,7 @@
 		return
 	}
 	cl.setDeadline()
-	gw.budget.Request()
+	gw.cfg.Budgets.Request(mt.Service.Name)
 	if mt.Route.Kind == bwforward.EventStream {
 		cl.serveStream()
 		return
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -47,7 +47,8 @@
 		if cl.sent > 0 && !cl.mayRepeat() {
 			break
 		}
-		if cl.sent > 0 && !cl.gw.budget.Take() {
+		if !cl.mayArrive() {
+			cl.reason = "retry budget is used up"
 			break
 		}
 	}
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -16,7 +16,6 @@
 
 	"bilberrywick/core/bwforward"
 	"bilberrywick/core/bwmodel"
-	"bilberrywick/core/bwretry"
 )
 
 // Process is a running gateway.
@@ -65,12 +64,13 @@
 func NewProcess(cfg ProcessConfig) (*Process, error) {
 	sts := cfg.Settings
 	pool := bwforward.NewPool(bwforward.PoolConfig{Zone: bwmodel.ZoneID(sts.Zone)})
-	prc := &Process{cfg: cfg, state: NewState(StateConfig{Pool: pool, Log: cfg.Log}), metrics: NewMetrics()}
+	budgets := bwforward.NewBudgets(bwforward.BudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack})
+	prc := &Process{cfg: cfg, state: NewState(StateConfig{Pool: pool, Budgets: budgets, Log: cfg.Log}), metrics: NewMetrics()}
 	gw, err := New(Config{
 		Dialect: cfg.Dialect,
 		Table:   prc.state.Table,
 		Pool:    pool,
-		Retries: bwretry.BudgetConfig{Share: sts.RetryShare, Burst: retryBurst},
+		Budgets: budgets,
 		Metrics: prc.metrics,
 		Log:     cfg.Log,
 	})
@@ -86,9 +86,6 @@
 	return prc, nil
 }
 
-// retryBurst is about the streams of a router whose engines fail together.
-const retryBurst = 32
-
 func serverLog(lgr *slog.Logger) *log.Logger {
 	return slog.NewLogLogger(lgr.Handler(), slog.LevelDebug)
 }
--- a/io/bwgateway/settings.go
+++ b/io/bwgateway/settings.go
@@ -24,6 +24,9 @@
 	GraceTime time.Duration `default:"8s" min:"1s"`
 	// RetryShare bounds the requests that are sent once more, as a share of all.
 	RetryShare float64 `default:"0.1"`
+	// RetrySlack is what the fleet may send once more beside that share, in
+	// about ten seconds.
+	RetrySlack int `default:"20" min:"0"`
 	// MemoryLimit is the memory that the process may use, in MiB.
 	MemoryLimit float64 `default:"128"`
 }
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -19,9 +19,10 @@
 
 // StateConfig configures a State.
 type StateConfig struct {
-	Pool *bwforward.Pool
-	Now  func() time.Time
-	Log  *slog.Logger
+	Pool    *bwforward.Pool
+	Budgets *bwforward.Budgets
+	Now     func() time.Time
+	Log     *slog.Logger
 }
 
 // View is the published state.
@@ -37,6 +38,9 @@
 	table *bwforward.Table
 	dir   *bwforward.Directory
 	away  bool
+	// members counts the gateways that share the retry budget.
+	roster  bwforward.Roster
+	members int
 }
 
 // expiryStep is short against RecallTime.
@@ -137,6 +141,21 @@
 	}
 }
 
+// SetMembers takes in all announcements of gateways with the time of each, and
+// the time now, on the source's steady clock.
+func (st *State) SetMembers(ctx context.Context, seen map[bwmodel.MemberID]time.Duration, now time.Duration) error {
+	return st.control.Do(ctx, func(cst *controlState) {
+		cst.roster.Replace(seen)
+		count := cst.roster.Count(now)
+		if count == cst.members {
+			return
+		}
+		cst.members = count
+		st.cfg.Budgets.SetMembers(count)
+		st.cfg.Log.Info("gateways counted", "Members", count, "RetryBurst", st.cfg.Budgets.Burst())
+	})
+}
+
 // loop takes entries away that have not come back after an outage.
 func (st *State) loop(ctx context.Context) {
 	tick := time.NewTicker(expiryStep)
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -64,6 +64,10 @@
 func (cl *call) serveStream() {
 	stm := &stream{call: cl, ctl: http.NewResponseController(cl.wrt)}
 	stm.last, _ = strconv.ParseUint(cl.ask.LastEvent, 10, 64)
+	if need := cl.gw.cfg.Pool.ReadTime(cl.work()); cl.left() < need {
+		cl.refuse(http.StatusServiceUnavailable, "too little time is left to read the prompt")
+		return
+	}
 	for cl.tries < maxTries && !cl.gone() && cl.left() > 0 {
 		nd, copied := stm.choose()
 		if nd == nil {
@@ -76,10 +80,11 @@
 			return
 		}
 		stm.logLoss(nd, copied, err)
-		if cl.sent == 0 {
-			continue
+		if cl.sent > 0 && (!cl.match.Route.Resumable || cl.sent >= max(cl.match.Route.MaxUpstreams, 1)) {
+			break
 		}
-		if !cl.match.Route.Resumable || cl.sent >= max(cl.match.Route.MaxUpstreams, 1) || !cl.gw.budget.Take() {
+		if !cl.mayArrive() {
+			cl.reason = "retry budget is used up"
 			break
 		}
 	}
