Keep copies of runs alive, leave failing zones, and find restarted engines

Change: a run whose copy is lost is copied again, and the order renewed; two failures in a zone make the others dearer for 1.5 s; an upstream that refuses under an old entry is asked who it is, and used while the list is away if its slots fit only that service; engines' changes are asked for as often as the time for leaving allows.

--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -68,10 +68,13 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	str := bwplatform.NewStore(bwplatform.StoreConfig{Address: sts.Store})
-	src := bwplatform.NewSource(bwplatform.SourceConfig{Store: str, Member: bwmodel.MemberID(sts.Member), Log: log})
+	src := bwplatform.NewSource(bwplatform.SourceConfig{Store: str, Member: bwmodel.MemberID(sts.Member), LeaveTime: sts.LeaveTime, Log: log})
+	eng := bwplatform.NewEngines()
 	prc, err := bwgateway.NewProcess(bwgateway.ProcessConfig{
 		Settings: sts,
 		Dialect:  bwplatform.Dialect(),
+		Copy:     eng.Copy,
+		Identify: eng.Identify,
 		Watch:    src.Watch,
 		Reload:   func() (*bwgateway.Settings, error) { return bwgateway.LoadSettings(path) },
 		Moved:    str.Move,
--- a/core/bwforward/directory.go
+++ b/core/bwforward/directory.go
@@ -22,6 +22,8 @@
 	up Upstream
 	// missing is when the entry was found to be gone while it may come back.
 	missing time.Time
+	// met says that the upstream was not on the list, but answered for itself.
+	met bool
 }
 
 // RecallTime is how long after an outage of the list an entry that lapsed
@@ -47,7 +49,7 @@
 
 // Put adds or replaces an upstream. An older run of the same upstream is left out.
 func (dir *Directory) Put(up Upstream) {
-	if ent := dir.entries[up.ID]; ent != nil && up.Born.Before(ent.up.Born) {
+	if ent := dir.entries[up.ID]; ent != nil && !ent.met && up.Born.Before(ent.up.Born) {
 		return
 	}
 	dir.entries[up.ID] = &entry{up: up}
@@ -116,6 +118,29 @@
 	return count
 }
 
+// Succeed takes in an upstream that answers at the address of a listed one,
+// while the list can't be read, and returns why it did or did not. Addresses go
+// to other services too, so it must have the slots that only the old one's
+// service has.
+func (dir *Directory) Succeed(old Upstream, id bwmodel.UpstreamID, slots int, now time.Time) string {
+	switch {
+	case !dir.away:
+		return "the list will have it"
+	case id == "" || slots != old.Slots:
+		return "other slots"
+	case dir.entries[id] != nil:
+		return "known"
+	}
+	for _, ent := range dir.entries {
+		if ent.up.Slots == old.Slots && ent.up.Service != old.Service {
+			return "service is unclear"
+		}
+	}
+	old.ID, old.Born = id, now
+	dir.entries[id] = &entry{up: old, met: true}
+	return "taken in"
+}
+
 // Upstreams returns all upstreams in the order of their IDs. Of several at one
 // address only the last that started is there: an entry stays for seconds after
 // its upstream has crashed and another one has taken its place.
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -9,6 +9,23 @@
 type Node struct {
 	Upstream
 	*counters
+	zone *zoneHealth
+}
+
+// zoneHealth notes the failures of a zone's upstreams, which often fail together.
+type zoneHealth struct {
+	// last and before are the times of the last two failures.
+	last, before atomic.Int64
+}
+
+// zoneMemory is about the time in which a crashed process starts again.
+const zoneMemory = 1500 * time.Millisecond
+
+func (zh *zoneHealth) fail(now time.Time) { zh.before.Store(zh.last.Swap(now.UnixNano())) }
+
+// failing reports whether two upstreams have failed within zoneMemory.
+func (zh *zoneHealth) failing(now time.Time) bool {
+	return now.UnixNano()-zh.before.Load() < int64(zoneMemory)
 }
 
 // counters are shared by the nodes that follow each other for one upstream.
@@ -35,11 +52,11 @@
 
 // renew returns a node for a changed entry; an upstream that started again is
 // not held to what it did before.
-func (nd *Node) renew(up Upstream) *Node {
+func (nd *Node) renew(up Upstream, zh *zoneHealth) *Node {
 	if nd == nil || !nd.Born.Equal(up.Born) || nd.Address != up.Address {
-		return &Node{Upstream: up, counters: new(counters)}
+		return &Node{Upstream: up, counters: new(counters), zone: zh}
 	}
-	return &Node{Upstream: up, counters: nd.counters}
+	return &Node{Upstream: up, counters: nd.counters, zone: zh}
 }
 
 func (nd *Node) load(now time.Time) (Load, bool) {
@@ -65,6 +82,9 @@
 // Fail notes that the upstream did not answer or broke its answer off.
 func (nd *Node) Fail(now time.Time) {
 	count := nd.failures.Add(1)
+	if count == 1 {
+		nd.zone.fail(now)
+	}
 	pause := min(firstSuspension<<min(count-1, 8), maxSuspension)
 	nd.suspended.Store(now.Add(pause).UnixNano())
 	nd.failed.Store(now.UnixNano())
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -16,6 +16,8 @@
 type Pool struct {
 	cfg  PoolConfig
 	view atomic.Pointer[poolView]
+	// zones belongs to the control goroutine; what it points to is shared.
+	zones map[bwmodel.ZoneID]*zoneHealth
 }
 
 // PoolConfig configures a Pool.
@@ -48,7 +50,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	pl := &Pool{cfg: cfg}
+	pl := &Pool{cfg: cfg, zones: make(map[bwmodel.ZoneID]*zoneHealth)}
 	pl.view.Store(&poolView{})
 	return pl
 }
@@ -61,7 +63,7 @@
 	for _, up := range ups {
 		nd := old.nodes[up.ID]
 		if nd == nil || nd.Upstream != up {
-			nd = nd.renew(up)
+			nd = nd.renew(up, pl.zone(up.Zone))
 		}
 		vw.nodes[up.ID] = nd
 		vw.services[up.Service] = append(vw.services[up.Service], nd)
@@ -69,6 +71,15 @@
 	pl.view.Store(vw)
 }
 
+func (pl *Pool) zone(id bwmodel.ZoneID) *zoneHealth {
+	zh := pl.zones[id]
+	if zh == nil {
+		zh = new(zoneHealth)
+		pl.zones[id] = zh
+	}
+	return zh
+}
+
 // Size returns the number of upstreams of a service that take new work.
 func (pl *Pool) Size(svc bwmodel.ServiceID) int {
 	count := 0
@@ -126,6 +137,9 @@
 	fullCost = 10 * time.Second
 	// suspendedCost puts upstreams that have just failed last.
 	suspendedCost = time.Minute
+	// zoneFailureCost keeps new work out of a zone whose upstreams fail one after
+	// the other until the others are busy.
+	zoneFailureCost = time.Second
 	// loadAge is how long a load report is used; plain engines finish most of
 	// the work that it counts within that time.
 	loadAge = 500 * time.Millisecond
@@ -198,6 +212,9 @@
 	if now.UnixNano() < nd.suspended.Load() {
 		cost += suspendedCost
 	}
+	if nd.zone.failing(now) {
+		cost += zoneFailureCost
+	}
 	ld, fresh := nd.load(now)
 	if fresh {
 		cost += time.Duration(ld.Waiting) * waitingCost
--- a/core/bwforward/table.go
+++ b/core/bwforward/table.go
@@ -79,6 +79,8 @@
 // Service is a group of upstreams that run the same requests.
 type Service struct {
 	Name bwmodel.ServiceID
+	// Health is the path at which its upstreams say who they are.
+	Health string
 	// Model is set for services of model engines.
 	Model *Model
 }
@@ -152,6 +154,13 @@
 // Limits returns the bounds for callers.
 func (tbl *Table) Limits() Limits { return tbl.limits }
 
+// Service returns a service by its name; one that is not listed has only that.
+func (tbl *Table) Service(name bwmodel.ServiceID) Service {
+	svc := tbl.services[name]
+	svc.Name = name
+	return svc
+}
+
 // Routes returns the number of routes.
 func (tbl *Table) Routes() int {
 	count := 0
@@ -179,9 +188,7 @@
 	case !rt.Public:
 		return mt, ErrUnknownKey
 	}
-	name := rt.draw()
-	mt.Service = tbl.services[name]
-	mt.Service.Name = name
+	mt.Service = tbl.Service(rt.draw())
 	return mt, nil
 }
 
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -44,8 +44,8 @@
 	// defaultPatience holds for callers that don't say how long they wait.
 	defaultPatience = 30 * time.Second
 	// maxTries bounds the upstreams asked by one request, with those that
-	// refused it or could not be reached.
-	maxTries = 8
+	// refused it or could not be reached; a whole zone of today's may be among them.
+	maxTries = 48
 	// answerMargin is left to send the last answer before the deadline.
 	answerMargin = 5 * time.Millisecond
 )
@@ -100,7 +100,6 @@
 		Left:      cl.left(),
 		Priority:  -1,
 		LastEvent: cl.ask.LastEvent,
-		Request:   cl.ask.Request,
 	}
 	if cl.match.Service.Model != nil {
 		dsp.Priority = cl.match.Priority
@@ -147,6 +146,8 @@
 		cl.exclude = append(cl.exclude, nd.ID)
 		if ans.OtherUpstream {
 			nd.Replaced()
+			suc := &successor{gw: cl.gw, old: nd.Upstream}
+			go suc.run()
 		}
 	}
 	return ans, nil
--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -18,6 +18,8 @@
 	Forward func(caller http.Header, dsp Dispatch) http.Header
 	// Answer returns what the head of an upstream's response says.
 	Answer func(*http.Response) Answer
+	// CopyName names the copy that an engine keeps of a run from its start.
+	CopyName func(engine netip.AddrPort, request string) string
 	// Refusal adds to the headers of a response of the gateway itself.
 	Refusal func(hdr http.Header, request string, retryAfter time.Duration)
 }
@@ -49,10 +51,14 @@
 	LastEvent string
 	// CopyTo is the engine that gets a copy of the run's memory; unset means none.
 	CopyTo netip.AddrPort
-	// CopyAt is the engine that holds a copy of the run; unset means none.
-	CopyAt netip.AddrPort
-	// Request identifies the run whose copy is used.
-	Request string
+	// Copy names a copy of the run from which the engine goes on; empty means none.
+	Copy string
+}
+
+// Identity is what an upstream says when it is asked.
+type Identity struct {
+	ID    bwmodel.UpstreamID
+	Slots int
 }
 
 // Answer is what an upstream says in the head of its response.
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -29,6 +29,14 @@
 	// Table returns the state in force; nil means that none is known yet.
 	Table func() *bwforward.Table
 	Pool  *bwforward.Pool
+	// Copy asks the engine that runs a request to copy its memory to another
+	// engine, and returns the copy's name; nil means that engines can't.
+	Copy func(ctx context.Context, source, target netip.AddrPort, request string) (string, error)
+	// Identify asks what answers at an address, on a service's health path.
+	Identify func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
+	// Successor is told of an upstream that answers at the address of another
+	// one; both may be nil.
+	Successor func(ctx context.Context, old bwforward.Upstream, now Identity)
 	// Dial opens connections to upstreams; nil means TCP.
 	Dial DialFunc
 	// Budgets bounds the requests that are sent once more.
@@ -49,7 +57,7 @@
 		return nil, errors.New("gateway: table, pool or budgets are unset")
 	}
 	dlc := cfg.Dialect
-	if dlc.Read == nil || dlc.Forward == nil || dlc.Answer == nil || dlc.Refusal == nil {
+	if dlc.Read == nil || dlc.Forward == nil || dlc.Answer == nil || dlc.Refusal == nil || dlc.CopyName == nil {
 		return nil, errors.New("gateway: a function field of the dialect is unset")
 	}
 	if cfg.Dial == nil {
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -32,6 +32,9 @@
 type ProcessConfig struct {
 	Settings *Settings
 	Dialect  Dialect
+	// Copy and Identify are those of Config.
+	Copy     func(ctx context.Context, source, target netip.AddrPort, request string) (string, error)
+	Identify func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
 	// Watch keeps a state current until the context ends.
 	Watch func(context.Context, *State)
 	// Reload returns the settings as they are now; nil means that they never change.
@@ -67,12 +70,15 @@
 	budgets := bwforward.NewBudgets(bwforward.BudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack})
 	prc := &Process{cfg: cfg, state: NewState(StateConfig{Pool: pool, Budgets: budgets, Log: cfg.Log}), metrics: NewMetrics()}
 	gw, err := New(Config{
-		Dialect: cfg.Dialect,
-		Table:   prc.state.Table,
-		Pool:    pool,
-		Budgets: budgets,
-		Metrics: prc.metrics,
-		Log:     cfg.Log,
+		Dialect:   cfg.Dialect,
+		Table:     prc.state.Table,
+		Pool:      pool,
+		Budgets:   budgets,
+		Copy:      cfg.Copy,
+		Identify:  cfg.Identify,
+		Successor: prc.state.Succeed,
+		Metrics:   prc.metrics,
+		Log:       cfg.Log,
 	})
 	if err != nil {
 		return nil, err
--- a/io/bwgateway/settings.go
+++ b/io/bwgateway/settings.go
@@ -22,6 +22,9 @@
 	// GraceTime is what the platform leaves a process between its request to
 	// stop and its end.
 	GraceTime time.Duration `default:"8s" min:"1s"`
+	// LeaveTime is the time within which an upstream that leaves must get no
+	// more requests.
+	LeaveTime time.Duration `default:"2s" min:"500ms"`
 	// RetryShare bounds the requests that are sent once more, as a share of all.
 	RetryShare float64 `default:"0.1"`
 	// RetrySlack is what the fleet may send once more beside that share, in
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -141,6 +141,20 @@
 	}
 }
 
+// Succeed takes in an upstream that was met at the address of another one. It
+// is used until the list says more.
+func (st *State) Succeed(ctx context.Context, old bwforward.Upstream, idy Identity) {
+	err := st.control.Do(ctx, func(cst *controlState) {
+		reason := cst.dir.Succeed(old, idy.ID, idy.Slots, st.cfg.Now())
+		st.cfg.Log.Info("upstream met at a known address", "Old", old.ID, "New", idy.ID, "Address", old.Address,
+			"Slots", idy.Slots, "Away", cst.away, "Outcome", reason)
+		st.cfg.Pool.Update(cst.dir.Upstreams())
+	})
+	if err != nil {
+		st.cfg.Log.Warn("upstream not taken in", "Upstream", idy.ID, "Error", err)
+	}
+}
+
 // SetMembers takes in all announcements of gateways with the time of each, and
 // the time now, on the source's steady clock.
 func (st *State) SetMembers(ctx context.Context, seen map[bwmodel.MemberID]time.Duration, now time.Duration) error {
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -23,6 +23,8 @@
 	begun bool
 	// copyAt is the engine that has a copy of the run which failed last.
 	copyAt *bwforward.Node
+	// copyHandle names the copy; empty means one by the name of the request.
+	copyHandle string
 	// failed is the last whole answer that was a failure.
 	failed *reply
 	ctl    *http.ResponseController
@@ -159,13 +161,14 @@
 		dsp.LastEvent = strconv.FormatUint(stm.last, 10)
 	}
 	if copied {
-		dsp.CopyAt = nd.Address
+		dsp.Copy = stm.copyHandle
+		if dsp.Copy == "" {
+			dsp.Copy = stm.gw.cfg.Dialect.CopyName(nd.Address, stm.ask.Request)
+		}
 	}
 	backup := stm.chooseCopy(nd)
 	if backup != nil {
 		dsp.CopyTo = backup.Address
-		cpy := backup.PlaceCopy(stm.work())
-		defer cpy.End()
 	}
 	sent := stm.gw.cfg.Now()
 	exc, err := stm.open(ctx, nd, dsp)
@@ -174,9 +177,12 @@
 	}
 	defer exc.close()
 	run := &streamRun{stream: stm, exc: exc, node: nd, plc: plc, sent: sent, backup: backup}
+	run.placeCopy()
 	err = run.read()
-	if err != nil && !errors.Is(err, errNotRun) {
-		stm.copyAt = backup
+	run.endCopy()
+	// Engines refuse a copy of a run that has not produced anything yet.
+	if err != nil && run.events > 0 {
+		stm.copyAt, stm.copyHandle = run.backup, run.handle
 	}
 	return err
 }
@@ -207,11 +213,18 @@
 // streamRun reads one engine's part of a stream.
 type streamRun struct {
 	*stream
-	exc    *exchange
-	node   *bwforward.Node
-	plc    *bwforward.Placement
+	exc  *exchange
+	node *bwforward.Node
+	plc  *bwforward.Placement
+	// backup is the engine with a copy of the run, or nil, and handle names a
+	// copy that was ordered after the run had begun.
 	backup *bwforward.Node
-	sent   time.Time
+	handle string
+	copied *bwforward.Placement
+	// copying is the order for a copy that is under way, ordered when it was given.
+	copying *copyOrder
+	ordered time.Time
+	sent    time.Time
 	// heard is when the engine's last event came, probed when it was last asked
 	// for a connection.
 	heard, probed time.Time
@@ -346,6 +359,7 @@
 	}
 	run.last = evt.id
 	run.lastAt = now
+	run.keepCopy(now)
 	return nil
 }
 
