Test the gateway's decisions and outcomes, and bound its log

The log never makes a request wait: routine lines are left out first when the output is slow, and their number is logged. A request is written while its answer is read, since an engine may answer before it has read the body.

--- /dev/null
+++ b/cmd/bilberrywick-gateway/doc.go
@@ -0,0 +1,2 @@
+// Command bilberrywick-gateway serves callers on the users' platform.
+package main
--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -1,4 +1,3 @@
-// Command bilberrywick-gateway serves callers on the users' platform.
 package main
 
 import (
@@ -8,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -59,12 +59,21 @@
 }
 
 func serve(ctx context.Context, path string, sts *bwgateway.Settings) error {
-	log := bwobserve.NewLog(bwobserve.LogConfig{
-		Output:  os.Stdout,
-		Level:   slog.LevelInfo,
-		Member:  bwmodel.Member{ID: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone)},
-		Version: version,
-	})
+	lines := bwobserve.NewBounded(os.Stdout)
+	lctx, stop := context.WithCancel(context.WithoutCancel(ctx))
+	lines.Start(lctx)
+	defer func() {
+		stop()
+		<-lines.Done()
+	}()
+	mbr := bwmodel.Member{
+		ID:          bwmodel.MemberID(sts.Member),
+		Incarnation: bwmodel.Incarnation(time.Now().UnixMilli()),
+		Role:        bwmodel.GatewayRole,
+		Region:      bwmodel.RegionID(sts.Region),
+		Zone:        bwmodel.ZoneID(sts.Zone),
+	}
+	log := bwobserve.NewLog(bwobserve.LogConfig{Bounded: lines, Level: slog.LevelInfo, Member: mbr, Version: version})
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	str := bwplatform.NewStore(bwplatform.StoreConfig{Address: sts.Store})
--- /dev/null
+++ b/core/bwforward/budget_test.go
@@ -0,0 +1,56 @@
+package bwforward_test
+
+import (
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
+)
+
+func take(bds *bwforward.Budgets, svc bwmodel.ServiceID, stream bool) int {
+	count := 0
+	for bds.Take(svc, stream) {
+		count++
+	}
+	return count
+}
+
+// Guards against a fleet that spends more than its slack, one service that
+// spends another's budget, and plain requests that leave nothing for streams.
+func TestBudgets(t *testing.T) {
+	const slack, members = 150, 23
+	bds := bwforward.NewBudgets(bwforward.BudgetsConfig{Share: 0.8, Slack: slack})
+	bds.SetMembers(members)
+	if got := take(bds, "pult", false); got*members > slack || got == 0 {
+		t.Errorf("%d gateways may repeat %d requests each, with a slack of %d", members, got, slack)
+	}
+	if got := take(bds, "pult", true); got == 0 {
+		t.Error("plain requests left nothing for streams")
+	}
+	if got := take(bds, "model", true); got == 0 {
+		t.Error("one service has spent the budget of another")
+	}
+	for range 100 {
+		bds.Request("pult")
+	}
+	if got := take(bds, "pult", true); got == 0 || got > 80 {
+		t.Errorf("100 requests earn %d repeats, want some and at most 80", got)
+	}
+	bds.SetMembers(2)
+	if got := take(bds, "model", true); got == 0 || 2*got > slack {
+		t.Errorf("with 2 gateways %d repeats are allowed", got)
+	}
+}
+
+// Guards against gateways that are gone and count forever.
+func TestRosterCount(t *testing.T) {
+	var rst bwforward.Roster
+	rst.Replace(map[bwmodel.MemberID]time.Duration{"a": 0, "b": 50 * time.Second, "c": 60 * time.Second})
+	if got := rst.Count(time.Minute); got != 2 {
+		t.Errorf("%d gateways, want 2", got)
+	}
+	if got := rst.Count(time.Hour); got != 1 {
+		t.Errorf("%d gateways, want at least the own", got)
+	}
+}
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -67,6 +67,18 @@
 	return rep.Load, true
 }
 
+// LastLoad returns the last load report and its age; both are 0 without one.
+func (nd *Node) LastLoad(now time.Time) (Load, time.Duration) {
+	rep := nd.report.Load()
+	if rep == nil {
+		return Load{}, 0
+	}
+	return rep.Load, now.Sub(rep.at)
+}
+
+// Running returns the requests that this process has at the upstream.
+func (nd *Node) Running() int { return int(nd.running.Load()) }
+
 // ObserveLoad notes a load report.
 func (nd *Node) ObserveLoad(ld Load, now time.Time) {
 	nd.report.Store(&loadReport{Load: ld, at: now})
--- a/core/bwforward/table.go
+++ b/core/bwforward/table.go
@@ -74,6 +74,7 @@
 	EventStream
 )
 
+// String returns the kind's name.
 func (knd Kind) String() string { return [...]string{"AtMostOnce", "Idempotent", "EventStream"}[knd] }
 
 // Service is a group of upstreams that run the same requests.
--- a/core/bwmodel/member.go
+++ b/core/bwmodel/member.go
@@ -24,6 +24,8 @@
 const (
 	RouterRole Role = iota + 1
 	AgentRole
+	// GatewayRole is that of processes that pass callers' requests on as they are.
+	GatewayRole
 )
 
 // String returns the role's name.
@@ -33,6 +35,8 @@
 		return "Router"
 	case AgentRole:
 		return "Agent"
+	case GatewayRole:
+		return "Gateway"
 	}
 	return fmt.Sprintf("Role(%d)", int(rl))
 }
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -119,6 +119,10 @@
 	}
 	cl.sent++
 	cl.arrivals++
+	ld, age := nd.LastLoad(cl.gw.cfg.Now())
+	cl.gw.cfg.Log.Info("request placed", "Request", cl.ask.Request, "Upstream", nd.ID, "Zone", nd.Zone, "Sent", cl.sent,
+		"Running", nd.Running(), "ReportedRunning", ld.Running, "ReportedWaiting", ld.Waiting, "ReportAge", age,
+		"CopyTo", dsp.CopyTo, "Copy", dsp.Copy, "LastEvent", dsp.LastEvent, "Left", dsp.Left)
 	return exc, err
 }
 
--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -57,7 +57,7 @@
 	body   []byte
 }
 
-// open connects and sends a request. Its errors are ErrNotSent and ErrBroken.
+// open connects and begins to send a request. Its error is ErrNotSent.
 // The connection closes with the context, so that the upstream stops its work.
 func open(ctx context.Context, dial DialFunc, addr netip.AddrPort, out *outgoing) (*exchange, error) {
 	dctx, cancel := context.WithTimeout(ctx, dialTime)
@@ -84,18 +84,21 @@
 		exc.close()
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
-	if _, err := conn.Write(buf.Bytes()); err != nil {
-		// The upstream may answer before it has read the whole body.
-		exc.rsp, _ = http.ReadResponse(exc.rdr, req)
-		if exc.rsp == nil {
-			exc.close()
-			return nil, fmt.Errorf("%w: %w", ErrBroken, err)
-		}
-		return exc, nil
-	}
+	snd := &sender{conn: conn, data: buf.Bytes()}
+	go snd.run()
 	return exc, nil
 }
 
+// sender writes a request while its response is read already: an upstream may
+// answer before it has read a long body, and reads no more of it then. The
+// connection is used for nothing else, so its loss shows in the response.
+type sender struct {
+	conn net.Conn
+	data []byte
+}
+
+func (snd *sender) run() { _, _ = snd.conn.Write(snd.data) }
+
 // DialFunc opens a connection to an upstream.
 type DialFunc func(ctx context.Context, addr netip.AddrPort) (net.Conn, error)
 
@@ -126,9 +129,6 @@
 // head reads the head of the response by a time.
 func (exc *exchange) head(by time.Time, method string) error {
 	exc.by = by
-	if exc.rsp != nil {
-		return nil
-	}
 	rsp, err := http.ReadResponse(exc.rdr, &http.Request{Method: method})
 	if err != nil {
 		return fmt.Errorf("%w: %w", ErrBroken, err)
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -112,7 +112,8 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	prc.state.Start(work)
-	go prc.watch(work)
+	wtc := &watcher{watch: prc.cfg.Watch, state: prc.state}
+	go wtc.run(work)
 	rld := &reloader{cfg: prc.cfg, gateway: prc.gateway, current: *sts}
 	go rld.run(work)
 	failed := make(chan error, 2)
@@ -130,14 +131,20 @@
 	return nil
 }
 
-func (prc *Process) watch(ctx context.Context) { prc.cfg.Watch(ctx, prc.state) }
+// watcher keeps the state current.
+type watcher struct {
+	watch func(context.Context, *State)
+	state *State
+}
+
+func (wtc *watcher) run(ctx context.Context) { wtc.watch(ctx, wtc.state) }
 
 // drain lets open requests end within the grace time.
 func (prc *Process) drain() {
 	begun := time.Now()
 	prc.cfg.Log.Info("stopping", "GraceTime", prc.cfg.Settings.GraceTime)
 	prc.gateway.Leave()
-	time.Sleep(min(settleTime, prc.cfg.Settings.GraceTime/3))
+	pause(context.Background(), min(settleTime, prc.cfg.Settings.GraceTime/3))
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(prc.cfg.Settings.GraceTime-endMargin))
 	defer cancel()
 	err := prc.callers.Shutdown(ctx)
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -65,6 +65,7 @@
 // serveStream answers with events, from as many engines as it takes.
 func (cl *call) serveStream() {
 	stm := &stream{call: cl, ctl: http.NewResponseController(cl.wrt)}
+	// A caller that sends no number starts from the beginning.
 	stm.last, _ = strconv.ParseUint(cl.ask.LastEvent, 10, 64)
 	if need := cl.gw.cfg.Pool.ReadTime(cl.work()); cl.left() < need {
 		cl.refuse(http.StatusServiceUnavailable, "too little time is left to read the prompt")
@@ -324,7 +325,7 @@
 		if evt.id <= run.last {
 			continue
 		}
-		if run.last > 0 && evt.id != run.last+1 {
+		if evt.id != run.last+1 {
 			return run.lost(errEventOrder)
 		}
 		if err := run.pass(evt); err != nil {
@@ -368,9 +369,21 @@
 	if run.events == 0 && !run.begun {
 		return run.lost(errNotWhole)
 	}
+	if !run.framed() {
+		// The end of the connection may be the engine's own end.
+		if err := run.probe(); err != nil {
+			return run.lost(fmt.Errorf("%w: %w", errNotWhole, err))
+		}
+	}
 	return nil
 }
 
+// framed reports whether the response says where it ends.
+func (run *streamRun) framed() bool {
+	rsp := run.exc.rsp
+	return rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0
+}
+
 // lost notes that the engine did not finish.
 func (run *streamRun) lost(err error) error {
 	run.fail(run.node)
--- a/io/bwobserve/log.go
+++ b/io/bwobserve/log.go
@@ -12,7 +12,10 @@
 type LogConfig struct {
 	// Output receives one JSON object a line; nil discards the log.
 	Output io.Writer
-	Level  slog.Level
+	// Bounded keeps lines from waiting for the output, in whose place it stands;
+	// nil means that they wait.
+	Bounded *Bounded
+	Level   slog.Level
 	// Member is the process's identity, which each line carries.
 	Member bwmodel.Member
 	// Version is the program's version, which each line carries.
@@ -24,7 +27,11 @@
 	if cfg.Output == nil {
 		cfg.Output = io.Discard
 	}
-	hdl := slog.NewJSONHandler(cfg.Output, &slog.HandlerOptions{Level: cfg.Level, ReplaceAttr: renameField})
+	opts := &slog.HandlerOptions{Level: cfg.Level, ReplaceAttr: renameField}
+	var hdl slog.Handler = slog.NewJSONHandler(cfg.Output, opts)
+	if cfg.Bounded != nil {
+		hdl = cfg.Bounded.Handler(slog.NewJSONHandler(cfg.Bounded, opts))
+	}
 	attrs := []slog.Attr{
 		slog.String("Member", string(cfg.Member.ID)),
 		slog.Uint64("Incarnation", uint64(cfg.Member.Incarnation)),
