--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -83,6 +83,7 @@
 		Settings: sts,
 		Dialect:  bwplatform.Dialect(),
 		Copy:     eng.Copy,
+		DropCopy: eng.DropCopy,
 		Identify: eng.Identify,
 		Watch:    src.Watch,
 		Reload:   func() (*bwgateway.Settings, error) { return bwgateway.LoadSettings(path) },
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -105,15 +105,12 @@
 	Prompt, Output int
 	// Session is the same for requests that repeat or continue each other.
 	Session string
+	// Resumes says that the caller goes on with a stream which it lost.
+	Resumes bool
 	// Exclude lists upstreams that have failed the request.
 	Exclude []bwmodel.UpstreamID
 }
 
-// ReadTime returns how long an engine with nothing else to do takes to read a prompt.
-func (pl *Pool) ReadTime(wrk Work) time.Duration {
-	return time.Duration(wrk.Prompt) * time.Millisecond / prefillRate
-}
-
 // Costs of a choice, as the time that the request is expected to take longer.
 const (
 	// prefillRate is the number of prompt tokens that an engine reads in a
@@ -123,8 +120,10 @@
 	// against that of a prompt which has to wait for another one.
 	streamZoneCost = 100 * time.Millisecond
 	// homeGain outweighs another zone, but not a prompt of today's size that has
-	// to be read first.
-	homeGain = 300 * time.Millisecond
+	// to be read first; resumeGain outweighs that as well, since the engine has
+	// most likely read the prompt already.
+	homeGain   = 500 * time.Millisecond
+	resumeGain = 2 * time.Second
 	// plainZoneCost is two requests of today's size on the engine nearby.
 	plainZoneCost = 30 * time.Millisecond
 	// slotCost is what one more running stream adds to an answer of 800 tokens.
@@ -178,7 +177,7 @@
 		}
 		cost := pl.cost(nd, wrk, now) + extra(nd) + rand.N(time.Millisecond)
 		if nd == home {
-			cost -= homeGain
+			cost -= wrk.homeGain()
 		}
 		if best == nil || cost < least {
 			best, least = nd, cost
@@ -187,6 +186,13 @@
 	return best
 }
 
+func (wrk Work) homeGain() time.Duration {
+	if wrk.Resumes {
+		return resumeGain
+	}
+	return homeGain
+}
+
 // homeOf returns the node that every gateway prefers for a session, so that
 // one which goes on after a gateway was lost finds its prompt still in memory.
 func homeOf(nodes []*Node, session string) *Node {
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -88,6 +88,7 @@
 	wrk := bwforward.Work{Service: cl.match.Service, Exclude: cl.exclude}
 	if wrk.Service.Model != nil {
 		wrk.Prompt, wrk.Output, wrk.Session = cl.ask.Prompt, cl.ask.Output, cl.ask.Session
+		wrk.Resumes = cl.ask.LastEvent != ""
 	}
 	return wrk
 }
--- a/io/bwgateway/copy.go
+++ b/io/bwgateway/copy.go
@@ -94,4 +94,27 @@
 	}
 }
 
-func (run *streamRun) endCopy() { run.copied.End() }
+// endCopy frees an ordered copy that is not used. The engine is told by a
+// goroutine of its own, since the caller has its answer.
+func (run *streamRun) endCopy() {
+	run.copied.End()
+	if run.handle == "" || run.copyHandle == run.handle || run.gw.cfg.DropCopy == nil {
+		return
+	}
+	drp := &copyDrop{stream: run.stream, name: run.handle}
+	go drp.run()
+}
+
+// copyDrop frees a copy.
+type copyDrop struct {
+	stream *stream
+	name   string
+}
+
+func (drp *copyDrop) run() {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(drp.stream.ctx), copyTime)
+	defer cancel()
+	if err := drp.stream.gw.cfg.DropCopy(ctx, drp.name); err != nil {
+		drp.stream.gw.cfg.Log.Warn("copy not freed; it ends by its time", "Request", drp.stream.ask.Request, "Copy", drp.name, "Error", err)
+	}
+}
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -32,6 +32,8 @@
 	// Copy asks the engine that runs a request to copy its memory to another
 	// engine, and returns the copy's name; nil means that engines can't.
 	Copy func(ctx context.Context, source, target netip.AddrPort, request string) (string, error)
+	// DropCopy frees a copy that is not used; nil means that its time frees it.
+	DropCopy func(ctx context.Context, name string) error
 	// Identify asks what answers at an address, on a service's health path.
 	Identify func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
 	// Successor is told of an upstream that answers at the address of another
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -32,7 +32,8 @@
 type ProcessConfig struct {
 	Settings *Settings
 	Dialect  Dialect
-	// Copy and Identify are those of Config.
+	// Copy, DropCopy and Identify are those of Config.
+	DropCopy func(ctx context.Context, name string) error
 	Copy     func(ctx context.Context, source, target netip.AddrPort, request string) (string, error)
 	Identify func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
 	// Watch keeps a state current until the context ends.
@@ -75,6 +76,7 @@
 		Pool:      pool,
 		Budgets:   budgets,
 		Copy:      cfg.Copy,
+		DropCopy:  cfg.DropCopy,
 		Identify:  cfg.Identify,
 		Successor: prc.state.Succeed,
 		Metrics:   prc.metrics,
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -32,6 +32,9 @@
 }
 
 const (
+	// leastShare of the target has to be left for a stream to be worth offering:
+	// an engine that still has the prompt begins at once, and no other can.
+	leastShare = 0.1
 	// waitShare is the part of the target for which a stream waits for an engine.
 	waitShare = 0.125
 	waitStep  = 50 * time.Millisecond
@@ -67,8 +70,8 @@
 	stm := &stream{call: cl, ctl: http.NewResponseController(cl.wrt)}
 	// A caller that sends no number starts from the beginning.
 	stm.last, _ = strconv.ParseUint(cl.ask.LastEvent, 10, 64)
-	if need := cl.gw.cfg.Pool.ReadTime(cl.work()); cl.left() < need {
-		cl.refuse(http.StatusServiceUnavailable, "too little time is left to read the prompt")
+	if cl.left() < scale(stm.target(), leastShare) {
+		cl.refuse(http.StatusServiceUnavailable, "too little time is left")
 		return
 	}
 	for cl.tries < maxTries && !cl.gone() && cl.left() > 0 {
@@ -163,6 +166,7 @@
 	}
 	if copied {
 		dsp.Copy = stm.copyHandle
+		stm.copyHandle = ""
 		if dsp.Copy == "" {
 			dsp.Copy = stm.gw.cfg.Dialect.CopyName(nd.Address, stm.ask.Request)
 		}
@@ -180,11 +184,11 @@
 	run := &streamRun{stream: stm, exc: exc, node: nd, plc: plc, sent: sent, backup: backup}
 	run.placeCopy()
 	err = run.read()
-	run.endCopy()
 	// Engines refuse a copy of a run that has not produced anything yet.
 	if err != nil && run.events > 0 {
 		stm.copyAt, stm.copyHandle = run.backup, run.handle
 	}
+	run.endCopy()
 	return err
 }
 
