--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -14,7 +14,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwgateway"
 	"bilberrywick/io/bwobserve"
-	"bilberrywick/platform"
+	bwplatform "bilberrywick/platform"
 )
 
 // version is set by the linker in released builds.
--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -166,10 +166,10 @@
 	return len(eng.visits)
 }
 
-func (eng *engine) visit(ix int) *visit {
+func (eng *engine) first() *visit {
 	eng.mu.Lock()
 	defer eng.mu.Unlock()
-	return eng.visits[ix]
+	return eng.visits[0]
 }
 
 func (vst *visit) send(text string) { _, _ = io.WriteString(vst.conn, text) }
--- a/io/bwgateway/plain_test.go
+++ b/io/bwgateway/plain_test.go
@@ -97,7 +97,7 @@
 	if rsp.status != http.StatusOK {
 		t.Fatalf("status %d: %v", rsp.status, rsp.err)
 	}
-	vst := eng.visit(0)
+	vst := eng.first()
 	if vst.req.RequestURI != "/action/a%2Fb//c/../d?q=%20x&q=" || vst.body != "bytes\x00\xff" || vst.req.Method != http.MethodPost {
 		t.Errorf("engine got %s %q with body %q", vst.req.Method, vst.req.RequestURI, vst.body)
 	}
--- a/io/bwgateway/stream_test.go
+++ b/io/bwgateway/stream_test.go
@@ -80,7 +80,7 @@
 			if rsp.err != nil || rsp.status != http.StatusOK || rsp.body != whole(1) {
 				t.Errorf("status %d, error %v, body\n%s", rsp.status, rsp.err, rsp.body)
 			}
-			if second.count() != 1 || second.visit(0).body != "prompt" {
+			if second.count() != 1 || second.first().body != "prompt" {
 				t.Errorf("second engine has %d requests, want 1", second.count())
 			}
 		})
@@ -192,10 +192,10 @@
 	if took := time.Since(begun); took > 600*time.Millisecond {
 		t.Errorf("the stream went on after %v", took)
 	}
-	if got, want := first.visit(0).req.Header.Get(copyToHeader), second.upstream().Address.String(); got != want {
+	if got, want := first.first().req.Header.Get(copyToHeader), second.upstream().Address.String(); got != want {
 		t.Errorf("copy ordered to %q, want %q", got, want)
 	}
-	if got, want := second.visit(0).req.Header.Get(copyHeader), second.upstream().Address.String()+"/r1"; got != want {
+	if got, want := second.first().req.Header.Get(copyHeader), second.upstream().Address.String()+"/r1"; got != want {
 		t.Errorf("went on from %q, want %q", got, want)
 	}
 }
@@ -241,7 +241,7 @@
 	used := ""
 	for _, eng := range engines[1:] {
 		if eng.count() > 0 {
-			used = eng.visit(0).req.Header.Get(copyHeader)
+			used = eng.first().req.Header.Get(copyHeader)
 		}
 	}
 	if used != "copy-1" {
--- a/io/bwobserve/bounded.go
+++ b/io/bwobserve/bounded.go
@@ -101,6 +101,7 @@
 	bnd *Bounded
 }
 
+// Handle writes a record unless it is routine and the output is slow.
 func (bhd *boundedHandler) Handle(ctx context.Context, rec slog.Record) error {
 	if rec.Level < slog.LevelWarn && len(bhd.bnd.lines) > boundedLines/2 {
 		bhd.bnd.drop()
@@ -109,10 +110,12 @@
 	return bhd.Handler.Handle(ctx, rec)
 }
 
+// WithAttrs returns a handler whose lines carry the attributes.
 func (bhd *boundedHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
 	return &boundedHandler{Handler: bhd.Handler.WithAttrs(attrs), bnd: bhd.bnd}
 }
 
+// WithGroup returns a handler whose later attributes are in a group.
 func (bhd *boundedHandler) WithGroup(name string) slog.Handler {
 	return &boundedHandler{Handler: bhd.Handler.WithGroup(name), bnd: bhd.bnd}
 }
