--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -32,7 +32,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	cmd.AddCommand(newServeCommand())
+	cmd.AddCommand(newServeCommand(), newCheckCommand(), newExplainCommand())
 	if err := cmd.ExecuteContext(ctx); err != nil {
 		_, _ = fmt.Fprintln(os.Stderr, "bilberrywick-gateway:", err)
 		return 1
--- a/core/bwforward/budget.go
+++ b/core/bwforward/budget.go
@@ -28,8 +28,23 @@
 type serviceBudget struct {
 	*bwretry.Budget
 	burst int64
+	// debt counts what begun streams took beyond the budget.
+	debt *atomic.Int64
 }
 
+// Claim says what a request beyond the first is for.
+type Claim int
+
+// Claims, from the one that gives way first.
+const (
+	// PlainClaim is a repeat of a plain request.
+	PlainClaim Claim = iota
+	// StreamClaim is a stream that its caller has seen nothing of.
+	StreamClaim
+	// BegunClaim is a stream in the middle, whose caller has no other way to its end.
+	BegunClaim
+)
+
 const (
 	// usedShare and usedSlack are the parts of the bounds that are used, since
 	// the fleet's are checked on windows that begin at any moment.
@@ -37,11 +52,15 @@
 	usedSlack = 0.6
 	// minBurst lets a gateway of a large fleet resume a few streams at once, and
 	// maxBurst is about the streams that one has on a zone's engines.
-	minBurst = 4
+	minBurst = 6
 	maxBurst = 40
 	// streamReserve is the part of a budget that only streams use, as they have
 	// more to lose.
 	streamReserve = 2
+	// maxDebt is what begun streams may take beyond the budget, to be earned
+	// back. A gateway has few streams at a time, but a zone's loss may hit all of
+	// them, while the other gateways' budgets are hardly used.
+	maxDebt = 8
 )
 
 // NewBudgets returns full budgets for a gateway that knows no others.
@@ -61,15 +80,28 @@
 func (bds *Budgets) Burst() int { return int(bds.burst.Load()) }
 
 // Request counts a caller's request.
-func (bds *Budgets) Request(svc bwmodel.ServiceID) { bds.of(svc).Request() }
+func (bds *Budgets) Request(svc bwmodel.ServiceID) {
+	bud := bds.of(svc)
+	bud.Request()
+	if bud.debt.Load() > 0 && bud.Take() {
+		bud.debt.Add(-1)
+	}
+}
 
 // Take reports whether a service may get one more request, and counts it.
-func (bds *Budgets) Take(svc bwmodel.ServiceID, stream bool) bool {
+func (bds *Budgets) Take(svc bwmodel.ServiceID, clm Claim) bool {
 	bud := bds.of(svc)
-	if !stream && bud.Left() <= streamReserve {
+	if clm == PlainClaim && bud.Left() <= streamReserve {
+		return false
+	}
+	if bud.Take() {
+		return true
+	}
+	if clm != BegunClaim || bud.debt.Load() >= maxDebt {
 		return false
 	}
-	return bud.Take()
+	bud.debt.Add(1)
+	return true
 }
 
 // of returns the service's budget, a new one when the burst has changed. A new
@@ -80,9 +112,10 @@
 	if ok && val.(*serviceBudget).burst == burst {
 		return val.(*serviceBudget)
 	}
-	bud := &serviceBudget{Budget: bwretry.NewBudget(bwretry.BudgetConfig{Share: bds.cfg.Share * usedShare, Burst: int(burst)}), burst: burst}
+	bud := &serviceBudget{Budget: bwretry.NewBudget(bwretry.BudgetConfig{Share: bds.cfg.Share * usedShare, Burst: int(burst)}), burst: burst, debt: new(atomic.Int64)}
 	left := int(burst)
 	if ok {
+		bud.debt = val.(*serviceBudget).debt
 		left = val.(*serviceBudget).Left() + max(int(burst-val.(*serviceBudget).burst), 0)
 	}
 	for range left {
--- a/core/bwforward/budget_test.go
+++ b/core/bwforward/budget_test.go
@@ -8,9 +8,9 @@
 	"bilberrywick/core/bwmodel"
 )
 
-func take(bds *bwforward.Budgets, svc bwmodel.ServiceID, stream bool) int {
+func take(bds *bwforward.Budgets, svc bwmodel.ServiceID, clm bwforward.Claim) int {
 	count := 0
-	for bds.Take(svc, stream) {
+	for bds.Take(svc, clm) {
 		count++
 	}
 	return count
@@ -22,27 +22,51 @@
 	const slack, members = 150, 23
 	bds := bwforward.NewBudgets(bwforward.BudgetsConfig{Share: 0.8, Slack: slack})
 	bds.SetMembers(members)
-	if got := take(bds, "pult", false); got*members > slack || got == 0 {
+	if got := take(bds, "pult", bwforward.PlainClaim); got*members > slack || got == 0 {
 		t.Errorf("%d gateways may repeat %d requests each, with a slack of %d", members, got, slack)
 	}
-	if got := take(bds, "pult", true); got == 0 {
+	if got := take(bds, "pult", bwforward.StreamClaim); got == 0 {
 		t.Error("plain requests left nothing for streams")
 	}
-	if got := take(bds, "model", true); got == 0 {
+	if got := take(bds, "model", bwforward.StreamClaim); got == 0 {
 		t.Error("one service has spent the budget of another")
 	}
 	for range 100 {
 		bds.Request("pult")
 	}
-	if got := take(bds, "pult", true); got == 0 || got > 80 {
+	if got := take(bds, "pult", bwforward.StreamClaim); got == 0 || got > 80 {
 		t.Errorf("100 requests earn %d repeats, want some and at most 80", got)
 	}
 	bds.SetMembers(2)
-	if got := take(bds, "model", true); got == 0 || 2*got > slack {
+	if got := take(bds, "model", bwforward.StreamClaim); got == 0 || 2*got > slack {
 		t.Errorf("with 2 gateways %d repeats are allowed", got)
 	}
 }
 
+// Guards against begun streams that end because other requests have used the
+// budget, and against a debt without bound or that is never earned back.
+func TestBegunStreamsMayOverdraw(t *testing.T) {
+	bds := bwforward.NewBudgets(bwforward.BudgetsConfig{Share: 0.8, Slack: 150})
+	bds.SetMembers(23)
+	take(bds, "model", bwforward.StreamClaim)
+	debt := take(bds, "model", bwforward.BegunClaim)
+	if debt == 0 || debt > 10 {
+		t.Fatalf("begun streams took %d beyond the budget, want some", debt)
+	}
+	for range debt {
+		bds.Request("model")
+	}
+	if got := take(bds, "model", bwforward.StreamClaim); got != 0 {
+		t.Errorf("%d fresh streams were allowed before the debt was earned back", got)
+	}
+	for range 10 * debt {
+		bds.Request("model")
+	}
+	if got := take(bds, "model", bwforward.StreamClaim); got == 0 {
+		t.Error("the debt is never earned back")
+	}
+}
+
 // Guards against gateways that are gone and count forever.
 func TestRosterCount(t *testing.T) {
 	var rst bwforward.Roster
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -33,8 +33,10 @@
 	// arrivals counts the requests that upstreams have got, with those refused.
 	arrivals int
 	// status and reason are what the caller was told, for the log.
-	status   int
-	reason   string
+	status int
+	reason string
+	// note says why the request was not tried again.
+	note     string
 	upstream bwmodel.UpstreamID
 	resumes  int
 	first    time.Duration
@@ -121,7 +123,7 @@
 	cl.sent++
 	cl.arrivals++
 	ld, age := nd.LastLoad(cl.gw.cfg.Now())
-	cl.gw.cfg.Log.Info("request placed", "Request", cl.ask.Request, "Upstream", nd.ID, "Zone", nd.Zone, "Sent", cl.sent,
+	cl.gw.cfg.Log.Info("request placed", "Request", cl.ask.Request, "Upstream", nd.ID, "UpstreamZone", nd.Zone, "Sent", cl.sent,
 		"Running", nd.Running(), "ReportedRunning", ld.Running, "ReportedWaiting", ld.Waiting, "ReportAge", age,
 		"CopyTo", dsp.CopyTo, "Copy", dsp.Copy, "LastEvent", dsp.LastEvent, "Left", dsp.Left)
 	return exc, err
@@ -129,11 +131,12 @@
 
 // mayArrive takes an arrival beyond the first from the budget, also when the
 // first was refused: the budget protects the upstreams, which see each of them.
-func (cl *call) mayArrive() bool {
-	if cl.arrivals == 0 {
+func (cl *call) mayArrive(clm bwforward.Claim) bool {
+	if cl.arrivals == 0 || cl.gw.cfg.Budgets.Take(cl.match.Service.Name, clm) {
 		return true
 	}
-	return cl.gw.cfg.Budgets.Take(cl.match.Service.Name, cl.match.Route.Kind == bwforward.EventStream)
+	cl.note = "retry budget is used up"
+	return false
 }
 
 // observe takes in the head of a response, and reports whether it is this
@@ -189,7 +192,7 @@
 		kind, route = cl.match.Route.Kind.String(), cl.match.Route.Name
 	}
 	cl.gw.cfg.Metrics.observe(kind, cl.status, took)
-	cl.gw.cfg.Log.Info("request ended", "Request", cl.ask.Request, "Route", route, "Team", cl.match.Team, "Version", cl.version,
-		"Upstream", cl.upstream, "Status", cl.status, "Reason", cl.reason, "Sent", cl.sent, "Tries", cl.tries,
+	cl.gw.cfg.Log.Info("request ended", "Request", cl.ask.Request, "Route", route, "Team", cl.match.Team, "StateVersion", cl.version,
+		"Upstream", cl.upstream, "Status", cl.status, "Reason", cl.reason, "Note", cl.note, "Sent", cl.sent, "Tries", cl.tries,
 		"Resumes", cl.resumes, "First", cl.first, "Took", took, "CallerLeft", cl.gone())
 }
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -47,8 +47,7 @@
 		if cl.sent > 0 && !cl.mayRepeat() {
 			break
 		}
-		if !cl.mayArrive() {
-			cl.reason = "retry budget is used up"
+		if !cl.mayArrive(bwforward.PlainClaim) {
 			break
 		}
 	}
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -81,7 +81,7 @@
 			return
 		}
 		cst.table = tbl
-		st.cfg.Log.Info("state in force", "Version", tbl.Version(), "Routes", tbl.Routes())
+		st.cfg.Log.Info("state in force", "StateVersion", tbl.Version(), "Routes", tbl.Routes())
 	})
 }
 
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -87,16 +87,23 @@
 		}
 		stm.logLoss(nd, copied, err)
 		if cl.sent > 0 && (!cl.match.Route.Resumable || cl.sent >= max(cl.match.Route.MaxUpstreams, 1)) {
+			cl.note = "no more upstreams are allowed"
 			break
 		}
-		if !cl.mayArrive() {
-			cl.reason = "retry budget is used up"
+		if !cl.mayArrive(stm.claim()) {
 			break
 		}
 	}
 	stm.end()
 }
 
+func (stm *stream) claim() bwforward.Claim {
+	if stm.begun {
+		return bwforward.BegunClaim
+	}
+	return bwforward.StreamClaim
+}
+
 // end tells the caller that no engine could finish the answer.
 func (stm *stream) end() {
 	switch {
