--- a/cmd/bilberrywick-gateway/explain.go
+++ b/cmd/bilberrywick-gateway/explain.go
@@ -10,7 +10,7 @@
 
 	"bilberrywick/io/bwgateway"
 	"bilberrywick/io/bwobserve"
-	"bilberrywick/platform"
+	bwplatform "bilberrywick/platform"
 )
 
 // Forms of output.
