Tell the other gateways of placed prompts and failed engines

Cause: 23 gateways placed prompts on the same engines without knowing of each other, each found every dead engine by itself, and a stream that went on through another gateway was sent to an engine that had not read its prompt.

Change: a datagram to each other gateway for each placed stream and each failure. Notes are hints; a lost one breaks nothing.

--- a/core/bwforward/budget_test.go
+++ b/core/bwforward/budget_test.go
@@ -1,6 +1,7 @@
 package bwforward_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -67,14 +68,19 @@
 	}
 }
 
-// Guards against gateways that are gone and count forever.
+// Guards against gateways that are gone and count forever, and against notes
+// that are sent to them.
 func TestRosterCount(t *testing.T) {
+	addr := netip.MustParseAddrPort("10.0.0.1:7340")
 	var rst bwforward.Roster
-	rst.Replace(map[bwmodel.MemberID]time.Duration{"a": 0, "b": 50 * time.Second, "c": 60 * time.Second})
-	if got := rst.Count(time.Minute); got != 2 {
-		t.Errorf("%d gateways, want 2", got)
+	rst.Replace([]bwforward.Announcement{{Member: "a", Address: addr}, {Member: "b", Address: addr, Seen: 50 * time.Second}, {Member: "c", Seen: time.Minute}})
+	if got := rst.Count(time.Minute); got != 3 {
+		t.Errorf("%d gateways, want the own and 2 others", got)
+	}
+	if got := rst.Addresses(time.Minute); len(got) != 1 {
+		t.Errorf("notes go to %v, want one address", got)
 	}
 	if got := rst.Count(time.Hour); got != 1 {
-		t.Errorf("%d gateways, want at least the own", got)
+		t.Errorf("%d gateways, want the own only", got)
 	}
 }
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -36,6 +36,10 @@
 	suspended, failed, failures atomic.Int64
 	report                      atomic.Pointer[loadReport]
 	replaced                    atomic.Bool
+	// answered is when the upstream last answered this process.
+	answered atomic.Int64
+	// others is the reading that other gateways have placed here.
+	others backlog
 }
 
 // Load is what an upstream says of itself.
@@ -107,7 +111,8 @@
 func (nd *Node) Replaced() { nd.replaced.Store(true) }
 
 // Answer notes that the upstream has answered.
-func (nd *Node) Answer() {
+func (nd *Node) Answer(now time.Time) {
+	nd.answered.Store(now.UnixNano())
 	nd.failures.Store(0)
 	nd.suspended.Store(0)
 }
@@ -121,7 +126,7 @@
 // Expect returns how long the engine is expected to read before the first
 // token of work that was just placed there.
 func (nd *Node) Expect() time.Duration {
-	return time.Duration(nd.unread.Load()) * time.Millisecond / prefillRate
+	return readTime(int(nd.unread.Load()))
 }
 
 // Place counts work at the upstream until End of what it returns.
--- /dev/null
+++ b/core/bwforward/note.go
@@ -0,0 +1,104 @@
+package bwforward
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// Note is what one gateway tells the others. Notes are hints: one that is lost,
+// late or wrong makes a choice worse, and breaks no promise.
+type Note struct {
+	Kind     NoteKind
+	Upstream bwmodel.UpstreamID
+	// Session and Prompt are those of the work that was placed.
+	Session string
+	Prompt  int
+}
+
+// NoteKind says what a note is about.
+type NoteKind int
+
+// Kinds of notes.
+const (
+	// PlacedNote says that an upstream has got work.
+	PlacedNote NoteKind = iota + 1
+	// FailedNote says that an upstream could not be reached or broke off.
+	FailedNote
+)
+
+// Learn takes in another gateway's note.
+func (pl *Pool) Learn(nt Note) {
+	nd := pl.view.Load().nodes[nt.Upstream]
+	if nd == nil {
+		return
+	}
+	now := pl.cfg.Now()
+	switch nt.Kind {
+	case PlacedNote:
+		nd.others.add(readTime(nt.Prompt), now)
+		pl.sessions.put(nt.Session, nt.Upstream)
+	case FailedNote:
+		// What this gateway has heard from the upstream since counts more.
+		if now.UnixNano()-nd.answered.Load() > int64(heardTime) {
+			nd.Fail(now)
+		}
+	}
+}
+
+// heardTime is how long an answer of an upstream outweighs another gateway's
+// word that it failed.
+const heardTime = 200 * time.Millisecond
+
+// backlog is the reading that other gateways have placed at an engine. It ends
+// by itself, at the engine's usual rate.
+type backlog struct{ until atomic.Int64 }
+
+func (blg *backlog) add(dur time.Duration, now time.Time) {
+	for {
+		old := blg.until.Load()
+		next := max(old, now.UnixNano()) + int64(dur)
+		if blg.until.CompareAndSwap(old, next) {
+			return
+		}
+	}
+}
+
+func (blg *backlog) left(now time.Time) time.Duration {
+	return time.Duration(max(blg.until.Load()-now.UnixNano(), 0))
+}
+
+// sessionIndex remembers where sessions ran last. Sessions that share a place
+// replace each other.
+type sessionIndex struct {
+	places [sessionPlaces]atomic.Pointer[sessionPlace]
+}
+
+// sessionPlaces holds the streams of a minute on the grown deployments four times.
+const sessionPlaces = 4096
+
+type sessionPlace struct {
+	session  string
+	upstream bwmodel.UpstreamID
+}
+
+func (six *sessionIndex) place(session string) *atomic.Pointer[sessionPlace] {
+	return &six.places[xxhash.Sum64String(session)%sessionPlaces]
+}
+
+func (six *sessionIndex) put(session string, upstream bwmodel.UpstreamID) {
+	if session != "" {
+		six.place(session).Store(&sessionPlace{session: session, upstream: upstream})
+	}
+}
+
+func (six *sessionIndex) get(session string) (bwmodel.UpstreamID, bool) {
+	plc := six.place(session).Load()
+	if session == "" || plc == nil || plc.session != session {
+		return "", false
+	}
+	return plc.upstream, true
+}
--- /dev/null
+++ b/core/bwforward/note_test.go
@@ -0,0 +1,55 @@
+package bwforward_test
+
+import (
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwforward"
+)
+
+// Guards against gateways that place prompts where another one just has, or
+// that each have to find a dead engine by themselves.
+func TestLearn(t *testing.T) {
+	tests := []struct {
+		name string
+		note bwforward.Note
+		// again is when the engine is as good as before.
+		again time.Duration
+	}{
+		{"placed", bwforward.Note{Kind: bwforward.PlacedNote, Upstream: "e1", Prompt: 8000}, 1100 * time.Millisecond},
+		{"failed", bwforward.Note{Kind: bwforward.FailedNote, Upstream: "e1"}, 300 * time.Millisecond},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clk := newClock()
+			pl := bwforward.NewPool(bwforward.PoolConfig{Zone: "z1", Now: clk.read})
+			pl.Update([]bwforward.Upstream{upstream("e1", "z1", 64), upstream("e2", "z2", 64)})
+			pl.Learn(tt.note)
+			pl.Learn(bwforward.Note{Kind: tt.note.Kind, Upstream: "unknown"})
+			if got := choice(pl, stream); got != "e2" {
+				t.Errorf("chose %q right after the note, want e2", got)
+			}
+			clk.now = clk.now.Add(tt.again)
+			if got := choice(pl, stream); got != "e1" {
+				t.Errorf("chose %q later, want e1", got)
+			}
+		})
+	}
+}
+
+// Guards against a stream that goes on through another gateway at an engine
+// which has not read its prompt, though one has.
+func TestSessionIsFoundAgain(t *testing.T) {
+	clk := newClock()
+	pl := bwforward.NewPool(bwforward.PoolConfig{Zone: "z1", Now: clk.read})
+	pl.Update([]bwforward.Upstream{upstream("e1", "z1", 64), upstream("e2", "z1", 64), upstream("e3", "z2", 64)})
+	wrk := stream
+	wrk.Session, wrk.Resumes = "s1", true
+	for _, id := range []string{"e3", "e1", "e2"} {
+		pl.Learn(bwforward.Note{Kind: bwforward.PlacedNote, Upstream: upstream(id, "z1", 64).ID, Session: "s1", Prompt: 8000})
+		clk.now = clk.now.Add(5 * time.Second)
+		if got := choice(pl, wrk); got != id {
+			t.Errorf("chose %q, want %s where the session was last", got, id)
+		}
+	}
+}
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -17,7 +17,8 @@
 	cfg  PoolConfig
 	view atomic.Pointer[poolView]
 	// zones belongs to the control goroutine; what it points to is shared.
-	zones map[bwmodel.ZoneID]*zoneHealth
+	zones    map[bwmodel.ZoneID]*zoneHealth
+	sessions *sessionIndex
 }
 
 // PoolConfig configures a Pool.
@@ -50,7 +51,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	pl := &Pool{cfg: cfg, zones: make(map[bwmodel.ZoneID]*zoneHealth)}
+	pl := &Pool{cfg: cfg, zones: make(map[bwmodel.ZoneID]*zoneHealth), sessions: new(sessionIndex)}
 	pl.view.Store(&poolView{})
 	return pl
 }
@@ -169,8 +170,9 @@
 	now := pl.cfg.Now()
 	var best *Node
 	var least time.Duration
-	nodes := pl.view.Load().services[wrk.Service.Name]
-	home := homeOf(nodes, wrk.Session)
+	vw := pl.view.Load()
+	nodes := vw.services[wrk.Service.Name]
+	home := pl.home(vw, wrk)
 	for _, nd := range nodes {
 		if nd.Leaving || nd.replaced.Load() || slices.Contains(wrk.Exclude, nd.ID) {
 			continue
@@ -193,6 +195,20 @@
 	return homeGain
 }
 
+// home returns where a session's prompt most likely is in memory: for one that
+// goes on, where it ran last.
+func (pl *Pool) home(vw *poolView, wrk Work) *Node {
+	if id, ok := pl.sessions.get(wrk.Session); ok && wrk.Resumes {
+		if nd := vw.nodes[id]; nd != nil {
+			return nd
+		}
+	}
+	return homeOf(vw.services[wrk.Service.Name], wrk.Session)
+}
+
+// Placed notes where a request runs, for its session's return.
+func (pl *Pool) Placed(nd *Node, session string) { pl.sessions.put(session, nd.ID) }
+
 // homeOf returns the node that every gateway prefers for a session, so that
 // one which goes on after a gateway was lost finds its prompt still in memory.
 func homeOf(nodes []*Node, session string) *Node {
@@ -213,6 +229,11 @@
 	return home
 }
 
+// readTime returns how long an engine with nothing else to do reads a prompt.
+func readTime(tokens int) time.Duration {
+	return time.Duration(tokens) * time.Millisecond / prefillRate
+}
+
 func (pl *Pool) cost(nd *Node, wrk Work, now time.Time) time.Duration {
 	cost := time.Duration(0)
 	if now.UnixNano() < nd.suspended.Load() {
@@ -237,7 +258,7 @@
 		return cost
 	}
 	unread := int(nd.unread.Load()) + wrk.Prompt
-	cost += time.Duration(unread) * time.Millisecond / prefillRate
+	cost += readTime(unread) + nd.others.left(now)
 	cost += time.Duration(running) * slotCost
 	need := int(nd.tokens.Load()) + wrk.Prompt + wrk.Output
 	if memory := wrk.Service.Model.Memory; memory > 0 && float64(need) > usableMemory*float64(memory) {
--- a/core/bwforward/roster.go
+++ b/core/bwforward/roster.go
@@ -1,15 +1,23 @@
 package bwforward
 
 import (
+	"net/netip"
 	"time"
 
 	"bilberrywick/core/bwmodel"
 )
 
-// Roster counts the gateways that have announced themselves. Its control
+// Roster knows the other gateways that have announced themselves. Its control
 // goroutine owns it.
-type Roster struct {
-	seen map[bwmodel.MemberID]time.Duration
+type Roster struct{ others []Announcement }
+
+// Announcement is what a gateway says of itself.
+type Announcement struct {
+	Member bwmodel.MemberID
+	// Address is where it takes notes.
+	Address netip.AddrPort
+	// Seen is the time of the announcement on one steady clock for all.
+	Seen time.Duration
 }
 
 const (
@@ -20,17 +28,27 @@
 	rosterAge = 2*AnnounceInterval + 5*time.Second
 )
 
-// Replace takes in all announcements, with the time of each on one steady clock.
-func (rst *Roster) Replace(seen map[bwmodel.MemberID]time.Duration) { rst.seen = seen }
+// Replace takes in all announcements but the own.
+func (rst *Roster) Replace(others []Announcement) { rst.others = others }
 
-// Count returns the gateways whose last announcement is young enough; at least
-// this one.
+// Count returns the number of gateways, with this one.
 func (rst *Roster) Count(now time.Duration) int {
-	count := 0
-	for _, at := range rst.seen {
-		if now-at < rosterAge {
+	count := 1
+	for _, ann := range rst.others {
+		if now-ann.Seen < rosterAge {
 			count++
 		}
 	}
-	return max(count, 1)
+	return count
+}
+
+// Addresses returns where the other gateways take notes.
+func (rst *Roster) Addresses(now time.Duration) []netip.AddrPort {
+	var addrs []netip.AddrPort
+	for _, ann := range rst.others {
+		if now-ann.Seen < rosterAge && ann.Address.IsValid() {
+			addrs = append(addrs, ann.Address)
+		}
+	}
+	return addrs
 }
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -117,6 +117,7 @@
 	exc, err := open(ctx, cl.gw.cfg.Dial, nd.Address, &out)
 	if errors.Is(err, ErrNotSent) {
 		nd.Fail(cl.gw.cfg.Now())
+		cl.gw.cfg.Tell(bwforward.Note{Kind: bwforward.FailedNote, Upstream: nd.ID})
 		cl.exclude = append(cl.exclude, nd.ID)
 		return nil, err
 	}
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -39,6 +39,8 @@
 	// Successor is told of an upstream that answers at the address of another
 	// one; both may be nil.
 	Successor func(ctx context.Context, old bwforward.Upstream, now Identity)
+	// Tell sends a note to the other gateways; nil means that there are none.
+	Tell func(bwforward.Note)
 	// Dial opens connections to upstreams; nil means TCP.
 	Dial DialFunc
 	// Budgets bounds the requests that are sent once more.
@@ -65,6 +67,9 @@
 	if cfg.Dial == nil {
 		cfg.Dial = dialTCP
 	}
+	if cfg.Tell == nil {
+		cfg.Tell = func(bwforward.Note) {}
+	}
 	if cfg.MaxBody == 0 {
 		cfg.MaxBody = defaultMaxBody
 	}
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -115,7 +115,7 @@
 		cl.fail(nd)
 		return nil, fmt.Errorf("%w: %w", ErrBroken, err)
 	}
-	nd.Answer()
+	nd.Answer(cl.gw.cfg.Now())
 	if exc.rsp.StatusCode >= http.StatusInternalServerError {
 		cl.exclude = append(cl.exclude, nd.ID)
 	}
@@ -128,6 +128,7 @@
 		return
 	}
 	nd.Fail(cl.gw.cfg.Now())
+	cl.gw.cfg.Tell(bwforward.Note{Kind: bwforward.FailedNote, Upstream: nd.ID})
 	cl.exclude = append(cl.exclude, nd.ID)
 }
 
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -24,6 +24,7 @@
 	state   *State
 	gateway *Gateway
 	metrics *Metrics
+	peers   *Peers
 	callers *http.Server
 	status  *http.Server
 }
@@ -52,7 +53,7 @@
 	// asks every second and sends no new connections after two misses.
 	settleTime = 2600 * time.Millisecond
 	// endMargin is left of the grace time to close what has not ended.
-	endMargin = 500 * time.Millisecond
+	endMargin = 300 * time.Millisecond
 	// headTime bounds the head of a request, idleTime a connection without one;
 	// callers keep connections for 12 s on today's deployments.
 	headTime = 5 * time.Second
@@ -70,11 +71,18 @@
 	pool := bwforward.NewPool(bwforward.PoolConfig{Zone: bwmodel.ZoneID(sts.Zone)})
 	budgets := bwforward.NewBudgets(bwforward.BudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack})
 	prc := &Process{cfg: cfg, state: NewState(StateConfig{Pool: pool, Budgets: budgets, Log: cfg.Log}), metrics: NewMetrics()}
+	prs, err := NewPeers(PeersConfig{Address: sts.Peers, Learn: pool.Learn, Log: cfg.Log})
+	if err != nil {
+		return nil, err
+	}
+	prc.peers = prs
+	prc.state.cfg.Peers = prs
 	gw, err := New(Config{
 		Dialect:   cfg.Dialect,
 		Table:     prc.state.Table,
 		Pool:      pool,
 		Budgets:   budgets,
+		Tell:      prs.Tell,
 		Copy:      cfg.Copy,
 		DropCopy:  cfg.DropCopy,
 		Identify:  cfg.Identify,
@@ -114,6 +122,7 @@
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	prc.state.Start(work)
+	prc.peers.Start(work)
 	wtc := &watcher{watch: prc.cfg.Watch, state: prc.state}
 	go wtc.run(work)
 	rld := &reloader{cfg: prc.cfg, gateway: prc.gateway, current: *sts}
--- a/io/bwgateway/process_test.go
+++ b/io/bwgateway/process_test.go
@@ -42,7 +42,7 @@
 	t.Helper()
 	sts := &bwgateway.Settings{
 		Member: "g-1", Zone: "z1", Callers: freeAddress(t), Status: freeAddress(t),
-		GraceTime: 4 * time.Second, RetryShare: 0.5, RetrySlack: 50, MemoryLimit: 128,
+		Peers: netip.MustParseAddrPort("127.0.0.1:0"), GraceTime: 4 * time.Second, RetryShare: 0.5, RetrySlack: 50, MemoryLimit: 128,
 	}
 	table := bwforward.NewTable(bwforward.TableConfig{
 		Version: 3,
@@ -182,7 +182,7 @@
 // Guards against settings that are used although they are wrong, and against
 // faults without the field's name.
 func TestLoadSettings(t *testing.T) {
-	good := `{"Member":"g","Zone":"z","Callers":"10.0.0.1:80","Status":"10.0.0.1:81","Store":"10.0.0.2:90","GraceTime":"8s","RetryShare":0.8,"RetrySlack":150,"MemoryLimit":134}`
+	good := `{"Member":"g","Zone":"z","Callers":"10.0.0.1:80","Status":"10.0.0.1:81","Peers":"10.0.0.1:82","Store":"10.0.0.2:90","GraceTime":"8s","RetryShare":0.8,"RetrySlack":150,"MemoryLimit":134}`
 	path := filepath.Join(t.TempDir(), "gateway.json")
 	load := func(text string) (*bwgateway.Settings, error) {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/io/bwgateway/settings.go
+++ b/io/bwgateway/settings.go
@@ -17,6 +17,8 @@
 	// Callers is where callers are served, Status where readiness and metrics are.
 	Callers netip.AddrPort `required:"true"`
 	Status  netip.AddrPort `required:"true"`
+	// Peers is where notes of other gateways are taken, as datagrams.
+	Peers netip.AddrPort `required:"true"`
 	// Store is the address of the platform's store.
 	Store netip.AddrPort `required:"true"`
 	// GraceTime is what the platform leaves a process between its request to
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"bilberrywick/core/bwcontrol"
@@ -21,8 +22,11 @@
 type StateConfig struct {
 	Pool    *bwforward.Pool
 	Budgets *bwforward.Budgets
-	Now     func() time.Time
-	Log     *slog.Logger
+	// Peers is told the addresses of the other gateways; nil means that there is
+	// no exchange.
+	Peers *Peers
+	Now   func() time.Time
+	Log   *slog.Logger
 }
 
 // View is the published state.
@@ -155,11 +159,14 @@
 	}
 }
 
-// SetMembers takes in all announcements of gateways with the time of each, and
-// the time now, on the source's steady clock.
-func (st *State) SetMembers(ctx context.Context, seen map[bwmodel.MemberID]time.Duration, now time.Duration) error {
+// SetMembers takes in the announcements of the other gateways, and the time now
+// on the source's steady clock.
+func (st *State) SetMembers(ctx context.Context, others []bwforward.Announcement, now time.Duration) error {
 	return st.control.Do(ctx, func(cst *controlState) {
-		cst.roster.Replace(seen)
+		cst.roster.Replace(others)
+		if st.cfg.Peers != nil {
+			st.cfg.Peers.Set(cst.roster.Addresses(now))
+		}
 		count := cst.roster.Count(now)
 		if count == cst.members {
 			return
@@ -170,6 +177,14 @@
 	})
 }
 
+// PeerAddress is where this gateway takes notes; unset without an exchange.
+func (st *State) PeerAddress() netip.AddrPort {
+	if st.cfg.Peers == nil {
+		return netip.AddrPort{}
+	}
+	return st.cfg.Peers.Address()
+}
+
 // loop takes entries away that have not come back after an outage.
 func (st *State) loop(ctx context.Context) {
 	tick := time.NewTicker(expiryStep)
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -187,6 +187,8 @@
 	if err != nil {
 		return err
 	}
+	stm.gw.cfg.Pool.Placed(nd, wrk.Session)
+	stm.gw.cfg.Tell(bwforward.Note{Kind: bwforward.PlacedNote, Upstream: nd.ID, Session: wrk.Session, Prompt: wrk.Prompt})
 	defer exc.close()
 	run := &streamRun{stream: stm, exc: exc, node: nd, plc: plc, sent: sent, backup: backup}
 	run.placeCopy()
@@ -350,7 +352,7 @@
 	now := run.gw.cfg.Now()
 	if run.events == 0 {
 		run.plc.Read()
-		run.node.Answer()
+		run.node.Answer(now)
 	}
 	run.events++
 	run.heard = now
