Place streams where none runs

Change: each running stream of an engine, also of other gateways, makes it dearer by 150 ms instead of 16 ms.

--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -40,6 +40,7 @@
 	switch nt.Kind {
 	case PlacedNote:
 		nd.others.add(readTime(nt.Prompt), now)
+		nd.others.begin(now)
 		pl.sessions.put(nt.Session, nt.Upstream)
 	case FailedNote:
 		// What this gateway has heard from the upstream since counts more.
@@ -53,9 +54,42 @@
 // word that it failed.
 const heardTime = 200 * time.Millisecond
 
-// backlog is the reading that other gateways have placed at an engine. It ends
-// by itself, at the engine's usual rate.
-type backlog struct{ until atomic.Int64 }
+// backlog is the work that other gateways have placed at an engine. It ends by
+// itself, at the engine's usual rate.
+type backlog struct {
+	// until is when the prompts are read, streams when each stream has ended.
+	until   atomic.Int64
+	streams [countedStreams]atomic.Int64
+}
+
+const (
+	// countedStreams is above the streams that an engine of today's deployments
+	// has at a time.
+	countedStreams = 16
+	// streamTime is how long a stream of today's deployments takes.
+	streamTime = 6 * time.Second
+)
+
+// begin counts a stream in the place of one that has ended; a full engine has
+// no place left, and needs none.
+func (blg *backlog) begin(now time.Time) {
+	for ix := range blg.streams {
+		old := blg.streams[ix].Load()
+		if old <= now.UnixNano() && blg.streams[ix].CompareAndSwap(old, now.Add(streamTime).UnixNano()) {
+			return
+		}
+	}
+}
+
+func (blg *backlog) running(now time.Time) int {
+	count := 0
+	for ix := range blg.streams {
+		if blg.streams[ix].Load() > now.UnixNano() {
+			count++
+		}
+	}
+	return count
+}
 
 func (blg *backlog) add(dur time.Duration, now time.Time) {
 	for {
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -127,8 +127,9 @@
 	resumeGain = 2 * time.Second
 	// plainZoneCost is two requests of today's size on the engine nearby.
 	plainZoneCost = 30 * time.Millisecond
-	// slotCost is what one more running stream adds to an answer of 800 tokens.
-	slotCost = 16 * time.Millisecond
+	// slotCost stands for what a prompt does to a stream that runs on the same
+	// engine, whose tokens wait behind each of its chunks.
+	slotCost = 150 * time.Millisecond
 	// plainCost is the usual work of a plain request.
 	plainCost = 15 * time.Millisecond
 	// waitingCost is added for each request that already waits at the upstream.
@@ -246,7 +247,7 @@
 	if fresh {
 		cost += time.Duration(ld.Waiting) * waitingCost
 	}
-	running := int(nd.running.Load())
+	running := int(nd.running.Load()) + nd.others.running(now)
 	if fresh {
 		running = max(running, ld.Running)
 	}
