--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -162,7 +162,7 @@
 }
 
 func (cl *call) logTry(nd *bwforward.Node, rep *reply, err error) {
-	if err == nil && rep.status < http.StatusInternalServerError {
+	if cl.gone() || err == nil && rep.status < http.StatusInternalServerError {
 		return
 	}
 	status := 0
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -404,6 +404,10 @@
 }
 
 func (stm *stream) logLoss(nd *bwforward.Node, copied bool, err error) {
+	// The caller's leaving ends the engine's connection, which is no loss.
+	if stm.gone() {
+		return
+	}
 	stm.resumes++
 	copyAt := bwmodel.UpstreamID("")
 	if stm.copyAt != nil {
