Seek restarted engines while the list is away, and doubt copies at engines that failed

Cause: with the store down while a zone crashed, each engine that had started again was met by a refused request first; copies at engines that had crashed were relied on until the list said so.

Change: a failure while the list is away makes the gateway ask, up to five times, who answers at the address; a copy is made again once any gateway has seen its engine fail. A body is read within 12 s.

--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -35,7 +35,7 @@
 	// failed, in nanoseconds of the Unix time; failures counts those in a row.
 	suspended, failed, failures atomic.Int64
 	report                      atomic.Pointer[loadReport]
-	replaced                    atomic.Bool
+	replaced, searched          atomic.Bool
 	// answered is when the upstream last answered this process.
 	answered atomic.Int64
 	// others is the reading that other gateways have placed here.
@@ -123,6 +123,17 @@
 	return nd.failures.Load() > 0 && nd.failed.Load() > at.UnixNano()
 }
 
+// BrokeSince reports whether the upstream has failed any request after a time,
+// also if it has answered since: what it kept in memory may be lost.
+func (nd *Node) BrokeSince(at time.Time) bool { return nd.failed.Load() > at.UnixNano() }
+
+// BeginSearch reports whether the caller may look for what has taken the
+// upstream's address; EndSearch lets others do so again.
+func (nd *Node) BeginSearch() bool { return nd.searched.CompareAndSwap(false, true) }
+
+// EndSearch ends what BeginSearch began.
+func (nd *Node) EndSearch() { nd.searched.Store(false) }
+
 // Expect returns how long the engine is expected to read before the first
 // token of work that was just placed there.
 func (nd *Node) Expect() time.Duration {
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -48,6 +48,8 @@
 	// maxTries bounds the upstreams asked by one request, with those that
 	// refused it or could not be reached; a whole zone of today's may be among them.
 	maxTries = 48
+	// bodyTime bounds the reading of a body; 4 MiB take that long at 3 Mbit/s.
+	bodyTime = 12 * time.Second
 	// answerMargin is left to send the last answer before the deadline.
 	answerMargin = 5 * time.Millisecond
 )
@@ -59,7 +61,11 @@
 	if limit == 0 {
 		limit = cl.gw.cfg.MaxBody
 	}
+	// A connection without deadlines reads its body however long it takes.
+	ctl := http.NewResponseController(cl.wrt)
+	_ = ctl.SetReadDeadline(cl.arrived.Add(bodyTime))
 	body, err := io.ReadAll(http.MaxBytesReader(cl.wrt, req.Body, limit))
+	_ = ctl.SetReadDeadline(time.Time{})
 	if _, tooLong := errors.AsType[*http.MaxBytesError](err); tooLong {
 		cl.refuse(http.StatusRequestEntityTooLarge, "body is too long")
 		return false
@@ -116,8 +122,7 @@
 	out.header = cl.gw.cfg.Dialect.Forward(cl.caller, dsp)
 	exc, err := open(ctx, cl.gw.cfg.Dial, nd.Address, &out)
 	if errors.Is(err, ErrNotSent) {
-		nd.Fail(cl.gw.cfg.Now())
-		cl.gw.cfg.Tell(bwforward.Note{Kind: bwforward.FailedNote, Upstream: nd.ID})
+		cl.gw.failed(nd)
 		cl.exclude = append(cl.exclude, nd.ID)
 		return nil, err
 	}
@@ -133,9 +138,15 @@
 // mayArrive takes an arrival beyond the first from the budget, also when the
 // first was refused: the budget protects the upstreams, which see each of them.
 func (cl *call) mayArrive(clm bwforward.Claim) bool {
-	if cl.arrivals == 0 || cl.gw.cfg.Budgets.Take(cl.match.Service.Name, clm) {
+	if cl.arrivals == 0 {
 		return true
 	}
+	kind := cl.match.Route.Kind.String()
+	if cl.gw.cfg.Budgets.Take(cl.match.Service.Name, clm) {
+		cl.gw.cfg.Metrics.extra(kind, "sent")
+		return true
+	}
+	cl.gw.cfg.Metrics.extra(kind, "no budget")
 	cl.note = "retry budget is used up"
 	return false
 }
@@ -155,8 +166,7 @@
 		cl.exclude = append(cl.exclude, nd.ID)
 		if ans.OtherUpstream {
 			nd.Replaced()
-			suc := &successor{gw: cl.gw, old: nd.Upstream}
-			go suc.run()
+			cl.gw.search(nd)
 		}
 	}
 	return ans, nil
--- a/io/bwgateway/copy.go
+++ b/io/bwgateway/copy.go
@@ -57,13 +57,13 @@
 	if run.handle != "" {
 		pause = copyInterval
 	}
-	lost := !run.gw.cfg.Pool.Current(run.backup)
+	lost := !run.gw.cfg.Pool.Current(run.backup) || run.backup.BrokeSince(run.copiedAt)
 	if !lost && run.handle == "" || now.Sub(run.ordered) < pause {
 		return
 	}
 	target := run.backup
 	if lost {
-		target = run.chooseCopy(run.node)
+		target = run.chooseCopy(run.node, run.backup.ID)
 	}
 	if target == nil {
 		return
@@ -82,7 +82,7 @@
 	if target != run.backup {
 		run.gw.cfg.Log.Info("copy made", "Request", run.ask.Request, "Source", run.node.ID, "Target", target.ID, "Event", run.last)
 	}
-	run.backup, run.handle = target, name
+	run.backup, run.handle, run.copiedAt = target, name, run.ordered
 	run.copied.End()
 	run.placeCopy()
 }
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -36,8 +36,10 @@
 	DropCopy func(ctx context.Context, name string) error
 	// Identify asks what answers at an address, on a service's health path.
 	Identify func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
+	// Away reports whether the list of upstreams can't be read.
+	Away func() bool
 	// Successor is told of an upstream that answers at the address of another
-	// one; both may be nil.
+	// one; all three may be nil.
 	Successor func(ctx context.Context, old bwforward.Upstream, now Identity)
 	// Tell sends a note to the other gateways; nil means that there are none.
 	Tell func(bwforward.Note)
@@ -141,6 +143,14 @@
 	cl.servePlain()
 }
 
+// failed notes that an upstream could not be reached or broke off, and tells
+// the other gateways.
+func (gw *Gateway) failed(nd *bwforward.Node) {
+	nd.Fail(gw.cfg.Now())
+	gw.cfg.Tell(bwforward.Note{Kind: bwforward.FailedNote, Upstream: nd.ID})
+	gw.search(nd)
+}
+
 // pathOf returns the path of a request target as it was sent.
 func pathOf(target string) string {
 	if ix := strings.Index(target, "://"); ix > 0 && target[0] != '/' {
--- a/io/bwgateway/metrics.go
+++ b/io/bwgateway/metrics.go
@@ -25,6 +25,11 @@
 // Gauge adds a value that is read when the metrics are.
 func (mx *Metrics) Gauge(name string, read func() float64) { mx.set.GetOrCreateGauge(name, read) }
 
+// extra counts a request beyond the first.
+func (mx *Metrics) extra(kind, cause string) {
+	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_extra_requests_total{kind=%q,cause=%q}", kind, cause)).Inc()
+}
+
 // observe counts the end of a request; the status is 0 when the caller got none.
 func (mx *Metrics) observe(kind string, status int, took time.Duration) {
 	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_requests_total{kind=%q,status=%q}", kind, strconv.Itoa(status))).Inc()
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -127,8 +127,7 @@
 	if cl.gone() {
 		return
 	}
-	nd.Fail(cl.gw.cfg.Now())
-	cl.gw.cfg.Tell(bwforward.Note{Kind: bwforward.FailedNote, Upstream: nd.ID})
+	cl.gw.failed(nd)
 	cl.exclude = append(cl.exclude, nd.ID)
 }
 
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -45,7 +45,9 @@
 	Moved func(netip.AddrPort)
 	// Reloads asks for the settings to be read again at once; it may be nil.
 	Reloads <-chan os.Signal
-	Log     *slog.Logger
+	// DroppedLines returns the log lines left out so far; it may be nil.
+	DroppedLines func() int64
+	Log          *slog.Logger
 }
 
 const (
@@ -87,6 +89,7 @@
 		DropCopy:  cfg.DropCopy,
 		Identify:  cfg.Identify,
 		Successor: prc.state.Succeed,
+		Away:      func() bool { return prc.state.View().Away },
 		Metrics:   prc.metrics,
 		Log:       cfg.Log,
 	})
@@ -95,6 +98,7 @@
 	}
 	prc.gateway = gw
 	prc.callers = &http.Server{Handler: gw, ReadHeaderTimeout: headTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead, ErrorLog: serverLog(cfg.Log)}
+	prc.addGauges()
 	rtr := mux.NewRouter()
 	rtr.HandleFunc("/ready", prc.serveReady)
 	rtr.Handle("/metrics", prc.metrics)
@@ -102,6 +106,32 @@
 	return prc, nil
 }
 
+// addGauges shows what the process believes.
+func (prc *Process) addGauges() {
+	gauges := map[string]func() float64{
+		"bilberrywick_gateway_upstreams": func() float64 { return float64(prc.state.View().Upstreams) },
+		"bilberrywick_gateway_state_version": func() float64 {
+			if tbl := prc.state.Table(); tbl != nil {
+				return float64(tbl.Version())
+			}
+			return 0
+		},
+		"bilberrywick_gateway_list_away": func() float64 {
+			if prc.state.View().Away {
+				return 1
+			}
+			return 0
+		},
+		"bilberrywick_gateway_notes_unsent": func() float64 { return float64(prc.peers.Failed()) },
+	}
+	if prc.cfg.DroppedLines != nil {
+		gauges["bilberrywick_gateway_log_lines_dropped"] = func() float64 { return float64(prc.cfg.DroppedLines()) }
+	}
+	for name, read := range gauges {
+		prc.metrics.Gauge(name, read)
+	}
+}
+
 func serverLog(lgr *slog.Logger) *log.Logger {
 	return slog.NewLogLogger(lgr.Handler(), slog.LevelDebug)
 }
--- a/io/bwgateway/process_test.go
+++ b/io/bwgateway/process_test.go
@@ -172,7 +172,7 @@
 	clt := &processCaller{t: t, rp: rp}
 	clt.do("/action/x")
 	_, text := rp.get(t, "/metrics")
-	for _, want := range []string{`bilberrywick_gateway_requests_total{kind="AtMostOnce",status="200"} 1`, "bilberrywick_gateway_request_seconds_bucket"} {
+	for _, want := range []string{`bilberrywick_gateway_requests_total{kind="AtMostOnce",status="200"} 1`, "bilberrywick_gateway_request_seconds_bucket", "bilberrywick_gateway_upstreams 1", "bilberrywick_gateway_state_version 3", "bilberrywick_gateway_list_away 0"} {
 		if !strings.Contains(text, want) {
 			t.Errorf("metrics lack %s", want)
 		}
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -190,7 +190,7 @@
 	stm.gw.cfg.Pool.Placed(nd, wrk.Session)
 	stm.gw.cfg.Tell(bwforward.Note{Kind: bwforward.PlacedNote, Upstream: nd.ID, Session: wrk.Session, Prompt: wrk.Prompt})
 	defer exc.close()
-	run := &streamRun{stream: stm, exc: exc, node: nd, plc: plc, sent: sent, backup: backup}
+	run := &streamRun{stream: stm, exc: exc, node: nd, plc: plc, sent: sent, backup: backup, copiedAt: sent}
 	run.placeCopy()
 	err = run.read()
 	// Engines refuse a copy of a run that has not produced anything yet.
@@ -201,13 +201,16 @@
 	return err
 }
 
-// chooseCopy returns the engine that gets a copy of the run, or nil.
-func (stm *stream) chooseCopy(nd *bwforward.Node) *bwforward.Node {
+// chooseCopy returns the engine that gets a copy of the run, or nil; some
+// engines are not asked.
+func (stm *stream) chooseCopy(nd *bwforward.Node, not ...bwmodel.UpstreamID) *bwforward.Node {
 	mdl := stm.match.Service.Model
 	if mdl == nil || !mdl.Copies || !stm.match.Route.Resumable {
 		return nil
 	}
-	return stm.gw.cfg.Pool.ChooseCopy(stm.work(), nd)
+	wrk := stm.work()
+	wrk.Exclude = append(not, wrk.Exclude...)
+	return stm.gw.cfg.Pool.ChooseCopy(wrk, nd)
 }
 
 func (stm *stream) target() time.Duration {
@@ -238,7 +241,9 @@
 	// copying is the order for a copy that is under way, ordered when it was given.
 	copying *copyOrder
 	ordered time.Time
-	sent    time.Time
+	// copiedAt is since when the engine with the copy must not have failed.
+	copiedAt time.Time
+	sent     time.Time
 	// heard is when the engine's last event came, probed when it was last asked
 	// for a connection.
 	heard, probed time.Time
--- a/io/bwgateway/stream_test.go
+++ b/io/bwgateway/stream_test.go
@@ -200,52 +200,70 @@
 	}
 }
 
-// Guards against a run whose copy ended with its engine, and that is not copied again.
+// Guards against a run whose copy ended with its engine, and that is not copied
+// again: the engine has left the list, or another gateway has seen it fail.
 func TestLostCopyIsMadeAgain(t *testing.T) {
-	ordered := make(chan netip.AddrPort, 1)
-	var tg *testGateway
-	var pool *bwforward.Pool
-	var engines []*engine
-	first := newEngine(t, "e1", func(vst *visit) {
-		vst.beginStream()
-		vst.event(1)
-		// The engine with the copy leaves the list.
-		var left []bwforward.Upstream
-		for _, eng := range engines {
-			if eng.upstream().Address.String() != vst.req.Header.Get(copyToHeader) {
-				left = append(left, eng.upstream())
-			}
-		}
-		pool.Update(left)
-		vst.event(2)
-		<-ordered
-		time.Sleep(50 * time.Millisecond)
-		vst.event(3)
-		vst.reset()
-	})
-	engines = []*engine{first, newEngine(t, "e2", rest), newEngine(t, "e3", rest)}
-	tg = newGateway(t, engines, func(cfg *bwgateway.Config, _ *bwforward.TableConfig) {
-		pool = cfg.Pool
-		cfg.Copy = func(_ context.Context, _, target netip.AddrPort, request string) (string, error) {
-			if request != "r1" {
-				return "", errors.New("unknown request")
+	tests := []struct {
+		name string
+		lose func(*bwforward.Pool, []*engine, *engine)
+	}{
+		{"left the list", func(pool *bwforward.Pool, engines []*engine, lost *engine) {
+			var left []bwforward.Upstream
+			for _, eng := range engines {
+				if eng != lost {
+					left = append(left, eng.upstream())
+				}
 			}
-			ordered <- target
-			return "copy-1", nil
-		}
-	})
-	rsp := tg.do(http.MethodPost, "/stream/x", "prompt")
-	if rsp.err != nil || rsp.body != whole(1) {
-		t.Fatalf("error %v, body\n%s", rsp.err, rsp.body)
-	}
-	used := ""
-	for _, eng := range engines[1:] {
-		if eng.count() > 0 {
-			used = eng.first().req.Header.Get(copyHeader)
-		}
+			pool.Update(left)
+		}},
+		{"failed", func(pool *bwforward.Pool, _ []*engine, lost *engine) {
+			pool.Learn(bwforward.Note{Kind: bwforward.FailedNote, Upstream: lost.id})
+		}},
 	}
-	if used != "copy-1" {
-		t.Errorf("went on from copy %q, want copy-1", used)
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			ordered := make(chan netip.AddrPort, 1)
+			var pool *bwforward.Pool
+			var engines []*engine
+			first := newEngine(t, "e1", func(vst *visit) {
+				vst.beginStream()
+				vst.event(1)
+				for _, eng := range engines {
+					if eng.upstream().Address.String() == vst.req.Header.Get(copyToHeader) {
+						tt.lose(pool, engines, eng)
+					}
+				}
+				vst.event(2)
+				<-ordered
+				time.Sleep(50 * time.Millisecond)
+				vst.event(3)
+				vst.reset()
+			})
+			engines = []*engine{first, newEngine(t, "e2", rest), newEngine(t, "e3", rest)}
+			tg := newGateway(t, engines, func(cfg *bwgateway.Config, _ *bwforward.TableConfig) {
+				pool = cfg.Pool
+				cfg.Copy = func(_ context.Context, _, target netip.AddrPort, request string) (string, error) {
+					if request != "r1" {
+						return "", errors.New("unknown request")
+					}
+					ordered <- target
+					return "copy-1", nil
+				}
+			})
+			rsp := tg.do(http.MethodPost, "/stream/x", "prompt")
+			if rsp.err != nil || rsp.body != whole(1) {
+				t.Fatalf("error %v, body\n%s", rsp.err, rsp.body)
+			}
+			used := ""
+			for _, eng := range engines[1:] {
+				if eng.count() > 0 {
+					used = eng.first().req.Header.Get(copyHeader)
+				}
+			}
+			if used != "copy-1" {
+				t.Errorf("went on from copy %q, want copy-1", used)
+			}
+		})
 	}
 }
 
@@ -265,6 +283,7 @@
 	found := make(chan bwgateway.Identity, 1)
 	first := newEngine(t, "e1", func(vst *visit) { vst.answer("421 Misdirected Request", "", otherHeader+": 1") })
 	tg := newGateway(t, []*engine{first, newEngine(t, "e2", rest)}, func(cfg *bwgateway.Config, _ *bwforward.TableConfig) {
+		cfg.Away = func() bool { return true }
 		cfg.Identify = func(_ context.Context, addr netip.AddrPort, _ string) (bwgateway.Identity, error) {
 			if addr != first.upstream().Address {
 				return bwgateway.Identity{}, errors.New("unknown address")
--- a/io/bwgateway/successor.go
+++ b/io/bwgateway/successor.go
@@ -11,24 +11,54 @@
 // which start again while the list can't be read are used.
 type successor struct {
 	gw  *Gateway
-	old bwforward.Upstream
+	old *bwforward.Node
 }
 
-// identifyTime bounds the question; the answer needs no slot.
-const identifyTime = 500 * time.Millisecond
+const (
+	// identifyTime bounds one question; the answer needs no slot.
+	identifyTime = 500 * time.Millisecond
+	// identifyPause is left between questions, and identifyTries bounds them: a
+	// crashed engine is back after a second or two, or it stays away.
+	identifyPause = 700 * time.Millisecond
+	identifyTries = 5
+)
+
+// search looks for the successor of an upstream that has failed, while the list
+// can't tell of it.
+func (gw *Gateway) search(nd *bwforward.Node) {
+	if gw.cfg.Away == nil || !gw.cfg.Away() || gw.cfg.Identify == nil || gw.cfg.Successor == nil || !nd.BeginSearch() {
+		return
+	}
+	suc := &successor{gw: gw, old: nd}
+	go suc.run()
+}
 
 func (suc *successor) run() {
+	defer suc.old.EndSearch()
+	for range identifyTries {
+		if suc.identify() || !suc.gw.cfg.Away() {
+			return
+		}
+		pause(context.Background(), identifyPause)
+	}
+}
+
+// identify asks once, and reports whether anything has answered.
+func (suc *successor) identify() bool {
 	cfg := suc.gw.cfg
 	tbl := cfg.Table()
-	if cfg.Identify == nil || cfg.Successor == nil || tbl == nil {
-		return
+	if tbl == nil {
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTime)
 	defer cancel()
 	idy, err := cfg.Identify(ctx, suc.old.Address, tbl.Service(suc.old.Service).Health)
 	if err != nil {
 		cfg.Log.Warn("upstream at a known address not identified", "Old", suc.old.ID, "Address", suc.old.Address, "Error", err)
-		return
+		return false
+	}
+	if idy.ID != suc.old.ID {
+		cfg.Successor(ctx, suc.old.Upstream, idy)
 	}
-	cfg.Successor(ctx, suc.old, idy)
+	return true
 }
