--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -16,6 +16,7 @@
 
 	"bilberrywick/core/bwforward"
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
 )
 
 // Process is a running gateway.
@@ -185,7 +186,7 @@
 	begun := time.Now()
 	prc.cfg.Log.Info("stopping", "GraceTime", prc.cfg.Settings.GraceTime)
 	prc.gateway.Leave()
-	pause(context.Background(), min(settleTime, prc.cfg.Settings.GraceTime/3))
+	bwretry.Pause(context.Background(), min(settleTime, prc.cfg.Settings.GraceTime/3))
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(prc.cfg.Settings.GraceTime-endMargin))
 	defer cancel()
 	err := prc.callers.Shutdown(ctx)
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -11,6 +11,7 @@
 
 	"bilberrywick/core/bwforward"
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
 )
 
 // stream is the answer of an event stream, which several upstreams may
@@ -138,24 +139,13 @@
 		if nd := stm.gw.cfg.Pool.Choose(stm.work()); nd != nil {
 			return nd, false
 		}
-		if !stm.gw.cfg.Now().Before(until) || !pause(stm.ctx, waitStep) {
+		if !stm.gw.cfg.Now().Before(until) || !bwretry.Pause(stm.ctx, waitStep) {
 			return nil, false
 		}
 		stm.exclude = nil
 	}
 }
 
-func pause(ctx context.Context, dur time.Duration) bool {
-	tmr := time.NewTimer(dur)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt runs the rest of the stream on one engine; a nil error means that
 // the caller has the whole answer.
 func (stm *stream) attempt(nd *bwforward.Node, copied bool) error {
--- a/io/bwgateway/successor.go
+++ b/io/bwgateway/successor.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwretry"
 )
 
 // successor asks what has taken the address of an upstream, so that engines
@@ -39,7 +40,7 @@
 		if suc.identify() || !suc.gw.cfg.Away() {
 			return
 		}
-		pause(context.Background(), identifyPause)
+		bwretry.Pause(context.Background(), identifyPause)
 	}
 }
 
--- a/io/bwrouter/duties.go
+++ b/io/bwrouter/duties.go
@@ -12,6 +12,7 @@
 	"bilberrywick/core/bwmember"
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwplace"
+	"bilberrywick/core/bwretry"
 	"bilberrywick/io/bwduty"
 	"bilberrywick/io/bwfleet"
 	"bilberrywick/io/bwstore"
@@ -194,7 +195,7 @@
 func (plg *placing) loop(ctx context.Context) {
 	plg.at = plg.dts.cfg.Now()
 	interval := plg.dts.cfg.Timing.Report
-	if !sleep(ctx, rand.N(interval)) {
+	if !bwretry.Pause(ctx, rand.N(interval)) {
 		return
 	}
 	tick := time.NewTicker(interval)
--- a/io/bwrouter/watch.go
+++ b/io/bwrouter/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwretry"
 	"bilberrywick/io/bwrpc"
 	"bilberrywick/io/bwwire"
 )
@@ -112,7 +113,7 @@
 			delay = minReconnect
 		}
 		wtc.cfg.Log.Info("agent status lost", "Upstream", wtc.upstream.Name, "Agent", wtc.upstream.Agent, "Error", err)
-		if !sleep(ctx, delay/2+rand.N(delay/2)) {
+		if !bwretry.Pause(ctx, delay/2+rand.N(delay/2)) {
 			return
 		}
 		delay = min(2*delay, maxReconnect)
@@ -179,15 +180,3 @@
 	}
 	return rep, true
 }
-
-// sleep waits and reports false when the context ended first.
-func sleep(ctx context.Context, delay time.Duration) bool {
-	tmr := time.NewTimer(delay)
-	defer tmr.Stop()
-	select {
-	case <-tmr.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
