Test what survived without its mechanism

Run with the mechanism taken out, these went unnoticed: an engine's repeated events, an action sent again where its route allows several upstreams, a body written before the answer is read, an older manifest, and an agent's word that an attempt was replaced. Each has a test now.

--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -221,7 +221,7 @@
 		Version: 1,
 		Routes: []bwforward.Route{
 			route("/safe/", bwforward.Idempotent, 2),
-			route("/action/", bwforward.AtMostOnce, 1),
+			route("/action/", bwforward.AtMostOnce, 3),
 			route("/stream/", bwforward.EventStream, 5),
 		},
 		Services: []bwforward.Service{{Name: "svc", Model: &bwforward.Model{Memory: 1 << 20, Copies: true}}},
--- a/io/bwgateway/plain_test.go
+++ b/io/bwgateway/plain_test.go
@@ -110,12 +110,12 @@
 func TestEarlyAnswer(t *testing.T) {
 	eng := newEngine(t, "e1", func(vst *visit) {
 		vst.answer("413 Request Entity Too Large", "long")
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(2 * time.Second)
 	})
 	tg := newGateway(t, []*engine{eng}, func(_ *bwgateway.Config, cfg *bwforward.TableConfig) { cfg.Limits.Body = 64 << 20 })
 	begun := time.Now()
 	rsp := tg.do(http.MethodPost, "/action/unread", strings.Repeat("x", 32<<20))
-	if rsp.status != http.StatusRequestEntityTooLarge || rsp.body != "long" {
+	if rsp.status != http.StatusRequestEntityTooLarge || rsp.body != "long" || time.Since(begun) > 1500*time.Millisecond {
 		t.Errorf("status %d, body %q, error %v after %v", rsp.status, rsp.body, rsp.err, time.Since(begun))
 	}
 }
--- a/io/bwgateway/stream_test.go
+++ b/io/bwgateway/stream_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// Guards against an engine that repeats what the caller has and loses its
+// stream for that, though it sends the rest too.
+func TestRepeatedEventsAreDropped(t *testing.T) {
+	first := newEngine(t, "e1", func(vst *visit) {
+		vst.beginStream()
+		for _, id := range []int{1, 2, 3, 2, 3, 4, 5, 6, 7, 8} {
+			vst.event(id)
+		}
+		vst.endStream()
+	})
+	second := newEngine(t, "e2", rest)
+	tg := newGateway(t, []*engine{first, second})
+	rsp := tg.do(http.MethodPost, "/stream/x", "prompt")
+	if rsp.err != nil || rsp.body != whole(1) || second.count() != 0 {
+		t.Errorf("error %v, %d requests at the second engine, body\n%s", rsp.err, second.count(), rsp.body)
+	}
+}
+
 // Guards against a caller's own resume that starts over.
 func TestCallerResumes(t *testing.T) {
 	eng := newEngine(t, "e1", rest)
--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -72,6 +72,8 @@
 	records *bwrouter.Records
 	// paused holds back the router's connections to other processes.
 	paused atomic.Pointer[connGate]
+	mu     sync.Mutex
+	conns  []*pausedConn
 	next   atomic.Int64
 }
 
@@ -213,6 +215,17 @@
 	rt.web.Close()
 }
 
+// drop closes the router's open connections to a process.
+func (rt *routerNode) drop(peer netip.AddrPort) {
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	for _, pc := range rt.conns {
+		if pc.peer == peer {
+			_ = pc.Close()
+		}
+	}
+}
+
 // connGate holds back connections until it is opened.
 type connGate struct {
 	open chan struct{}
@@ -237,7 +250,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &pausedConn{Conn: conn, rt: rt, peer: addr, closed: make(chan struct{})}, nil
+	pc := &pausedConn{Conn: conn, rt: rt, peer: addr, closed: make(chan struct{})}
+	rt.mu.Lock()
+	defer rt.mu.Unlock()
+	rt.conns = append(rt.conns, pc)
+	return pc, nil
 }
 
 // pausedConn stops reading and writing while its router is paused, or is cut
--- a/standin/bwfakeengine/fault_test.go
+++ b/standin/bwfakeengine/fault_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -139,6 +140,31 @@
 	}
 }
 
+// Guards against a router that starts another attempt after an agent has given
+// its attempt to another router. The record's holder can't tell here, since it
+// has released the record before.
+func TestReplacedAttemptEndsTheGeneration(t *testing.T) {
+	const tokens = 400
+	cl := newCluster(t, 2, 4, fastEngine)
+	old := cl.post(cl.routers[0], "vystriedaný smerovač", tokens)
+	old.read(20)
+	cal := &caller{t: t, ids: slices.Clone(old.ids), last: old.last}
+	cal.text.WriteString(old.text.String())
+	cl.routers[0].drop(cl.routers[1].addr)
+	// The new handle follows at once.
+	old.read(60)
+	if old.handle().Holder == cal.handle().Holder {
+		t.Fatal("the record has not moved")
+	}
+	cal.reconnect(cl.routers[3])
+	cal.read(all)
+	cal.check("vystriedaný smerovač", tokens)
+	old.read(all)
+	if len(old.ids) >= tokens || old.finish != "" {
+		t.Errorf("replaced router delivered %d tokens and finish %q", len(old.ids), old.finish)
+	}
+}
+
 // Guards against a handle of another team, a stale one and a malformed one
 // that opens a generation.
 func TestRefusedHandles(t *testing.T) {
