--- a/io/bwgateway/process_test.go
+++ b/io/bwgateway/process_test.go
@@ -131,7 +131,9 @@
 	if rsp := clt.do("/action/x"); rsp.status != http.StatusOK || rsp.err != nil {
 		t.Errorf("action right after the signal: status %d, %v", rsp.status, rsp.err)
 	}
-	close(held)
+	// The stream ends well after the process has stopped to take connections.
+	rel := &releaser{held: held, after: rp.sts.GraceTime / 2}
+	go rel.run()
 	if rsp := <-clt.answers; rsp.err != nil || rsp.body != whole(1) {
 		t.Errorf("open stream: error %v, body\n%s", rsp.err, rsp.body)
 	}
@@ -140,6 +142,17 @@
 	}
 }
 
+// releaser lets an engine go on after a time.
+type releaser struct {
+	held  chan struct{}
+	after time.Duration
+}
+
+func (rel *releaser) run() {
+	time.Sleep(rel.after)
+	close(rel.held)
+}
+
 // processCaller calls a running process.
 type processCaller struct {
 	t       *testing.T
