--- a/core/bwforward/directory.go
+++ b/core/bwforward/directory.go
@@ -47,12 +47,15 @@
 	}
 }
 
-// Put adds or replaces an upstream. An older run of the same upstream is left out.
-func (dir *Directory) Put(up Upstream) {
-	if ent := dir.entries[up.ID]; ent != nil && !ent.met && up.Born.Before(ent.up.Born) {
-		return
+// Put adds or replaces an upstream, and reports whether that changed anything.
+// An older run of the same upstream is left out.
+func (dir *Directory) Put(up Upstream) bool {
+	ent := dir.entries[up.ID]
+	if ent != nil && !ent.met && up.Born.Before(ent.up.Born) {
+		return false
 	}
 	dir.entries[up.ID] = &entry{up: up}
+	return ent == nil || ent.up != up
 }
 
 // Remove takes an upstream away that the list no longer has; one that may only
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -134,10 +134,12 @@
 			st.cfg.Log.Info("entry removed", "Upstream", chg.ID)
 			cst.dir.Remove(chg.ID, now)
 		default:
+			ups = append(ups, *chg.Upstream)
+			if !cst.dir.Put(*chg.Upstream) {
+				continue
+			}
 			st.cfg.Log.Info("entry", "Upstream", chg.ID, "Service", chg.Upstream.Service, "Address", chg.Upstream.Address,
 				"Zone", chg.Upstream.Zone, "Leaving", chg.Upstream.Leaving, "Born", chg.Upstream.Born)
-			cst.dir.Put(*chg.Upstream)
-			ups = append(ups, *chg.Upstream)
 		}
 	}
 	if whole {
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -64,6 +64,7 @@
 var (
 	errEventOrder = errors.New("event is out of order")
 	errNotWhole   = errors.New("stream ended before its last event")
+	errSilent     = errors.New("silent")
 )
 
 // serveStream answers with events, from as many engines as it takes.
@@ -278,7 +279,7 @@
 	suspect, mute := run.patience()
 	silent := now.Sub(run.heard)
 	if silent >= mute {
-		return fmt.Errorf("%w: silent for %v", ErrBroken, silent)
+		return fmt.Errorf("%w for %v", errSilent, silent)
 	}
 	if run.node.FailedSince(run.probed) {
 		suspect = 0
@@ -296,7 +297,7 @@
 	defer cancel()
 	conn, err := run.gw.cfg.Dial(ctx, run.node.Address)
 	if err != nil {
-		return fmt.Errorf("%w: silent, and takes no connection: %w", ErrBroken, err)
+		return fmt.Errorf("%w, and takes no connection: %w", errSilent, err)
 	}
 	// Nothing was sent on it.
 	_ = conn.Close()
