--- a/bench/bwsoak/fault.go
+++ b/bench/bwsoak/fault.go
@@ -51,6 +51,7 @@
 	{"RouterPauses", networkScope, pickRouter, isolate(bwfakenet.Held), isolate(bwfakenet.Open)},
 	{"AgentPauses", networkScope, pickAgent, isolate(bwfakenet.Held), isolate(bwfakenet.Open)},
 	{"RouterIsCutOff", networkScope, pickRouter, isolate(bwfakenet.Cut), isolate(bwfakenet.Open)},
+	{"RouterLosesHolders", networkScope, pickRouter, cutRouters(bwfakenet.Held), cutRouters(bwfakenet.Open)},
 	{"AgentIsCutOff", networkScope, pickAgent, isolate(bwfakenet.Cut), isolate(bwfakenet.Open)},
 	{"WayIsHeld", networkScope, pickWay, setWay(bwfakenet.Held, false), setWay(bwfakenet.Open, false)},
 	{"WaysAreHeld", networkScope, pickWay, setWay(bwfakenet.Held, true), setWay(bwfakenet.Open, true)},
@@ -232,6 +233,21 @@
 	}
 }
 
+// cutRouters parts a router from all others, but not from agents and callers:
+// its holders do not answer, while its callers take their generations elsewhere.
+func cutRouters(cond bwfakenet.Condition) func(context.Context, *session, string) error {
+	return func(_ context.Context, ses *session, target string) error {
+		for ix := range routers {
+			other := fmt.Sprintf("router-%d", ix+1)
+			if other != target {
+				ses.nw.Set(target, other, cond)
+				ses.nw.Set(other, target, cond)
+			}
+		}
+		return nil
+	}
+}
+
 func setWay(cond bwfakenet.Condition, both bool) func(context.Context, *session, string) error {
 	return func(_ context.Context, ses *session, target string) error {
 		from, to, _ := strings.Cut(target, " ")
