--- a/cmd/bilberrywick-gateway/explain.go
+++ b/cmd/bilberrywick-gateway/explain.go
@@ -1,24 +1,14 @@
 package main
 
 import (
-	"encoding/json"
-	"fmt"
-	"io"
 	"os"
 
 	"github.com/spf13/cobra"
 
-	"bilberrywick/io/bwgateway"
 	"bilberrywick/io/bwobserve"
 	bwplatform "bilberrywick/platform"
 )
 
-// Forms of output.
-const (
-	textOutput = "text"
-	jsonOutput = "json"
-)
-
 func newExplainCommand() *cobra.Command {
 	var path, output string
 	cmd := &cobra.Command{
@@ -51,57 +41,3 @@
 	cmd.Flags().StringVar(&output, "output", textOutput, "form of the output: text or json")
 	return cmd
 }
-
-func newCheckCommand() *cobra.Command {
-	var settings, manifest, output string
-	cmd := &cobra.Command{
-		Use:     "check",
-		Short:   "Check a settings file or a manifest, and show what a process would believe",
-		Example: "  bilberrywick-gateway check --settings gateway.json\n  bilberrywick-gateway check --manifest manifest.json --output json",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			if settings == "" && manifest == "" {
-				return fmt.Errorf("name a file with --settings or --manifest")
-			}
-			if settings != "" {
-				sts, err := bwgateway.LoadSettings(settings)
-				if err != nil {
-					return fmt.Errorf("%s: %w", settings, err)
-				}
-				if err := show(cmd.OutOrStdout(), output, sts); err != nil {
-					return err
-				}
-			}
-			if manifest == "" {
-				return nil
-			}
-			data, err := os.ReadFile(manifest)
-			if err != nil {
-				return err
-			}
-			cfg, err := bwplatform.DecodeManifest(data)
-			if err != nil {
-				return fmt.Errorf("%s: %w", manifest, err)
-			}
-			return show(cmd.OutOrStdout(), output, cfg)
-		},
-	}
-	cmd.Flags().StringVar(&settings, "settings", "", "settings file to check")
-	cmd.Flags().StringVar(&manifest, "manifest", "", "manifest to check, as the operators' store holds it")
-	cmd.Flags().StringVar(&output, "output", textOutput, "form of the output: text or json")
-	return cmd
-}
-
-func show(out io.Writer, form string, val any) error {
-	if form == jsonOutput {
-		return writeJSON(out, val)
-	}
-	_, err := fmt.Fprintf(out, "%+v\n", val)
-	return err
-}
-
-func writeJSON(out io.Writer, val any) error {
-	enc := json.NewEncoder(out)
-	enc.SetIndent("", "  ")
-	return enc.Encode(val)
-}
--- a/io/bwgateway/state_test.go
+++ b/io/bwgateway/state_test.go
@@ -8,7 +8,7 @@
 	"bilberrywick/io/bwgateway"
 )
 
-// Guards against a manifest that comes late and puts an older state in force.
+// Guards against a table that comes late and puts an older state in force.
 func TestTablesNeverGoBack(t *testing.T) {
 	st := bwgateway.NewState(bwgateway.StateConfig{Pool: bwforward.NewPool(bwforward.PoolConfig{})})
 	st.Start(t.Context())
