--- a/cmd/bilberrywick-gateway/check.go
+++ b/cmd/bilberrywick-gateway/check.go
@@ -10,7 +10,7 @@
 	"github.com/spf13/cobra"
 
 	"bilberrywick/io/bwgateway"
-	"bilberrywick/platform"
+	bwplatform "bilberrywick/platform"
 )
 
 // Forms of output.
--- a/cmd/bilberrywick-gateway/explain.go
+++ b/cmd/bilberrywick-gateway/explain.go
@@ -6,7 +6,6 @@
 	"github.com/spf13/cobra"
 
 	"bilberrywick/io/bwobserve"
-	bwplatform "bilberrywick/platform"
 )
 
 func newExplainCommand() *cobra.Command {
