Withdraw a control change whose caller no longer waits

Change: a change that is not begun when its caller leaves is never applied; one that is begun is waited for. TestWithdrawnChangeIsNotApplied fails without it. The agent no longer has to forget runs that were put into its table late.

--- a/core/bwcontrol/owner.go
+++ b/core/bwcontrol/owner.go
@@ -63,20 +63,28 @@
 }
 
 // Do queues a change and waits until it is applied and its view published, or
-// returns ErrStopped or the context's error.
+// returns ErrStopped or the context's error; the change is not applied then, so
+// that the caller alone has what the change would have written.
 func (own *Owner[S, V]) Do(ctx context.Context, change func(*S)) error {
-	post := posting[S]{change: change, applied: make(chan struct{})}
+	post := posting[S]{change: change, applied: make(chan struct{}), taken: new(atomic.Bool)}
 	if err := own.enqueue(ctx, post); err != nil {
 		return err
 	}
+	var err error
 	select {
 	case <-post.applied:
 		return nil
 	case <-own.done:
-		return ErrStopped
+		err = ErrStopped
 	case <-ctx.Done():
-		return ctx.Err()
+		err = ctx.Err()
 	}
+	if post.taken.CompareAndSwap(false, true) {
+		return err
+	}
+	// The owner has begun with it, and ends what it has begun.
+	<-post.applied
+	return nil
 }
 
 // Done is closed when the owner's goroutine has ended.
@@ -122,9 +130,11 @@
 // view, and returns the channels to close once the view is published.
 func (own *Owner[S, V]) apply(post posting[S], applied []chan struct{}) []chan struct{} {
 	for {
-		post.change(own.state)
-		if post.applied != nil {
-			applied = append(applied, post.applied)
+		if post.taken == nil || post.taken.CompareAndSwap(false, true) {
+			post.change(own.state)
+			if post.applied != nil {
+				applied = append(applied, post.applied)
+			}
 		}
 		select {
 		case post = <-own.posted:
@@ -137,4 +147,7 @@
 type posting[S any] struct {
 	change  func(*S)
 	applied chan struct{}
+	// taken is set by the owner that applies the change or by the caller that
+	// withdraws it, whichever is first; nil for a change that nobody waits for.
+	taken *atomic.Bool
 }
--- a/core/bwcontrol/owner_test.go
+++ b/core/bwcontrol/owner_test.go
@@ -77,3 +77,45 @@
 		}
 	}
 }
+
+// Guards against a change that is applied after its caller has stopped waiting,
+// which writes to what the caller reads meanwhile.
+func TestWithdrawnChangeIsNotApplied(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, stop := context.WithCancel(t.Context())
+		own := newOwner(4)
+		own.Start(owner)
+		gate := make(chan struct{})
+		if err := own.Post(owner, func(*counter) { <-gate }); err != nil {
+			t.Fatal(err)
+		}
+		synctest.Wait()
+		ctx, cancel := context.WithCancel(t.Context())
+		wtr := &withdrawer{own: own, failed: make(chan error, 1)}
+		go wtr.run(ctx)
+		synctest.Wait()
+		cancel()
+		if err := <-wtr.failed; !errors.Is(err, context.Canceled) {
+			t.Errorf("error %v, want the context's", err)
+		}
+		close(gate)
+		if err := own.Do(owner, func(ctr *counter) { ctr.total++ }); err != nil {
+			t.Fatal(err)
+		}
+		if got := own.Snapshot().value; got != 1 {
+			t.Errorf("total %d, want 1: the withdrawn change was applied", got)
+		}
+		stop()
+		<-own.Done()
+	})
+}
+
+// withdrawer waits for a change of 100 until its context ends.
+type withdrawer struct {
+	own    *bwcontrol.Owner[counter, total]
+	failed chan error
+}
+
+func (wtr *withdrawer) run(ctx context.Context) {
+	wtr.failed <- wtr.own.Do(ctx, func(ctr *counter) { ctr.total += 100 })
+}
--- a/io/bwagent/generations.go
+++ b/io/bwagent/generations.go
@@ -162,8 +162,6 @@
 	var refusal error
 	err = gns.control.Do(ctx, func(tbl *generationTable) { refusal = tbl.start(run, sub, gns.cfg.Slots) })
 	if err = firstError(err, refusal); err != nil {
-		// The change may still be applied after the wait for it has ended.
-		_ = gns.control.Post(gns.ctx, func(tbl *generationTable) { tbl.drop(run) })
 		run.cancel()
 		return err
 	}
--- a/io/bwagent/generations_table.go
+++ b/io/bwagent/generations_table.go
@@ -105,13 +105,6 @@
 	return nil
 }
 
-// drop forgets a run that was never begun.
-func (tbl *generationTable) drop(run *generationRun) {
-	if ent := tbl.entries[run.req.Request]; ent != nil && ent.run == run {
-		ent.stop()
-	}
-}
-
 // attach hands a running generation to a router under a higher epoch.
 func (tbl *generationTable) attach(req *bwwire.AttachRequest, sub *subscription) (*generationRun, error) {
 	ent := tbl.entries[req.Request]
