Wait for news of members without a timer that is due at once

Change: the loop begins by waiting for news, which the due timer only brought about. This takes the timer out of the trace; it proves nothing about the runtime.

--- a/io/bwfleet/loop.go
+++ b/io/bwfleet/loop.go
@@ -286,9 +286,9 @@
 // loopPush tells peers of each higher number and of changed members. It doesn't
 // wait for their answers, so that an unreachable peer doesn't delay the next push.
 func (fl *Fleet) loopPush(ctx context.Context) {
-	tmr := time.NewTimer(0)
+	tmr := time.NewTimer(newsInterval)
 	defer tmr.Stop()
-	var news <-chan struct{}
+	var news <-chan struct{} = fl.news
 	for {
 		select {
 		case <-fl.pushes:
