Close a killed test router's connections and refuse its dials

TestDoubleFailure/router and holder ended with status 404 now and then. The test's kill stopped the router's goroutines only; they could still dial, so that a killed router could cancel its attempt at the agent, which a killed process can't. kill now closes its connections first and fails later dials, as the end of a process does; what the test checks is unchanged.

--- a/standin/bwfakeengine/cluster_test.go
+++ b/standin/bwfakeengine/cluster_test.go
@@ -208,13 +208,22 @@
 	nd.stop()
 }
 
+// kill ends the router as a killed process does: its connections close at once
+// and nothing that still runs in it reaches another process.
 func (rt *routerNode) kill() {
 	rt.down.Store(true)
+	rt.mu.Lock()
+	for _, pc := range rt.conns {
+		_ = pc.Close()
+	}
+	rt.mu.Unlock()
 	rt.stop()
 	rt.web.CloseClientConnections()
 	rt.web.Close()
 }
 
+var errRouterDown = errors.New("router was killed")
+
 // closeConns closes the router's open connections to a process.
 func (rt *routerNode) closeConns(peer netip.AddrPort) {
 	rt.mu.Lock()
@@ -253,6 +262,10 @@
 	pc := &pausableConn{Conn: conn, rt: rt, peer: addr, closed: make(chan struct{})}
 	rt.mu.Lock()
 	defer rt.mu.Unlock()
+	if rt.down.Load() {
+		_ = conn.Close()
+		return nil, errRouterDown
+	}
 	rt.conns = append(rt.conns, pc)
 	return pc, nil
 }
