Read numbers of the gateway's settings in any form

RetrySlack takes fractions now, whole numbers and durations are read with fractions of zeros and exponents too, and the window of the retry limit comes from the platform. Errors still name the field.

--- a/cmd/bilberrywick-gateway/check.go
+++ b/cmd/bilberrywick-gateway/check.go
@@ -118,6 +118,7 @@
 		{"LeaveTime", sts.LeaveTime},
 		{"RetryShare", sts.RetryShare},
 		{"RetrySlack", sts.RetrySlack},
+		{"RetryWindow", sts.RetryWindow},
 		{"MemoryLimit", sts.MemoryLimit},
 	} {
 		bwprint.Linef(out, "%s\t%v", row.name, row.val)
--- a/io/bwgateway/settings.go
+++ b/io/bwgateway/settings.go
@@ -31,8 +31,11 @@
 	// RetryShare limits retries, as a share of all requests.
 	RetryShare float64 `default:"0.1" min:"0"`
 	// RetrySlack is the number of retries that all gateways together may send beyond
-	// that share, in about ten seconds.
-	RetrySlack int `default:"20" min:"0"`
+	// that share, in each RetryWindow. The platform divides it, so it may have a
+	// fraction.
+	RetrySlack float64 `default:"20" min:"0"`
+	// RetryWindow is the time over which retries are limited.
+	RetryWindow time.Duration `default:"10s" min:"1s"`
 	// MemoryLimit is the memory limit of the process in MiB.
 	MemoryLimit float64 `default:"128" min:"8"`
 }
--- a/io/bwsettings/scalar.go
+++ b/io/bwsettings/scalar.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding"
+	"math"
 	"net/netip"
 	"reflect"
+	"regexp"
 	"slices"
 	"strconv"
 	"time"
@@ -54,7 +56,7 @@
 		return kindMismatch(nd, format)
 	}
 	if val.Type() == durationType {
-		dur, err := time.ParseDuration(nd.text)
+		dur, err := parseDuration(nd.text)
 		if err != nil {
 			return strconv.Quote(nd.text) + " is not " + format
 		}
@@ -73,16 +75,46 @@
 	return ""
 }
 
+// exponentDuration is a duration whose only number has an exponent.
+var exponentDuration = regexp.MustCompile(`^([0-9.]+[eE][+-]?[0-9]+)([a-zµμ]+)$`)
+
+// parseDuration parses a duration, whose number may have an exponent: templates
+// that the platform fills in write numbers in any form.
+func parseDuration(txt string) (time.Duration, error) {
+	parts := exponentDuration.FindStringSubmatch(txt)
+	if parts == nil {
+		return time.ParseDuration(txt)
+	}
+	num, err := strconv.ParseFloat(parts[1], 64)
+	if err != nil {
+		return 0, err
+	}
+	return time.ParseDuration(strconv.FormatFloat(num, 'f', -1, 64) + parts[2])
+}
+
+// wholeNumber returns a whole number that is written with a fraction of zeros or
+// with an exponent in the usual form, and any other text as it is.
+func wholeNumber(txt string) string {
+	num, err := strconv.ParseFloat(txt, 64)
+	if err != nil || num != math.Trunc(num) || math.Abs(num) > maxExactWhole {
+		return txt
+	}
+	return strconv.FormatFloat(num, 'f', 0, 64)
+}
+
+// maxExactWhole is the largest number below which a float64 has each whole number.
+const maxExactWhole = 1 << 53
+
 func setNumber(val reflect.Value, txt string) string {
 	switch {
 	case val.CanInt():
-		num, err := strconv.ParseInt(txt, 10, val.Type().Bits())
+		num, err := strconv.ParseInt(wholeNumber(txt), 10, val.Type().Bits())
 		if err != nil {
 			return txt + " is not a whole number in range"
 		}
 		val.SetInt(num)
 	case val.CanUint():
-		num, err := strconv.ParseUint(txt, 10, val.Type().Bits())
+		num, err := strconv.ParseUint(wholeNumber(txt), 10, val.Type().Bits())
 		if err != nil {
 			return txt + " is not a whole number of at least 0 in range"
 		}
