Keep the retry limit of the fleet at any number of gateways

With 103 gateways each had a burst of 6 extra requests and a debt of 8, in sum 1,442 where the platform allows 150 beside the share of the requests: a run that takes all of them shows it on the old code. Now a budget grows with the gateway's requests and its part of the slack, and holds at most a share of its requests of the last window and its part. In no window do the sums exceed the limit, and no gateway has to know what the others use. The slack is divided by the largest number of gateways seen in the last 20 s, and by none until the gateways that start together can have seen each other. A gateway whose budget can't resume a stream borrows fractions of others' budgets in two datagrams; a lost loan is lost for both sides.

--- a/core/bwforward/budget.go
+++ b/core/bwforward/budget.go
@@ -2,19 +2,28 @@
 
 import (
 	"sync"
-	"sync/atomic"
+	"time"
 
 	"bilberrywick/core/bwmodel"
-	"bilberrywick/core/bwretry"
 )
 
 // RetryBudgets limits the extra requests of each service: those beyond the
 // first attempt of a caller's request. It is safe for concurrent use.
+//
+// The limit holds for the whole fleet without a coordinator: over any window the
+// gateways together send at most Share of the requests of that window or the one
+// before it, plus Slack. Each gateway's budget grows with its own requests and
+// with its part of Slack, and is capped by its requests of the last window and
+// again its part of Slack. The load pattern it answers is the loss of a zone,
+// which interrupts streams at all gateways at once: one that needs more than its
+// own budget borrows what others have left.
 type RetryBudgets struct {
 	cfg RetryBudgetsConfig
-	// burst is the capacity of each service's budget, in requests.
-	burst    atomic.Int64
-	services sync.Map // bwmodel.ServiceID to *serviceBudget
+
+	mu       sync.Mutex
+	services map[bwmodel.ServiceID]*serviceBudget
+	// gateways is the number of gateways that share Slack; 0 until it is known.
+	gateways int
 }
 
 // RetryBudgetsConfig configures RetryBudgets.
@@ -22,15 +31,14 @@
 	// Share limits the extra requests of the whole fleet to a share of the
 	// callers' requests. Slack is the number allowed in addition.
 	Share float64
-	Slack int
+	Slack float64
+	// Window is the time over which the limit holds; 0 means 10 s.
+	Window time.Duration
+	// Now returns the current time; nil means time.Now.
+	Now func() time.Time
 }
 
-type serviceBudget struct {
-	*bwretry.Budget
-	burst int64
-	// debt counts the stream resumes that exceeded the budget.
-	debt *atomic.Int64
-}
+const defaultRetryWindow = 10 * time.Second
 
 // RetryClass is the purpose of an extra request.
 type RetryClass int
@@ -47,93 +55,189 @@
 )
 
 const (
-	// usedShare and usedSlack are the parts of Share and Slack that are used. They
-	// are below 1 because the limits are checked over windows that can start at
-	// any moment.
-	usedShare = 0.75
-	usedSlack = 0.6
-	// minBurst lets a gateway of a large fleet resume a few streams at once.
-	// maxBurst is about the number of streams that one gateway runs on a zone's
-	// engines.
-	minBurst = 6
-	maxBurst = 40
+	// earnedShare is the part of Share that each request adds, keptShare the part
+	// for each request of the last window that is kept. A window can contain what
+	// was kept at its start and what was added in it, so that their sum must be
+	// below 1. The rest allows for requests that the gateways count later than
+	// their callers send them.
+	earnedShare = 0.375
+	keptShare   = 0.375
+	// keptSlack is the part of Slack that the gateways together keep, earnedSlack the
+	// part that they add in a window. A gateway that restarts within a window may
+	// keep its part twice.
+	keptSlack   = 0.4
+	earnedSlack = 0.2
 	// streamReserve is the number of requests that a budget keeps for streams,
 	// since a failed stream costs its caller more than a failed plain request.
 	streamReserve = 2
-	// maxDebt limits the stream resumes that exceed the budget; later requests pay
-	// them back. A gateway has few streams at a time, but the failure of a zone may
-	// interrupt all of them while the budgets of other gateways are hardly used.
-	maxDebt = 8
+	// lentShare is the part of a budget that is lent to one borrower.
+	lentShare = 0.5
 )
 
-// NewRetryBudgets returns full budgets. Their burst is the smallest one until
-// SetGatewayCount changes it.
+// NewRetryBudgets returns empty budgets. SetGatewayCount adds the part of Slack.
 func NewRetryBudgets(cfg RetryBudgetsConfig) *RetryBudgets {
-	bds := &RetryBudgets{cfg: cfg}
-	bds.burst.Store(minBurst)
-	return bds
+	if cfg.Window == 0 {
+		cfg.Window = defaultRetryWindow
+	}
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	return &RetryBudgets{cfg: cfg, services: make(map[bwmodel.ServiceID]*serviceBudget)}
 }
 
-// SetGatewayCount sets the number of gateways that share the slack.
+// SetGatewayCount sets the number of gateways that share Slack. It must not be
+// below the number of those that send requests.
 func (bds *RetryBudgets) SetGatewayCount(count int) {
-	burst := int(float64(bds.cfg.Slack)*usedSlack) / max(count, 1)
-	bds.burst.Store(int64(min(max(burst, minBurst), maxBurst)))
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
+	bds.gateways = max(count, 1)
 }
 
-// Burst returns the capacity of each service's budget, in requests.
-func (bds *RetryBudgets) Burst() int { return int(bds.burst.Load()) }
+// SlackPart returns this gateway's part of the kept slack, in requests.
+func (bds *RetryBudgets) SlackPart() float64 {
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
+	return bds.slackPart(keptSlack)
+}
+
+func (bds *RetryBudgets) slackPart(share float64) float64 {
+	if bds.gateways == 0 {
+		return 0
+	}
+	return bds.cfg.Slack * share / float64(bds.gateways)
+}
 
-// CountRequest counts a caller's request, which adds to the service's budget and
-// pays back its debt.
+// CountRequest counts a caller's request, which adds to the service's budget.
 func (bds *RetryBudgets) CountRequest(svc bwmodel.ServiceID) {
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
 	bud := bds.budget(svc)
-	bud.CountRequest()
-	if bud.debt.Load() > 0 && bud.Allow() {
-		bud.debt.Add(-1)
-	}
+	bud.requests.add(bds.cfg.Now())
+	bud.available += bds.cfg.Share * earnedShare
 }
 
 // Allow reports whether a service may get one more extra request, and takes it
 // from the budget.
 func (bds *RetryBudgets) Allow(svc bwmodel.ServiceID, cls RetryClass) bool {
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
 	bud := bds.budget(svc)
-	if cls == PlainRetry && bud.Remaining() <= streamReserve {
+	needed := 1.0
+	if cls == PlainRetry {
+		// The reserve is smaller where the budget can't hold more than a few requests.
+		needed += min(streamReserve, bud.limit/2)
+	}
+	if bud.available < needed {
 		return false
 	}
-	if bud.Allow() {
-		return true
+	bud.available--
+	return true
+}
+
+// Shortfall returns the part of an extra request that the service's budget lacks.
+func (bds *RetryBudgets) Shortfall(svc bwmodel.ServiceID) float64 {
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
+	return max(1-bds.budget(svc).available, 0)
+}
+
+// Lend takes up to an amount, in requests, from the service's budget for another
+// gateway and returns what it took.
+func (bds *RetryBudgets) Lend(svc bwmodel.ServiceID, amount float64) float64 {
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
+	bud := bds.budget(svc)
+	lent := min(max(amount, 0), bud.available*lentShare)
+	// NaN, which a datagram may contain, compares as false.
+	if !(lent > 0) {
+		return 0
 	}
-	if cls != StreamResume || bud.debt.Load() >= maxDebt {
+	bud.available -= lent
+	return lent
+}
+
+// Borrow reports whether an amount that other gateways have lent makes up for the
+// shortfall, and takes one extra request if it does. What is left is kept like
+// the rest of the budget.
+func (bds *RetryBudgets) Borrow(svc bwmodel.ServiceID, amount float64) bool {
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
+	bud := bds.budget(svc)
+	sum := bud.available + max(amount, 0)
+	if !(sum >= 1) {
 		return false
 	}
-	bud.debt.Add(1)
+	bud.available = min(sum-1, bud.limit)
 	return true
 }
 
-// budget returns the service's budget. After a change of the burst it returns a
-// new one, which keeps the debt and the remaining requests of the old one and
-// adds the increase of the burst.
+// serviceBudget is the budget of one service, in requests.
+type serviceBudget struct {
+	available float64
+	// limit caps available; updated is when both were last computed.
+	limit    float64
+	updated  time.Time
+	requests requestWindow
+	// hasSlack is set once the budget has its part of the kept slack.
+	hasSlack bool
+}
+
+// budget returns the service's budget as of now.
 func (bds *RetryBudgets) budget(svc bwmodel.ServiceID) *serviceBudget {
-	burst := bds.burst.Load()
-	val, ok := bds.services.Load(svc)
-	if ok && val.(*serviceBudget).burst == burst {
-		return val.(*serviceBudget)
+	now := bds.cfg.Now()
+	bud := bds.services[svc]
+	if bud == nil {
+		bud = &serviceBudget{updated: now, requests: requestWindow{width: bds.cfg.Window / requestBuckets}}
+		bds.services[svc] = bud
 	}
-	bud := &serviceBudget{Budget: bwretry.NewBudget(bwretry.BudgetConfig{Share: bds.cfg.Share * usedShare, Burst: int(burst)}), burst: burst, debt: new(atomic.Int64)}
-	remaining := int(burst)
-	if ok {
-		bud.debt = val.(*serviceBudget).debt
-		remaining = val.(*serviceBudget).Remaining() + max(int(burst-val.(*serviceBudget).burst), 0)
+	if bds.gateways > 0 && !bud.hasSlack {
+		bud.hasSlack = true
+		bud.available += bds.slackPart(keptSlack)
 	}
-	for range remaining {
-		bud.Refund()
+	elapsed := float64(now.Sub(bud.updated)) / float64(bds.cfg.Window)
+	bud.available += bds.slackPart(earnedSlack) * min(max(elapsed, 0), 1)
+	bud.updated = now
+	kept := bds.cfg.Share * keptShare * float64(bud.requests.count(now))
+	bud.limit = kept + bds.slackPart(keptSlack)
+	bud.available = min(bud.available, bud.limit)
+	return bud
+}
+
+// requestBuckets is the number of parts of a window in which requests are
+// counted.
+const requestBuckets = 20
+
+// requestWindow counts the requests of the last window.
+type requestWindow struct {
+	width   time.Duration
+	origin  time.Time
+	current int64
+	buckets [requestBuckets]int
+}
+
+func (rqw *requestWindow) add(now time.Time) {
+	rqw.advance(now)
+	rqw.buckets[rqw.current%requestBuckets]++
+}
+
+func (rqw *requestWindow) count(now time.Time) int {
+	rqw.advance(now)
+	sum := 0
+	for _, count := range rqw.buckets {
+		sum += count
 	}
-	if ok && !bds.services.CompareAndSwap(svc, val, bud) {
-		return bds.budget(svc)
+	return sum
+}
+
+// advance empties the buckets that are older than a window.
+func (rqw *requestWindow) advance(now time.Time) {
+	if rqw.origin.IsZero() {
+		rqw.origin = now
 	}
-	if !ok {
-		val, _ = bds.services.LoadOrStore(svc, bud)
-		return val.(*serviceBudget)
+	bucket := max(int64(now.Sub(rqw.origin)/rqw.width), rqw.current)
+	for range min(bucket-rqw.current, requestBuckets) {
+		rqw.current++
+		rqw.buckets[rqw.current%requestBuckets] = 0
 	}
-	return bud
+	rqw.current = bucket
 }
--- a/core/bwforward/roster.go
+++ b/core/bwforward/roster.go
@@ -75,6 +75,17 @@
 	return count
 }
 
+// Established reports whether a gateway announced itself so long ago that all
+// those that started together with it have done so too.
+func (rst *GatewayRoster) Established(now time.Duration) bool {
+	for _, ann := range rst.others {
+		if age := now - ann.Seen; age >= firstCountDelay && age < maxAnnouncementAge {
+			return true
+		}
+	}
+	return false
+}
+
 // Others returns the announcements of the other gateways that receive datagrams,
 // in the order of their member IDs.
 func (rst *GatewayRoster) Others(now time.Duration) []Announcement {
@@ -87,3 +98,53 @@
 	slices.SortFunc(anns, func(aa, ab Announcement) int { return cmp.Compare(aa.Member, ab.Member) })
 	return anns
 }
+
+// SettledCount is the number of gateways by which the slack of the retry budgets
+// is divided. It is the largest number of some time, since a gateway that has
+// just started, or reads the announcements after an outage of the store, may not
+// see all those that send requests. The zero value is ready for use.
+type SettledCount struct {
+	first     time.Time
+	isSettled bool
+	// counts has the numbers that may still be the largest, in order of time and
+	// decreasing.
+	counts []observedCount
+}
+
+type observedCount struct {
+	at    time.Time
+	count int
+}
+
+const (
+	// firstCountDelay is the time in which gateways that start together announce
+	// themselves and read each other's announcements.
+	firstCountDelay = 5 * time.Second
+	// lowerCountDelay is the time in which a gateway whose announcement has lapsed
+	// announces itself again.
+	lowerCountDelay = AnnounceInterval + firstCountDelay
+)
+
+// Observe records the number of gateways and returns the settled number. It is 0
+// until firstCountDelay after the first call, or until the fleet is established.
+func (stc *SettledCount) Observe(count int, established bool, now time.Time) int {
+	if stc.first.IsZero() {
+		stc.first = now
+	}
+	obs := observedCount{at: now, count: count}
+	for last := len(stc.counts) - 1; last >= 0 && stc.counts[last].count <= count; last-- {
+		// The number before the replaced one still ended when that one began.
+		obs.at = stc.counts[last].at
+		stc.counts = stc.counts[:last]
+	}
+	stc.counts = append(stc.counts, obs)
+	// A number holds until the next one was observed.
+	for len(stc.counts) > 1 && now.Sub(stc.counts[1].at) >= lowerCountDelay {
+		stc.counts = stc.counts[1:]
+	}
+	stc.isSettled = stc.isSettled || established || now.Sub(stc.first) >= firstCountDelay
+	if !stc.isSettled {
+		return 0
+	}
+	return stc.counts[0].count
+}
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -154,11 +154,21 @@
 		cl.gw.cfg.Metrics.countExtraRequest(kind, "sent")
 		return true
 	}
+	if class != bwforward.PlainRetry && cl.borrowRetry() {
+		cl.gw.cfg.Metrics.countExtraRequest(kind, "borrowed")
+		return true
+	}
 	cl.gw.cfg.Metrics.countExtraRequest(kind, "no budget")
 	cl.retryNote = "retry budget is used up"
 	return false
 }
 
+// borrowRetry takes one extra request with the help of other gateways' budgets.
+func (cl *call) borrowRetry() bool {
+	svc, bds := cl.match.Service.Name, cl.gw.cfg.Budgets
+	return cl.gw.cfg.Borrow(cl.ctx, svc, bds.Shortfall(svc), func(sum float64) bool { return bds.Borrow(svc, sum) })
+}
+
 // processHeader evaluates the header of a response. It returns
 // ErrMismatchedResponse if the response belongs to another request.
 func (cl *call) processHeader(nd *bwforward.Node, rsp *http.Response) (ResponseInfo, error) {
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
 )
 
 // Gateway handles callers' requests. It is safe for concurrent use.
@@ -51,6 +52,10 @@
 	Dial DialFunc
 	// Budgets limits retries.
 	Budgets *bwforward.RetryBudgets
+	// Borrow requests an amount of a service's retry budget from other gateways, and
+	// reports whether isEnough returned true for the sum of their loans; nil means
+	// that there are no others.
+	Borrow func(ctx context.Context, svc bwmodel.ServiceID, amount float64, isEnough func(sum float64) bool) bool
 	// MaxBodyBytes bounds a request's body if the routing table sets no limit; 0
 	// means 4 MiB.
 	MaxBodyBytes int64
@@ -77,6 +82,9 @@
 	if cfg.SendNote == nil {
 		cfg.SendNote = func(bwforward.PeerNote) {}
 	}
+	if cfg.Borrow == nil {
+		cfg.Borrow = func(context.Context, bwmodel.ServiceID, float64, func(float64) bool) bool { return false }
+	}
 	if cfg.MaxBodyBytes == 0 {
 		cfg.MaxBodyBytes = defaultMaxBodyBytes
 	}
--- a/io/bwgateway/peers.go
+++ b/io/bwgateway/peers.go
@@ -40,6 +40,8 @@
 
 	mu          sync.Mutex
 	subscribers map[string]func(TableUpdate)
+	// loans has the loan requests in progress.
+	loans map[uint64]chan<- float64
 }
 
 // datagram is an encoded packet with its sender and signature.
@@ -49,11 +51,13 @@
 	Sum    []byte
 }
 
-// packet is the content of a datagram. One of its fields is set; their names are
-// part of the encoding.
+// packet is the content of a datagram. One of its fields is set; their names and
+// those of their fields are part of the encoding.
 type packet struct {
-	Note *bwforward.PeerNote `cbor:",omitempty"`
-	News *TableUpdate        `cbor:",omitempty"`
+	Note        *bwforward.PeerNote `cbor:",omitempty"`
+	News        *TableUpdate        `cbor:",omitempty"`
+	LoanRequest *loanRequest        `cbor:",omitempty"`
+	Loan        *loan               `cbor:",omitempty"`
 }
 
 // PeersConfig configures Peers.
@@ -62,7 +66,10 @@
 	Address netip.AddrPort
 	// OnNote is called with each note of another gateway.
 	OnNote func(bwforward.PeerNote)
-	Log    *slog.Logger
+	// Lend takes up to an amount from a service's retry budget for another gateway
+	// and returns what it took; nil means that nothing is lent.
+	Lend func(svc bwmodel.ServiceID, amount float64) float64
+	Log  *slog.Logger
 }
 
 const (
@@ -81,7 +88,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for notes: %w", err)
 	}
-	prs := &Peers{cfg: cfg, conn: conn, subscribers: make(map[string]func(TableUpdate))}
+	prs := &Peers{cfg: cfg, conn: conn, subscribers: make(map[string]func(TableUpdate)), loans: make(map[uint64]chan<- float64)}
 	key := make([]byte, sha256.Size)
 	// crypto/rand.Read never returns an error.
 	_, _ = crand.Read(key)
@@ -242,7 +249,7 @@
 		}
 		pkt, err := prs.decode(buf[:size])
 		if err == nil {
-			prs.deliver(pkt)
+			prs.deliver(pkt, from)
 			continue
 		}
 		if prs.refusedDatagrams.Add(1)%refusalsPerLogLine == 1 {
@@ -251,10 +258,16 @@
 	}
 }
 
-func (prs *Peers) deliver(pkt packet) {
+func (prs *Peers) deliver(pkt packet, from netip.AddrPort) {
 	if pkt.Note != nil {
 		prs.cfg.OnNote(*pkt.Note)
 	}
+	if pkt.LoanRequest != nil {
+		prs.answerLoan(*pkt.LoanRequest, from)
+	}
+	if pkt.Loan != nil {
+		prs.receiveLoan(*pkt.Loan)
+	}
 	if pkt.News == nil {
 		return
 	}
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -77,9 +77,9 @@
 func NewProcess(cfg ProcessConfig) (*Process, error) {
 	sts := cfg.Settings
 	pool := bwforward.NewPool(bwforward.PoolConfig{Zone: bwmodel.ZoneID(sts.Zone)})
-	budgets := bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack})
+	budgets := bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack, Window: sts.RetryWindow})
 	prc := &Process{cfg: cfg, state: NewControlState(ControlStateConfig{Pool: pool, Budgets: budgets, Log: cfg.Log}), metrics: NewMetrics()}
-	prs, err := NewPeers(PeersConfig{Member: bwmodel.MemberID(sts.Member), Address: sts.Peers, OnNote: pool.ApplyNote, Log: cfg.Log})
+	prs, err := NewPeers(PeersConfig{Member: bwmodel.MemberID(sts.Member), Address: sts.Peers, OnNote: pool.ApplyNote, Lend: budgets.Lend, Log: cfg.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -91,6 +91,7 @@
 		Pool:            pool,
 		Budgets:         budgets,
 		SendNote:        prs.SendNote,
+		Borrow:          prs.Borrow,
 		CopyKVCache:     cfg.CopyKVCache,
 		DropCopy:        cfg.DropCopy,
 		Identify:        cfg.Identify,
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -60,8 +60,11 @@
 	upstreams       []bwforward.Upstream
 	listUnavailable bool
 	roster          bwforward.GatewayRoster
-	// members is the number of gateways that share the retry budget.
+	// members is the number of known gateways, and sharing the number by which the
+	// slack of the retry budgets is divided.
 	members     int
+	settled     bwforward.SettledCount
+	sharing     int
 	activePeers int
 	clock       time.Duration
 	clockAt     time.Time
@@ -209,8 +212,8 @@
 			return
 		}
 		cst.members = count
-		st.cfg.Budgets.SetGatewayCount(count)
-		st.cfg.Log.Info("number of gateways changed", "Members", count, "RetryBurst", st.cfg.Budgets.Burst())
+		st.cfg.Log.Info("number of gateways changed", "Members", count)
+		st.shareBudgets(cst)
 	})
 	// Do has published the view by now, which the announcer reads.
 	if err == nil && first {
@@ -263,15 +266,15 @@
 	fol.Start(ctx)
 }
 
-// loop removes entries that are still missing some time after an outage of the
-// list.
+// loop applies the changes that come with time: entries that are still missing
+// some time after an outage of the list, and the division of the retry budgets.
 func (st *ControlState) loop(ctx context.Context) {
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
 	for {
 		select {
 		case <-tick.C:
-			if err := st.control.Do(ctx, st.expire); err != nil {
+			if err := st.control.Do(ctx, st.tick); err != nil {
 				return
 			}
 		case <-ctx.Done():
@@ -280,6 +283,27 @@
 	}
 }
 
+func (st *ControlState) tick(cst *ownedState) {
+	st.expire(cst)
+	st.shareBudgets(cst)
+}
+
+// shareBudgets divides the slack of the retry budgets by the settled number of
+// gateways, which changes with time.
+func (st *ControlState) shareBudgets(cst *ownedState) {
+	if cst.members == 0 {
+		return
+	}
+	established := cst.roster.Established(cst.clock + time.Since(cst.clockAt))
+	count := cst.settled.Observe(cst.members, established, st.cfg.Now())
+	if count == cst.sharing {
+		return
+	}
+	cst.sharing = count
+	st.cfg.Budgets.SetGatewayCount(count)
+	st.cfg.Log.Info("retry budget shared", "Gateways", count, "SlackPart", st.cfg.Budgets.SlackPart())
+}
+
 func (st *ControlState) expire(cst *ownedState) {
 	expired := cst.dir.Expire(st.cfg.Now())
 	if len(expired) == 0 {
