Keep the time of day out of the gateway's decisions

The clocks of VMs may jump by seconds. Suspensions, failing zones and the work of other gateways were compared in nanoseconds of the time of day, so that a jump back kept an upstream suspended for its length and one ahead ended suspensions early. Of times that two VMs compare, the start of an upstream is left: one that restarted after its clock was set back had an earlier start and its entry was ignored for as long as it lived.

--- a/core/bwforward/directory.go
+++ b/core/bwforward/directory.go
@@ -28,8 +28,17 @@
 	missingSince time.Time
 	// unlisted marks an upstream that AddSuccessor added and the list does not have.
 	unlisted bool
+	// older is the entry with an earlier start that was listed last, at olderSince;
+	// nil if the entry in use is the listed one.
+	older      *Upstream
+	olderSince time.Time
 }
 
+// olderEntryDelay is the time after which an entry with an earlier start is
+// believed. A report that an earlier run wrote late is overwritten within an
+// interval of the reports; one that stays is of a run whose clock was set back.
+const olderEntryDelay = 3 * time.Second
+
 // OutageGracePeriod is how long after an outage of the list a missing entry is
 // kept, since entries that expired during the outage come back, within about two
 // seconds according to the platform. It is below the 2 s after which an upstream
@@ -55,10 +64,16 @@
 }
 
 // Put adds or replaces an upstream, and reports whether the directory changed.
-// It ignores an upstream that started before the listed one of the same ID.
-func (dir *UpstreamDirectory) Put(up Upstream) bool {
+// An upstream that started before the listed one of the same ID replaces it only
+// if it is still listed after olderEntryDelay.
+func (dir *UpstreamDirectory) Put(up Upstream, now time.Time) bool {
 	ent := dir.entries[up.ID]
 	if ent != nil && !ent.unlisted && up.StartTime.Before(ent.up.StartTime) {
+		if ent.older == nil {
+			ent.olderSince = now
+		}
+		ent.older = &up
+		ent.missingSince = time.Time{}
 		return false
 	}
 	dir.entries[up.ID] = &directoryEntry{up: up}
@@ -101,7 +116,7 @@
 	listed := make(map[bwmodel.UpstreamID]bool, len(ups))
 	for _, up := range ups {
 		listed[up.ID] = true
-		dir.Put(up)
+		dir.Put(up, now)
 	}
 	for id := range dir.entries {
 		if !listed[id] {
@@ -116,9 +131,16 @@
 	return dir.listUnavailable || !dir.availableSince.IsZero() && now.Sub(dir.availableSince) < OutageGracePeriod
 }
 
-// Expire removes the entries that are still missing after the grace period, and
-// returns their IDs.
+// Expire applies the entries with an earlier start that are still listed, removes
+// those that are still missing after the grace period, and returns the IDs of the
+// removed ones.
 func (dir *UpstreamDirectory) Expire(now time.Time) []bwmodel.UpstreamID {
+	for id, ent := range dir.entries {
+		if ent.older != nil && now.Sub(ent.olderSince) >= olderEntryDelay {
+			dir.entries[id] = &directoryEntry{up: *ent.older, missingSince: ent.missingSince}
+			dir.revision++
+		}
+	}
 	if dir.keepsMissing(now) {
 		return nil
 	}
--- a/core/bwforward/directory_test.go
+++ b/core/bwforward/directory_test.go
@@ -36,7 +36,7 @@
 	if got := upstreamIDs(dir); got != "e1 e2 " || dir.Missing() != 2 {
 		t.Fatalf("upstreams %q and %d missing right after an outage, want e1, e2 and 2", got, dir.Missing())
 	}
-	dir.Put(both[0])
+	dir.Put(both[0], clk.now)
 	clk.now = clk.now.Add(bwforward.OutageGracePeriod)
 	if expired := dir.Expire(clk.now); len(expired) != 1 || expired[0] != "e2" {
 		t.Errorf("expired %v, want e2", expired)
@@ -49,17 +49,18 @@
 // Guards against an older run of an upstream that replaces the current one, and
 // against a crashed upstream that hides the next one at its address.
 func TestDirectoryKeepsLatestStart(t *testing.T) {
+	clk := newClock()
 	dir := bwforward.NewUpstreamDirectory()
 	later := upstream("e1", "z1", 6)
 	later.StartTime = time.Unix(9, 0)
-	dir.Put(later)
-	dir.Put(upstream("e1", "z1", 6))
+	dir.Put(later, clk.now)
+	dir.Put(upstream("e1", "z1", 6), clk.now)
 	if got := dir.Upstreams()[0].StartTime; !got.Equal(later.StartTime) {
 		t.Errorf("start time %v, want the later one", got)
 	}
 	next := later
 	next.ID, next.StartTime = "e7", time.Unix(10, 0)
-	dir.Put(next)
+	dir.Put(next, clk.now)
 	if got := upstreamIDs(dir); got != "e7 " {
 		t.Errorf("upstreams %q at one address, want only the last started", got)
 	}
@@ -69,6 +70,47 @@
 	}
 }
 
+// Guards against an upstream that is lost since its machine's clock was set back
+// before it restarted, and against a late report of an earlier run that replaces
+// the current one.
+func TestDirectoryClockSetBack(t *testing.T) {
+	current := upstream("e1", "z1", 6)
+	current.StartTime, current.Leaving = time.Unix(9, 0), true
+	restarted := upstream("e1", "z1", 6)
+	restarted.StartTime = time.Unix(7, 0)
+	tests := []struct {
+		name string
+		// then is listed a second after the earlier start, if not nil.
+		then *bwforward.Upstream
+		want bwforward.Upstream
+	}{
+		{"the earlier start stays", nil, restarted},
+		{"the later start is reported again", &current, current},
+		{"the earlier start is reported again", &restarted, restarted},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			clk := newClock()
+			dir := bwforward.NewUpstreamDirectory()
+			dir.Put(current, clk.now)
+			dir.Put(restarted, clk.now)
+			clk.now = clk.now.Add(time.Second)
+			if tt.then != nil {
+				dir.Put(*tt.then, clk.now)
+			}
+			dir.Expire(clk.now)
+			if got := dir.Upstreams(); len(got) != 1 || got[0] != current {
+				t.Errorf("upstreams %v after a second, want the later start", got)
+			}
+			clk.now = clk.now.Add(2 * time.Second)
+			dir.Expire(clk.now)
+			if got := dir.Upstreams(); len(got) != 1 || got[0] != tt.want {
+				t.Errorf("upstreams %v after 3 s, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // Guards against an upstream that is added as the successor of the one listed at
 // its address although it may belong to another service.
 func TestDirectoryAddSuccessor(t *testing.T) {
@@ -89,11 +131,11 @@
 			clk := newClock()
 			dir := bwforward.NewUpstreamDirectory()
 			old := upstream("e1", "z1", 64)
-			dir.Put(old)
+			dir.Put(old, clk.now)
 			if tt.otherService {
 				other := upstream("e2", "z1", 64)
 				other.Service = "second"
-				dir.Put(other)
+				dir.Put(other, clk.now)
 			}
 			if tt.listUnavailable {
 				dir.MarkListUnavailable()
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -14,7 +14,8 @@
 
 // zoneHealth records the failures of a zone's upstreams, which often fail together.
 type zoneHealth struct {
-	// last and previous are the times of the last two failures, in Unix nanoseconds.
+	// last and previous are the times of the last two failures, as returned by
+	// nanos.
 	last, previous atomic.Int64
 }
 
@@ -22,11 +23,11 @@
 const zoneFailureWindow = 1500 * time.Millisecond
 
 // addFailure records an upstream's first failure since its last response.
-func (zh *zoneHealth) addFailure(now time.Time) { zh.previous.Store(zh.last.Swap(now.UnixNano())) }
+func (zh *zoneHealth) addFailure(now time.Time) { zh.previous.Store(zh.last.Swap(nanos(now))) }
 
 // failing reports whether two upstreams have failed within zoneFailureWindow.
 func (zh *zoneHealth) failing(now time.Time) bool {
-	return now.UnixNano()-zh.previous.Load() < int64(zoneFailureWindow)
+	return nanos(now)-zh.previous.Load() < int64(zoneFailureWindow)
 }
 
 // nodeCounters is shared by the successive nodes of one upstream.
@@ -36,15 +37,15 @@
 	// requests and copies need in the KV cache.
 	running, prefillTokens, memoryTokens atomic.Int64
 	// suspendedUntil is the end of the suspension and lastFailure the time of the
-	// last failure, both in Unix nanoseconds. consecutiveFailures counts the
+	// last failure, both as returned by nanos. consecutiveFailures counts the
 	// failures since the last response.
 	suspendedUntil, lastFailure, consecutiveFailures atomic.Int64
 	// doublings is how often firstSuspension is doubled for the next suspension.
 	doublings           atomic.Int64
 	lastReport          atomic.Pointer[loadReport]
 	replaced, searching atomic.Bool
-	// lastResponse is the time of the upstream's last response to this process, in
-	// Unix nanoseconds.
+	// lastResponse is the time of the upstream's last response to this process, as
+	// returned by nanos.
 	lastResponse atomic.Int64
 	// peerWork is the work that other gateways have placed at the upstream.
 	peerWork peerWork
@@ -117,11 +118,11 @@
 	if nd.consecutiveFailures.Add(1) == 1 {
 		nd.zone.addFailure(now)
 	}
-	last := nd.lastFailure.Swap(now.UnixNano())
-	doublings := max(nd.doublings.Load()-(now.UnixNano()-last)/int64(doublingDecayTime), 0)
+	last := nd.lastFailure.Swap(nanos(now))
+	doublings := max(nd.doublings.Load()-(nanos(now)-last)/int64(doublingDecayTime), 0)
 	suspension := min(firstSuspension<<min(doublings, maxDoublings), maxSuspension)
 	nd.doublings.Store(min(doublings+1, maxDoublings))
-	nd.suspendedUntil.Store(now.Add(suspension).UnixNano())
+	nd.suspendedUntil.Store(nanos(now.Add(suspension)))
 }
 
 // maxDoublings turns firstSuspension into maxSuspension.
@@ -133,7 +134,7 @@
 
 // RecordResponse records that the upstream has responded, and ends its suspension.
 func (nd *Node) RecordResponse(now time.Time) {
-	nd.lastResponse.Store(now.UnixNano())
+	nd.lastResponse.Store(nanos(now))
 	nd.consecutiveFailures.Store(0)
 	nd.suspendedUntil.Store(0)
 }
@@ -141,12 +142,12 @@
 // FailingSince reports whether the upstream has failed a request after a time
 // and has not responded since that failure.
 func (nd *Node) FailingSince(at time.Time) bool {
-	return nd.consecutiveFailures.Load() > 0 && nd.lastFailure.Load() > at.UnixNano()
+	return nd.consecutiveFailures.Load() > 0 && nd.lastFailure.Load() > nanos(at)
 }
 
 // HadFailureSince reports whether the upstream has failed a request after a time,
 // even if it has responded since: the contents of its KV cache may be lost.
-func (nd *Node) HadFailureSince(at time.Time) bool { return nd.lastFailure.Load() > at.UnixNano() }
+func (nd *Node) HadFailureSince(at time.Time) bool { return nd.lastFailure.Load() > nanos(at) }
 
 // BeginSuccessorSearch reports whether the caller may search for the upstream
 // that now has this one's address. Only one search runs until EndSuccessorSearch.
--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -46,7 +46,7 @@
 		pl.sessions.put(nt.Session, nt.Upstream)
 	case FailureNote:
 		// A recent response to this gateway takes precedence over the note.
-		if now.UnixNano()-nd.lastResponse.Load() > int64(ignoreFailureNoteTime) {
+		if nanos(now)-nd.lastResponse.Load() > int64(ignoreFailureNoteTime) {
 			nd.RecordFailure(now)
 		}
 	}
@@ -64,7 +64,7 @@
 // note reports its end; it is assumed to finish at the engine's usual rate.
 type peerWork struct {
 	// prefillEnd is the expected end of the prefill of all prompts, and streamEnds has
-	// the expected end of each stream, both in Unix nanoseconds.
+	// the expected end of each stream, both as returned by nanos.
 	prefillEnd atomic.Int64
 	streamEnds [maxPeerStreams]atomic.Int64
 }
@@ -85,7 +85,7 @@
 func (pwk *peerWork) addStream(now time.Time) {
 	for ix := range pwk.streamEnds {
 		old := pwk.streamEnds[ix].Load()
-		if old <= now.UnixNano() && pwk.streamEnds[ix].CompareAndSwap(old, now.Add(expectedStreamTime).UnixNano()) {
+		if old <= nanos(now) && pwk.streamEnds[ix].CompareAndSwap(old, nanos(now.Add(expectedStreamTime))) {
 			return
 		}
 	}
@@ -95,7 +95,7 @@
 func (pwk *peerWork) runningStreams(now time.Time) int {
 	count := 0
 	for ix := range pwk.streamEnds {
-		if pwk.streamEnds[ix].Load() > now.UnixNano() {
+		if pwk.streamEnds[ix].Load() > nanos(now) {
 			count++
 		}
 	}
@@ -107,7 +107,7 @@
 func (pwk *peerWork) addPrefill(dur time.Duration, now time.Time) {
 	for {
 		old := pwk.prefillEnd.Load()
-		next := min(max(old, now.UnixNano())+int64(dur), now.Add(maxPeerPrefill).UnixNano())
+		next := min(max(old, nanos(now))+int64(dur), nanos(now.Add(maxPeerPrefill)))
 		if pwk.prefillEnd.CompareAndSwap(old, next) {
 			return
 		}
@@ -116,7 +116,7 @@
 
 // remainingPrefill returns the time until prefillEnd, or 0 if it has passed.
 func (pwk *peerWork) remainingPrefill(now time.Time) time.Duration {
-	return time.Duration(max(pwk.prefillEnd.Load()-now.UnixNano(), 0))
+	return time.Duration(max(pwk.prefillEnd.Load()-nanos(now), 0))
 }
 
 // sessionIndex maps sessions to the upstreams that ran them last. It is a
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -249,7 +249,7 @@
 // cost returns the cost of work at a node, before affinityGain is subtracted.
 func (pl *Pool) cost(nd *Node, wrk Work, now time.Time) time.Duration {
 	cost := time.Duration(0)
-	if now.UnixNano() < nd.suspendedUntil.Load() {
+	if nanos(now) < nd.suspendedUntil.Load() {
 		cost += suspendedCost
 	}
 	if nd.zone.failing(now) {
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -162,7 +162,7 @@
 			cst.dir.Remove(chg.ID, now)
 		default:
 			ups = append(ups, *chg.Upstream)
-			if !cst.dir.Put(*chg.Upstream) {
+			if !cst.dir.Put(*chg.Upstream, now) {
 				continue
 			}
 			st.cfg.Log.Info("entry", "Upstream", chg.ID, "Service", chg.Upstream.Service, "Address", chg.Upstream.Address,
@@ -306,10 +306,9 @@
 
 func (st *ControlState) expire(cst *ownedState) {
 	expired := cst.dir.Expire(st.cfg.Now())
-	if len(expired) == 0 {
-		return
+	if len(expired) > 0 {
+		st.cfg.Log.Info("entries expired after an outage of the list", "Upstreams", expired)
 	}
-	st.cfg.Log.Info("entries expired after an outage of the list", "Upstreams", expired)
 	st.updatePool(cst)
 }
 
