Read the store about as often as a handful of gateways does

Now pauses are exponentially distributed (core/bwspread), so that about one gateway reads whatever their number; updates are compressed and sent in fragments, to each zone through one relay; updates that overtake each other are put in order; gateways that can't read share their attempts, and an update that they can't apply makes them read at once; announcements come each minute. The manifest is read by the bound for changes instead of each second.

With complete notes two faults showed: the loss of a zone's engines moved its plain requests too, and copies of KV caches collected at the engine that looked idle to all. Zones fail for one service now, copies are announced and spread, a lost response of a plain upstream does not suspend it at every gateway, and an upstream that was replaced is avoided by all.

--- a/cmd/bilberrywick-gateway/check.go
+++ b/cmd/bilberrywick-gateway/check.go
@@ -116,6 +116,7 @@
 		{"Store", sts.Store},
 		{"GraceTime", sts.GraceTime},
 		{"LeaveTime", sts.LeaveTime},
+		{"ChangeTime", sts.ChangeTime},
 		{"RetryShare", sts.RetryShare},
 		{"RetrySlack", sts.RetrySlack},
 		{"RetryWindow", sts.RetryWindow},
--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -77,7 +77,7 @@
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
 	str := bwplatform.NewStore(bwplatform.StoreConfig{Address: sts.Store})
-	src := bwplatform.NewStoreFollower(bwplatform.StoreFollowerConfig{Store: str, Member: bwmodel.MemberID(sts.Member), LeaveTime: sts.LeaveTime, Log: log})
+	src := bwplatform.NewStoreFollower(bwplatform.StoreFollowerConfig{Store: str, Member: bwmodel.MemberID(sts.Member), LeaveTime: sts.LeaveTime, ChangeTime: sts.ChangeTime, Log: log})
 	eng := bwplatform.NewEngineClient()
 	prc, err := bwgateway.NewProcess(bwgateway.ProcessConfig{
 		Settings:             sts,
--- a/core/bwforward/budget.go
+++ b/core/bwforward/budget.go
@@ -60,8 +60,8 @@
 	// was kept at its start and what was added in it, so that their sum must be
 	// below 1. The rest allows for requests that the gateways count later than
 	// their callers send them.
-	earnedShare = 0.375
-	keptShare   = 0.375
+	earnedShare = 0.45
+	keptShare   = 0.45
 	// keptSlack is the part of Slack that the gateways together keep, earnedSlack the
 	// part that they add in a window. A gateway that restarts within a window may
 	// keep its part twice.
@@ -71,7 +71,7 @@
 	// since a failed stream costs its caller more than a failed plain request.
 	streamReserve = 2
 	// lentShare is the part of a budget that is lent to one borrower.
-	lentShare = 0.5
+	lentShare = 0.8
 )
 
 // NewRetryBudgets returns empty budgets. SetGatewayCount adds the part of Slack.
@@ -171,6 +171,16 @@
 	return true
 }
 
+// Keep adds what another gateway has lent but is no longer needed.
+func (bds *RetryBudgets) Keep(svc bwmodel.ServiceID, amount float64) {
+	bds.mu.Lock()
+	defer bds.mu.Unlock()
+	bud := bds.budget(svc)
+	if amount > 0 {
+		bud.available = min(bud.available+amount, bud.limit)
+	}
+}
+
 // serviceBudget is the budget of one service, in requests.
 type serviceBudget struct {
 	available float64
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -12,7 +12,8 @@
 	zone *zoneHealth
 }
 
-// zoneHealth records the failures of a zone's upstreams, which often fail together.
+// zoneHealth records the failures of a service's upstreams in a zone, which often
+// fail together.
 type zoneHealth struct {
 	// last and previous are the times of the last two failures, as returned by
 	// nanos.
@@ -36,6 +37,8 @@
 	// prompts whose prefill has not finished, and memoryTokens the tokens that the
 	// requests and copies need in the KV cache.
 	running, prefillTokens, memoryTokens atomic.Int64
+	// copies counts this process's KV cache copies at the upstream.
+	copies atomic.Int64
 	// suspendedUntil is the end of the suspension and lastFailure the time of the
 	// last failure, both as returned by nanos. consecutiveFailures counts the
 	// failures since the last response.
@@ -129,8 +132,14 @@
 const maxDoublings = 4
 
 // MarkReplaced records that another upstream has this one's address, so that the
-// node never gets work again.
-func (nd *Node) MarkReplaced() { nd.replaced.Store(true) }
+// node never gets work again. It counts as a failure in the zone: when a zone's
+// upstreams restart, their old entries stay on the list for seconds and look
+// idle.
+func (nd *Node) MarkReplaced(now time.Time) {
+	if !nd.replaced.Swap(true) {
+		nd.zone.addFailure(now)
+	}
+}
 
 // RecordResponse records that the upstream has responded, and ends its suspension.
 func (nd *Node) RecordResponse(now time.Time) {
@@ -176,6 +185,7 @@
 func (nd *Node) PlaceCopy(wrk Work) *Placement {
 	plc := &Placement{node: nd, memoryTokens: int64(wrk.PromptTokens + wrk.MaxOutputTokens), isCopy: true}
 	nd.memoryTokens.Add(plc.memoryTokens)
+	nd.copies.Add(1)
 	return plc
 }
 
@@ -202,7 +212,9 @@
 	}
 	plc.node.prefillTokens.Add(-plc.promptTokens)
 	plc.node.memoryTokens.Add(-plc.memoryTokens)
-	if !plc.isCopy {
+	if plc.isCopy {
+		plc.node.copies.Add(-1)
+	} else {
 		plc.node.running.Add(-1)
 	}
 	plc.node = nil
--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -1,6 +1,8 @@
 package bwforward
 
 import (
+	"math"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +20,8 @@
 	// Session and Prompt, in tokens, describe the placed work of a PlacementNote.
 	Session string
 	Prompt  int
+	// CopyTarget is the upstream that receives a copy of the work's KV cache, or empty.
+	CopyTarget bwmodel.UpstreamID `cbor:",omitempty"`
 }
 
 // PeerNoteKind is the event that a note reports.
@@ -30,6 +34,8 @@
 	// FailureNote reports that an upstream did not respond or sent an incomplete
 	// response.
 	FailureNote
+	// ReplacedNote reports that another upstream has the address of an upstream.
+	ReplacedNote
 )
 
 // ApplyNote applies another gateway's note; it ignores unknown upstreams.
@@ -42,13 +48,18 @@
 	switch nt.Kind {
 	case PlacementNote:
 		nd.peerWork.addPrefill(prefillTime(min(max(nt.Prompt, 0), maxNotePromptTokens)), now)
-		nd.peerWork.addStream(now)
+		nd.peerWork.streams.add(now, now.Add(expectedStreamTime))
 		pl.sessions.put(nt.Session, nt.Upstream)
+		if target := pl.view.Load().nodes[nt.CopyTarget]; target != nil {
+			target.peerWork.copies.add(now, now.Add(expectedStreamTime))
+		}
 	case FailureNote:
 		// A recent response to this gateway takes precedence over the note.
 		if nanos(now)-nd.lastResponse.Load() > int64(ignoreFailureNoteTime) {
 			nd.RecordFailure(now)
 		}
+	case ReplacedNote:
+		nd.MarkReplaced(now)
 	}
 }
 
@@ -63,16 +74,15 @@
 // peerWork estimates the work that other gateways have placed at an engine. No
 // note reports its end; it is assumed to finish at the engine's usual rate.
 type peerWork struct {
-	// prefillEnd is the expected end of the prefill of all prompts, and streamEnds has
-	// the expected end of each stream, both as returned by nanos.
+	// prefillEnd is the expected end of the prefill of all prompts, as returned by
+	// nanos.
 	prefillEnd atomic.Int64
-	streamEnds [maxPeerStreams]atomic.Int64
+	// streams are those that the engine runs, copies the KV cache copies that it
+	// holds for streams of other engines.
+	streams, copies expiring
 }
 
 const (
-	// maxPeerStreams is above the number of streams that an engine of the current
-	// deployments runs at a time.
-	maxPeerStreams = 16
 	// maxPeerPrefill is a cost at which an engine is chosen only if no other one is
 	// available.
 	maxPeerPrefill = 20 * time.Second
@@ -80,26 +90,52 @@
 	expectedStreamTime = 6 * time.Second
 )
 
-// addStream counts a stream in the slot of one that has ended. Without a free slot
-// the stream is not counted: the engine counts as full already.
-func (pwk *peerWork) addStream(now time.Time) {
-	for ix := range pwk.streamEnds {
-		old := pwk.streamEnds[ix].Load()
-		if old <= nanos(now) && pwk.streamEnds[ix].CompareAndSwap(old, nanos(now.Add(expectedStreamTime))) {
-			return
-		}
+// expiring counts things that end at expected times, by intervals of time. The
+// zero value is empty.
+type expiring struct {
+	mu sync.Mutex
+	// ends has the number of things that end in an interval, at the interval's number
+	// modulo the length; last is the number of the last interval that was emptied.
+	ends  [expiryIntervals]uint16
+	last  int64
+	count int
+}
+
+const (
+	expiryInterval  = 250 * time.Millisecond
+	expiryIntervals = 64
+)
+
+// add counts a thing that ends at a time, or at the last interval if that is
+// later.
+func (xpr *expiring) add(now, end time.Time) {
+	xpr.mu.Lock()
+	defer xpr.mu.Unlock()
+	xpr.advance(now)
+	at := min(max(nanos(end)/int64(expiryInterval), xpr.last+1), xpr.last+expiryIntervals-1)
+	if xpr.ends[at%expiryIntervals] < math.MaxUint16 {
+		xpr.ends[at%expiryIntervals]++
+		xpr.count++
 	}
 }
 
-// runningStreams returns the number of streams that have not ended.
-func (pwk *peerWork) runningStreams(now time.Time) int {
-	count := 0
-	for ix := range pwk.streamEnds {
-		if pwk.streamEnds[ix].Load() > nanos(now) {
-			count++
-		}
+// running returns the number of things that have not ended.
+func (xpr *expiring) running(now time.Time) int {
+	xpr.mu.Lock()
+	defer xpr.mu.Unlock()
+	xpr.advance(now)
+	return xpr.count
+}
+
+// advance empties the intervals that have passed.
+func (xpr *expiring) advance(now time.Time) {
+	current := nanos(now) / int64(expiryInterval)
+	for range min(max(current-xpr.last, 0), expiryIntervals) {
+		xpr.last++
+		xpr.count -= int(xpr.ends[xpr.last%expiryIntervals])
+		xpr.ends[xpr.last%expiryIntervals] = 0
 	}
-	return count
+	xpr.last = max(xpr.last, current)
 }
 
 // addPrefill adds the prefill time of one more prompt to prefillEnd, up to
--- a/core/bwforward/note_test.go
+++ b/core/bwforward/note_test.go
@@ -1,11 +1,13 @@
 package bwforward_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
 
 	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
 )
 
 // Guards against gateways that place prompts at an engine where another gateway
@@ -75,3 +77,68 @@
 		}
 	}
 }
+
+// Replays the restart of a zone's engines under new IDs, while the list still has
+// the old ones, which look idle. Guards against requests that each try one stale
+// entry after the other.
+func TestReplacedNote(t *testing.T) {
+	clk := newClock()
+	pl := bwforward.NewPool(bwforward.PoolConfig{Zone: "z1", Now: clk.read})
+	pl.Update([]bwforward.Upstream{upstream("e1", "z1", 64), upstream("e2", "z1", 64), upstream("e3", "z1", 64), upstream("f1", "z2", 64)})
+	for _, id := range []bwmodel.UpstreamID{"e1", "e2"} {
+		pl.ApplyNote(bwforward.PeerNote{Kind: bwforward.ReplacedNote, Upstream: id})
+		pl.ApplyNote(bwforward.PeerNote{Kind: bwforward.ReplacedNote, Upstream: id})
+	}
+	if got := chosenID(pl, stream); got != "f1" {
+		t.Errorf("chose %q in the zone that restarts, want f1", got)
+	}
+	clk.now = clk.now.Add(time.Minute)
+	if got := chosenID(pl, stream); got != "e3" {
+		t.Errorf("chose %q, want e3, the only one of the own zone that was not replaced", got)
+	}
+}
+
+// Replays a hundred gateways that see the same idle engines and each place
+// streams with a copy. Guards against copies that collect at a few engines, which
+// can't continue all of them when the streams' own engines fail.
+func TestCopiesAreSpread(t *testing.T) {
+	const gateways, perZone, streams = 100, 10, 200
+	clk := newClock()
+	var ups []bwforward.Upstream
+	for ix := range perZone {
+		for _, zone := range []string{"z1", "z2", "z3"} {
+			up := upstream("e1", zone, 64)
+			up.ID = bwmodel.UpstreamID(fmt.Sprintf("%s-%d", zone, ix))
+			ups = append(ups, up)
+		}
+	}
+	pools := make([]*bwforward.Pool, gateways)
+	for ix := range pools {
+		pools[ix] = bwforward.NewPool(bwforward.PoolConfig{Zone: "z1", Now: clk.read})
+		pools[ix].Update(ups)
+	}
+	copies := make(map[bwmodel.UpstreamID]int)
+	for placed := range streams {
+		sender := placed % gateways
+		nd := pools[sender].Choose(stream)
+		target := pools[sender].ChooseCopyTarget(stream, nd)
+		if target.Zone == nd.Zone {
+			t.Fatalf("copy of a stream on %s at %s, in the same zone", nd.ID, target.ID)
+		}
+		nd.Place(stream)
+		target.PlaceCopy(stream)
+		copies[target.ID]++
+		for ix, pl := range pools {
+			if ix != sender {
+				pl.ApplyNote(bwforward.PeerNote{Kind: bwforward.PlacementNote, Upstream: nd.ID, Prompt: stream.PromptTokens, CopyTarget: target.ID})
+			}
+		}
+		clk.now = clk.now.Add(25 * time.Millisecond)
+	}
+	mean := streams / (3 * perZone)
+	for id, count := range copies {
+		if count > 2*mean {
+			t.Errorf("%s has %d copies, the mean is %d", id, count, mean)
+		}
+	}
+}
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -17,7 +17,7 @@
 	cfg  PoolConfig
 	view atomic.Pointer[poolView]
 	// zones is used by the control goroutine only; its values are shared.
-	zones    map[bwmodel.ZoneID]*zoneHealth
+	zones    map[zoneKey]*zoneHealth
 	sessions *sessionIndex
 }
 
@@ -53,7 +53,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	pl := &Pool{cfg: cfg, zones: make(map[bwmodel.ZoneID]*zoneHealth), sessions: new(sessionIndex)}
+	pl := &Pool{cfg: cfg, zones: make(map[zoneKey]*zoneHealth), sessions: new(sessionIndex)}
 	pl.view.Store(&poolView{})
 	return pl
 }
@@ -66,7 +66,7 @@
 	for _, up := range ups {
 		nd := old.nodes[up.ID]
 		if nd == nil || nd.Upstream != up {
-			nd = nd.withUpstream(up, pl.zoneHealth(up.Zone))
+			nd = nd.withUpstream(up, pl.zoneHealth(zoneKey{up.Service, up.Zone}))
 		}
 		vw.nodes[up.ID] = nd
 		vw.services[up.Service] = append(vw.services[up.Service], nd)
@@ -74,11 +74,19 @@
 	pl.view.Store(vw)
 }
 
-func (pl *Pool) zoneHealth(id bwmodel.ZoneID) *zoneHealth {
-	zh := pl.zones[id]
+// zoneKey names the upstreams of one service in one zone. Those of other services
+// run on other VMs: if they counted as failing too, a few upstreams elsewhere
+// would get their work.
+type zoneKey struct {
+	service bwmodel.ServiceID
+	zone    bwmodel.ZoneID
+}
+
+func (pl *Pool) zoneHealth(key zoneKey) *zoneHealth {
+	zh := pl.zones[key]
 	if zh == nil {
 		zh = new(zoneHealth)
-		pl.zones[id] = zh
+		pl.zones[key] = zh
 	}
 	return zh
 }
@@ -135,6 +143,10 @@
 	// runningCost is added for each running request: each chunk of the new prompt
 	// delays the tokens of the streams on the same engine.
 	runningCost = 150 * time.Millisecond
+	// copyCost is added for each copy that an engine holds when it is considered for
+	// another one. It is above runningCost: if the copies' engines fail, all of them
+	// become running streams at the same moment.
+	copyCost = 2 * runningCost
 	// plainServiceTime is the usual time that a plain request takes.
 	plainServiceTime = 15 * time.Millisecond
 	// waitingCost is added for each request that already waits at the upstream.
@@ -162,14 +174,17 @@
 
 // ChooseCopyTarget returns the engine for a copy of the KV cache of a run on
 // source, or nil if there is none. It prefers other zones, since engines of one
-// zone often fail together.
+// zone often fail together, and engines with few copies, since the runs of a zone
+// that fails all go on at their copies.
 func (pl *Pool) ChooseCopyTarget(wrk Work, source *Node) *Node {
 	wrk.Exclude = append(slices.Clone(wrk.Exclude), source.ID)
+	now := pl.cfg.Now()
 	return pl.cheapest(wrk, func(nd *Node) time.Duration {
+		cost := time.Duration(max(int(nd.copies.Load()), nd.peerWork.copies.running(now))) * copyCost
 		if nd.Zone == source.Zone {
-			return fullCost
+			cost += fullCost
 		}
-		return 0
+		return cost
 	})
 }
 
@@ -259,7 +274,7 @@
 	if fresh {
 		cost += time.Duration(ld.Waiting) * waitingCost
 	}
-	running := int(nd.running.Load()) + nd.peerWork.runningStreams(now)
+	running := int(nd.running.Load()) + nd.peerWork.streams.running(now)
 	if fresh {
 		running = max(running, ld.Running)
 	}
--- a/core/bwforward/roster.go
+++ b/core/bwforward/roster.go
@@ -18,6 +18,7 @@
 // Announcement is what a gateway publishes about itself in the store.
 type Announcement struct {
 	Member bwmodel.MemberID
+	Zone   bwmodel.ZoneID
 	// Address receives datagrams. Key signs the datagrams that the gateway sends.
 	Address netip.AddrPort
 	Key     []byte
@@ -30,8 +31,9 @@
 
 const (
 	// AnnounceInterval is the time between two announcements. It is long because
-	// announcements have a cost and the number of gateways changes slowly.
-	AnnounceInterval = 15 * time.Second
+	// announcements have a cost and the number of gateways changes slowly. One that
+	// starts or stops announces it at once.
+	AnnounceInterval = time.Minute
 	// maxAnnouncementAge is the age from which an announcement is ignored.
 	maxAnnouncementAge = 2*AnnounceInterval + 5*time.Second
 )
--- a/io/bwgateway/announcer.go
+++ b/io/bwgateway/announcer.go
@@ -32,8 +32,11 @@
 	}
 	stopping := anc.state.stopping
 	for ctx.Err() == nil {
-		anc.announce(ctx, stopping == nil)
-		tmr := time.NewTimer(bwforward.AnnounceInterval + rand.N(time.Second))
+		interval := bwforward.AnnounceInterval
+		if !anc.announce(ctx, stopping == nil) {
+			interval = announceRetryInterval
+		}
+		tmr := time.NewTimer(interval + rand.N(time.Second))
 		select {
 		case <-tmr.C:
 		case <-stopping:
@@ -44,12 +47,19 @@
 	}
 }
 
-func (anc *announcer) announce(ctx context.Context, leaving bool) {
+// announceRetryInterval is the time after a failed announcement until the next
+// one. The others need this gateway's address and key to share reads with it.
+const announceRetryInterval = 2 * time.Second
+
+// announce reports whether the announcement was written.
+func (anc *announcer) announce(ctx context.Context, leaving bool) bool {
 	ann := bwforward.Announcement{Leaving: leaving, Seen: anc.state.View().storeClock()}
 	if prs := anc.state.cfg.Peers; prs != nil {
-		ann.Address, ann.Key = prs.Address(), prs.Key()
+		ann.Zone, ann.Address, ann.Key = prs.cfg.Zone, prs.Address(), prs.Key()
 	}
-	if err := anc.writeRow(ctx, ann); err != nil {
+	err := anc.writeRow(ctx, ann)
+	if err != nil {
 		anc.log.Warn("announcement failed", "Error", err)
 	}
+	return err == nil
 }
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -128,7 +128,7 @@
 	out.header = cl.gw.cfg.Dialect.UpstreamHeaders(cl.callerHeader, info)
 	exc, err := openExchange(ctx, cl.gw.cfg.Dial, nd.Address, &out)
 	if errors.Is(err, ErrNotSent) {
-		cl.gw.recordFailure(nd)
+		cl.gw.recordFailure(nd, true)
 		cl.exclude = append(cl.exclude, nd.ID)
 		return nil, err
 	}
@@ -183,7 +183,8 @@
 		cl.possibleRuns--
 		cl.exclude = append(cl.exclude, nd.ID)
 		if info.OtherUpstream {
-			nd.MarkReplaced()
+			nd.MarkReplaced(cl.gw.cfg.Now())
+			cl.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.ReplacedNote, Upstream: nd.ID})
 			cl.gw.searchSuccessor(nd)
 		}
 	}
--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -5,21 +5,29 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
+
+	"bilberrywick/core/bwspread"
 )
 
 // Follower applies the changes of one table of a store. The followers of a table
 // in several gateways share what they read: a follower that receives an update
 // from another gateway postpones its own next call, so that the number of calls
-// does not grow with the number of gateways. Only the goroutine of Start changes
-// it; enqueue may be called by any goroutine.
+// does not grow with the number of gateways. While the table can't be read they
+// share the attempts in the same way. Only the goroutine of Start changes it;
+// Receive and ReceiveProbe may be called by any goroutine.
 type Follower struct {
 	cfg FollowerConfig
 	// updates buffers the updates of other gateways while this one's call is
-	// pending.
+	// pending, probes the fact that one of them tries to read.
 	updates chan TableUpdate
+	probes  chan struct{}
 	// version is the table version that has been applied; 0 means none.
 	version uint64
+	// early has updates that follow a version which has not been applied yet, since
+	// datagrams overtake each other.
+	early []TableUpdate
 	// clockOffset is the reading of the store's monotonic clock at startedAt.
 	clockOffset time.Duration
 	startedAt   time.Time
@@ -43,11 +51,13 @@
 	// OnReadFailure is called when the table can't be read; an error ends the
 	// follower. It may be nil.
 	OnReadFailure func(ctx context.Context, cause error) error
-	// SendUpdate sends the changes that were read to the other gateways.
+	// SendUpdate sends the changes that were read to the other gateways, and
+	// SendProbe that this gateway tries to read after a failure.
 	SendUpdate func(TableUpdate)
-	// SharesReads reports whether there are enough gateways to share reads.
-	SharesReads func() bool
-	Log         *slog.Logger
+	SendProbe  func()
+	// Readers returns the number of gateways that share reads, or 1 if they don't.
+	Readers func() int
+	Log     *slog.Logger
 }
 
 // Row is one row of a table or one change of it.
@@ -91,40 +101,53 @@
 	// share the store's rate limit, and each call has a cost.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
-	// minIntervalShare is the smallest part of PollInterval between a read and the
-	// next call. Each gateway adds a random part of the rest, so that one of them
-	// calls first.
-	minIntervalShare = 0.7
+	// maxProbePause is the longest time between two attempts of one gateway while
+	// others try as well. It matters only if the updates of those that succeed are
+	// lost, which come at least every PollInterval.
+	maxProbePause = 5 * maxBackoff
 	// maxUpdateAge is the age up to which an update postpones the next call. It is
 	// above the latency of a datagram between zones, and short against PollInterval.
 	maxUpdateAge = 250 * time.Millisecond
 	// updateQueueSize exceeds the number of updates that arrive during the
 	// longest call.
 	updateQueueSize = 64
+	// maxEarlyUpdates exceeds the number of updates in the time for which one may be
+	// overtaken.
+	maxEarlyUpdates = 8
 )
 
-func newFollower(cfg FollowerConfig) *Follower {
+// NewFollower returns a follower; Start starts it.
+func NewFollower(cfg FollowerConfig) *Follower {
 	if cfg.LongPollTimeout == 0 {
 		cfg.LongPollTimeout = defaultLongPoll
 	}
 	if cfg.OnReadFailure == nil {
 		cfg.OnReadFailure = func(context.Context, error) error { return nil }
 	}
-	return &Follower{cfg: cfg, updates: make(chan TableUpdate, updateQueueSize), startedAt: time.Now()}
+	return &Follower{cfg: cfg, updates: make(chan TableUpdate, updateQueueSize), probes: make(chan struct{}, 1), startedAt: time.Now()}
 }
 
 // Start follows the table until the context ends.
 func (fol *Follower) Start(ctx context.Context) { go fol.loop(ctx) }
 
-// enqueue queues an update of another gateway without blocking. An update that
+// Receive queues an update of another gateway without blocking. An update that
 // does not fit is dropped, which has the same effect as a lost datagram.
-func (fol *Follower) enqueue(upd TableUpdate) {
+func (fol *Follower) Receive(upd TableUpdate) {
 	select {
 	case fol.updates <- upd:
 	default:
 	}
 }
 
+// ReceiveProbe records without blocking that another gateway tries to read the
+// table.
+func (fol *Follower) ReceiveProbe() {
+	select {
+	case fol.probes <- struct{}{}:
+	default:
+	}
+}
+
 func (fol *Follower) loop(ctx context.Context) {
 	pause := minBackoff
 	wait := time.Duration(0)
@@ -133,7 +156,7 @@
 		switch {
 		case err == nil:
 			pause, wait = minBackoff, fol.cfg.LongPollTimeout
-			fol.sleep(ctx, fol.nextInterval())
+			fol.sleep(ctx, fol.nextInterval(), nil)
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, ErrHistoryLost):
@@ -146,12 +169,39 @@
 			if err := fol.cfg.OnReadFailure(ctx, err); err != nil {
 				return
 			}
-			fol.sleep(ctx, pause/2+rand.N(pause/2))
+			fol.sleepAfterFailure(ctx, pause)
 			pause = min(2*pause, maxBackoff)
 		}
 	}
 }
 
+// sleepAfterFailure waits until it is this gateway's turn to try again: after a
+// pause that the attempts of other gateways restart, if they share reads. An
+// update that can't be applied shows that the store can be read again.
+func (fol *Follower) sleepAfterFailure(ctx context.Context, pause time.Duration) {
+	readers := fol.cfg.Readers()
+	if readers <= 1 {
+		fol.sleep(ctx, pause/2+rand.N(pause/2), nil)
+		return
+	}
+	probe := bwspread.Timer{Longest: maxBackoff}
+	latest := time.Now().Add(maxProbePause)
+	failure := &failedRead{
+		onProbe: func() time.Duration { return min(probe.Next(readers), max(time.Until(latest), 0)) },
+		onGap:   func() time.Duration { return rand.N(minBackoff) },
+	}
+	if fol.sleep(ctx, probe.Next(readers), failure) {
+		fol.cfg.SendProbe()
+	}
+}
+
+// failedRead returns the pauses that begin during the one after a failed read.
+type failedRead struct {
+	// onProbe is called when another gateway tries to read, onGap when an update
+	// arrives that can't be applied since changes before it are missing.
+	onProbe, onGap func() time.Duration
+}
+
 // poll reads the whole table if no version has been applied, and otherwise the
 // changes, which it sends to the other gateways.
 func (fol *Follower) poll(ctx context.Context, wait time.Duration) error {
@@ -162,7 +212,7 @@
 		}
 		return fol.apply(ctx, res, true)
 	}
-	if fol.cfg.SharesReads() {
+	if fol.cfg.Readers() > 1 {
 		wait = 0
 	}
 	res, err := fol.cfg.ReadChanges(ctx, fol.version, wait)
@@ -187,46 +237,75 @@
 
 // nextInterval returns the time from a read to this gateway's next call.
 func (fol *Follower) nextInterval() time.Duration {
-	if !fol.cfg.SharesReads() {
+	readers := fol.cfg.Readers()
+	if readers <= 1 {
 		return fol.cfg.PollInterval
 	}
-	shortest := scale(fol.cfg.PollInterval, minIntervalShare)
-	return shortest + rand.N(fol.cfg.PollInterval-shortest)
+	return bwspread.Timer{Longest: fol.cfg.PollInterval}.Next(readers)
 }
 
-// sleep waits for a pause and applies the updates of other gateways meanwhile.
-// An update may restart the pause.
-func (fol *Follower) sleep(ctx context.Context, pause time.Duration) {
+// sleep waits for a pause and applies the updates of other gateways meanwhile,
+// which may restart the pause. After a failed read the pause restarts as failure
+// says; else it is nil. sleep returns true when such a pause has ended.
+func (fol *Follower) sleep(ctx context.Context, pause time.Duration, failure *failedRead) bool {
 	tmr := time.NewTimer(pause)
 	defer tmr.Stop()
 	for {
 		select {
 		case upd := <-fol.updates:
-			if next, ok := fol.applyUpdate(ctx, upd); ok {
+			next, ok := fol.applyUpdate(ctx, upd)
+			switch {
+			case ok:
 				tmr.Reset(next)
+				failure = nil
+			case failure != nil && upd.After > fol.version:
+				tmr.Reset(failure.onGap())
+				failure = nil
+			}
+		case <-fol.probes:
+			if failure != nil {
+				tmr.Reset(failure.onProbe())
 			}
 		case <-tmr.C:
-			return
+			return failure != nil
 		case <-ctx.Done():
-			return
+			return false
 		}
 	}
 }
 
-// applyUpdate applies an update of another gateway. It returns the time until
-// this gateway's next call, and true if the update is recent enough to
-// postpone that call. An update that leaves a gap after the applied version,
-// or is older than it, is ignored.
+// applyUpdate applies an update of another gateway, and those that followed it
+// and came before. It returns the time until this gateway's next call, and true
+// if the update is recent enough to postpone that call. An update that is older
+// than the applied version is ignored.
 func (fol *Follower) applyUpdate(ctx context.Context, upd TableUpdate) (time.Duration, bool) {
-	if fol.version == 0 || upd.After > fol.version || upd.Version < fol.version {
+	if fol.version == 0 || upd.Version < fol.version {
 		return 0, false
 	}
-	fol.version = upd.Version
-	if err := fol.cfg.Apply(ctx, upd.ReadResult, false); err != nil {
+	if upd.After > fol.version {
+		fol.early = append(fol.early[max(len(fol.early)-maxEarlyUpdates+1, 0):], upd)
 		return 0, false
 	}
+	for next := &upd; next != nil; next = fol.nextEarly() {
+		upd = *next
+		fol.version = upd.Version
+		if err := fol.cfg.Apply(ctx, upd.ReadResult, false); err != nil {
+			return 0, false
+		}
+	}
 	if fol.clockOffset+time.Since(fol.startedAt)-upd.Now > maxUpdateAge {
 		return 0, false
 	}
 	return fol.nextInterval(), true
 }
+
+// nextEarly removes and returns an early update that can be applied now, or nil.
+func (fol *Follower) nextEarly() *TableUpdate {
+	for ix, upd := range fol.early {
+		if upd.After <= fol.version && upd.Version > fol.version {
+			fol.early = slices.Delete(fol.early, ix, ix+1)
+			return &upd
+		}
+	}
+	return nil
+}
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -164,10 +164,13 @@
 }
 
 // recordFailure records that an upstream could not be reached or did not complete
-// its response, notifies the other gateways, and searches for a successor.
-func (gw *Gateway) recordFailure(nd *bwforward.Node) {
+// its response, notifies the other gateways if they should avoid it too, and
+// searches for a successor.
+func (gw *Gateway) recordFailure(nd *bwforward.Node, notify bool) {
 	nd.RecordFailure(gw.cfg.Now())
-	gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.FailureNote, Upstream: nd.ID})
+	if notify {
+		gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.FailureNote, Upstream: nd.ID})
+	}
 	gw.searchSuccessor(nd)
 }
 
--- a/io/bwgateway/peers.go
+++ b/io/bwgateway/peers.go
@@ -2,93 +2,69 @@
 
 import (
 	"context"
-	"crypto/hmac"
 	crand "crypto/rand"
 	"crypto/sha256"
 	"errors"
 	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"bilberrywick/core/bwforward"
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/core/bwspread"
 )
 
-// Peers exchanges notes and table updates with the other gateways, each in one
-// datagram per gateway. They are useful only when they arrive soon, and a loss
-// does no harm, so they are not retransmitted. Datagrams are signed with a key
-// that only readers of the store have, since table updates change a gateway's
-// state.
+// Peers exchanges notes, table updates and loans with the other gateways, in
+// datagrams. They are useful only when they arrive soon, and a loss does no harm,
+// so they are not retransmitted. Datagrams are signed with a key that only
+// readers of the store have, since table updates change a gateway's state.
 type Peers struct {
 	cfg  PeersConfig
 	conn *net.UDPConn
 	key  atomic.Pointer[[]byte]
-	// addresses are the targets of datagrams, keys the signing keys of their
-	// senders.
-	addresses atomic.Pointer[[]netip.AddrPort]
-	keys      atomic.Pointer[map[bwmodel.MemberID][]byte]
+	// fleet has the targets of datagrams, keys the signing keys of their senders.
+	fleet atomic.Pointer[bwspread.Fleet]
+	keys  atomic.Pointer[map[bwmodel.MemberID][]byte]
 	// failedSends counts the datagrams that could not be sent. refusedDatagrams
 	// counts those that failed verification or decoding; a gateway's datagrams fail
 	// verification for seconds after its start, until the others have read its key.
 	failedSends, refusedDatagrams atomic.Int64
 
 	mu          sync.Mutex
-	subscribers map[string]func(TableUpdate)
+	subscribers map[string]TableHandler
 	// loans has the loan requests in progress.
 	loans map[uint64]chan<- float64
-}
-
-// datagram is an encoded packet with its sender and signature.
-type datagram struct {
-	Member bwmodel.MemberID
-	Packet []byte
-	Sum    []byte
-}
 
-// packet is the content of a datagram. One of its fields is set; their names and
-// those of their fields are part of the encoding.
-type packet struct {
-	Note        *bwforward.PeerNote `cbor:",omitempty"`
-	News        *TableUpdate        `cbor:",omitempty"`
-	LoanRequest *loanRequest        `cbor:",omitempty"`
-	Loan        *loan               `cbor:",omitempty"`
+	// fragments is used by loop only.
+	fragments *reassembly
 }
 
 // PeersConfig configures Peers.
 type PeersConfig struct {
 	Member  bwmodel.MemberID
+	Zone    bwmodel.ZoneID
 	Address netip.AddrPort
 	// OnNote is called with each note of another gateway.
 	OnNote func(bwforward.PeerNote)
 	// Lend takes up to an amount from a service's retry budget for another gateway
 	// and returns what it took; nil means that nothing is lent.
 	Lend func(svc bwmodel.ServiceID, amount float64) float64
-	Log  *slog.Logger
+	// KeepLoan is called with a loan that came too late to be used; nil means that it
+	// is lost.
+	KeepLoan func(svc bwmodel.ServiceID, amount float64)
+	Log      *slog.Logger
 }
 
-const (
-	// maxDatagramBytes is the largest size of a datagram. It holds the entries of
-	// about 30 engines. The network splits it into up to six fragments; if one is
-	// lost, the gateways read the table themselves.
-	maxDatagramBytes = 8 << 10
-	// maxUpdateBytes is the largest total size of one update to all gateways. A slow
-	// link of current deployments sends it in 0.1 s.
-	maxUpdateBytes = 128 << 10
-)
-
 // NewPeers listens on the configured address; Start begins to read datagrams.
 func NewPeers(cfg PeersConfig) (*Peers, error) {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.Address))
 	if err != nil {
 		return nil, fmt.Errorf("listen for notes: %w", err)
 	}
-	prs := &Peers{cfg: cfg, conn: conn, subscribers: make(map[string]func(TableUpdate)), loans: make(map[uint64]chan<- float64)}
+	prs := &Peers{cfg: cfg, conn: conn, subscribers: make(map[string]TableHandler), loans: make(map[uint64]chan<- float64), fragments: newReassembly()}
 	key := make([]byte, sha256.Size)
 	// crypto/rand.Read never returns an error.
 	_, _ = crand.Read(key)
@@ -123,101 +99,79 @@
 
 // SetPeers replaces the list of other gateways.
 func (prs *Peers) SetPeers(anns []bwforward.Announcement) {
-	addrs := make([]netip.AddrPort, 0, len(anns))
+	gateways := make([]bwspread.Gateway, 0, len(anns))
 	keys := make(map[bwmodel.MemberID][]byte, len(anns))
 	for _, ann := range anns {
-		addrs = append(addrs, ann.Address)
+		gateways = append(gateways, bwspread.Gateway{Zone: ann.Zone, Address: ann.Address})
 		if len(ann.Key) == sha256.Size {
 			keys[ann.Member] = ann.Key
 		}
 	}
-	prs.addresses.Store(&addrs)
+	prs.fleet.Store(bwspread.NewFleet(prs.cfg.Zone, gateways))
 	prs.keys.Store(&keys)
 }
 
-// Subscribe sets the handler for the updates of a table; it must not block.
-func (prs *Peers) Subscribe(table string, handler func(TableUpdate)) {
+// TableHandler handles what other gateways send about a table. Its functions must
+// not block; a nil one does nothing.
+type TableHandler struct {
+	// OnUpdate is called with changes that another gateway has read.
+	OnUpdate func(TableUpdate)
+	// OnProbe is called when another gateway tries to read the table after a failure.
+	OnProbe func()
+}
+
+// Subscribe sets the handler of a table.
+func (prs *Peers) Subscribe(table string, hdl TableHandler) {
 	prs.mu.Lock()
 	defer prs.mu.Unlock()
-	prs.subscribers[table] = handler
+	prs.subscribers[table] = hdl
 }
 
-// maxNoteRecipients is the largest number of gateways that receive a note.
-// With more gateways, each one still receives as many notes as in a fleet of
-// this size, and thus has only part of the others' placements.
-const maxNoteRecipients = 64
+// maxNoteRecipients is the largest number of gateways that get a note. With more
+// gateways, each one still gets as many notes as in a fleet of this size, and
+// thus has only part of the others' placements.
+const maxNoteRecipients = 128
 
-// SendNote sends a note to up to maxNoteRecipients other gateways. A nil Peers
-// sends nothing.
+// SendNote sends a note to the other gateways, at most maxNoteRecipients of them.
+// A nil Peers sends nothing.
 func (prs *Peers) SendNote(nt bwforward.PeerNote) {
 	if prs == nil {
 		return
 	}
-	data, ok := prs.encode(packet{Note: &nt})
-	if !ok {
-		return
-	}
-	addrs := *prs.addresses.Load()
-	if len(addrs) <= maxNoteRecipients {
-		prs.send(data, addrs)
-		return
-	}
-	// The recipients are consecutive in a ring, starting at a random one.
-	first := rand.N(len(addrs))
-	last := first + maxNoteRecipients
-	prs.send(data, addrs[first:min(last, len(addrs))])
-	prs.send(data, addrs[:max(last-len(addrs), 0)])
+	prs.sendTo(prs.fleet.Load().Some(maxNoteRecipients), packet{Note: &nt})
 }
 
-// SendUpdate sends an update to all other gateways, unless it is too long;
-// they then read it from the store at their own intervals.
+// SendUpdate sends an update to all other gateways. Of one that is too long they
+// get only the version, and read it from the store at their own intervals.
 func (prs *Peers) SendUpdate(upd TableUpdate) {
-	addrs := *prs.addresses.Load()
-	data, ok := prs.encode(packet{News: &upd})
-	if ok && len(data) <= maxDatagramBytes && len(data)*len(addrs) <= maxUpdateBytes {
-		prs.send(data, addrs)
-	}
-}
-
-// encode returns a signed datagram.
-func (prs *Peers) encode(pkt packet) ([]byte, bool) {
-	dgm := datagram{Member: prs.cfg.Member}
-	var err error
-	if dgm.Packet, err = cbor.Marshal(pkt); err == nil {
-		dgm.Sum = sign(prs.Key(), dgm.Packet)
+	rcp := prs.fleet.Load().All()
+	frgs := splitUpdate(upd)
+	if frgs == nil {
+		upd.After, upd.Rows = upd.Version, nil
+		frgs = splitUpdate(upd)
 	}
-	data, err := cbor.Marshal(dgm)
-	if err != nil {
-		prs.cfg.Log.Error("datagram can't be encoded", "Error", err)
+	for _, frg := range frgs {
+		prs.sendTo(rcp, packet{Fragment: &frg})
 	}
-	return data, err == nil
 }
 
-func sign(key, data []byte) []byte {
-	sum := hmac.New(sha256.New, key)
-	// Write of a hash never returns an error.
-	_, _ = sum.Write(data)
-	return sum.Sum(nil)
+// SendProbe tells the other gateways that this one tries to read a table that it
+// could not read before.
+func (prs *Peers) SendProbe(table string) {
+	prs.sendTo(prs.fleet.Load().All(), packet{Probe: &tableProbe{Table: table}})
 }
 
-// decode verifies a datagram and returns its packet. It returns
-// errUnknownSender if there is no key for the sender or the signature is
-// wrong.
-func (prs *Peers) decode(data []byte) (packet, error) {
-	var dgm datagram
-	var pkt packet
-	if err := cbor.Unmarshal(data, &dgm); err != nil {
-		return pkt, err
+// sendTo signs and sends a packet to its recipients and relays.
+func (prs *Peers) sendTo(rcp bwspread.Recipients, pkt packet) {
+	if data, ok := prs.encode(pkt); ok && len(rcp.Direct) > 0 {
+		prs.send(data, rcp.Direct)
 	}
-	key := (*prs.keys.Load())[dgm.Member]
-	if key == nil || !hmac.Equal(dgm.Sum, sign(key, dgm.Packet)) {
-		return pkt, errUnknownSender
+	pkt.Relay = true
+	if data, ok := prs.encode(pkt); ok && len(rcp.Relays) > 0 {
+		prs.send(data, rcp.Relays)
 	}
-	return pkt, cbor.Unmarshal(dgm.Packet, &pkt)
 }
 
-var errUnknownSender = errors.New("unknown sender or invalid signature")
-
 func (prs *Peers) send(data []byte, addrs []netip.AddrPort) {
 	for _, addr := range addrs {
 		if _, err := prs.conn.WriteToUDPAddrPort(data, addr); err != nil && prs.failedSends.Add(1) == 1 {
@@ -259,6 +213,10 @@
 }
 
 func (prs *Peers) deliver(pkt packet, from netip.AddrPort) {
+	if pkt.Relay {
+		pkt.Relay = false
+		prs.sendTo(bwspread.Recipients{Direct: prs.fleet.Load().Neighbors()}, pkt)
+	}
 	if pkt.Note != nil {
 		prs.cfg.OnNote(*pkt.Note)
 	}
@@ -268,15 +226,36 @@
 	if pkt.Loan != nil {
 		prs.receiveLoan(*pkt.Loan)
 	}
-	if pkt.News == nil {
-		return
+	if pkt.Fragment != nil {
+		prs.receiveFragment(*pkt.Fragment)
+	}
+	if pkt.Probe != nil {
+		prs.handler(pkt.Probe.Table).OnProbe()
+	}
+}
+
+func (prs *Peers) receiveFragment(frg fragment) {
+	upd, ok, err := prs.fragments.add(frg)
+	if err != nil {
+		prs.cfg.Log.Warn("update can't be decoded", "Error", err)
+	}
+	if ok {
+		prs.handler(upd.Table).OnUpdate(upd)
 	}
+}
+
+// handler returns the handler of a table, which has all functions set.
+func (prs *Peers) handler(table string) TableHandler {
 	prs.mu.Lock()
-	handler := prs.subscribers[pkt.News.Table]
+	hdl := prs.subscribers[table]
 	prs.mu.Unlock()
-	if handler != nil {
-		handler(*pkt.News)
+	if hdl.OnUpdate == nil {
+		hdl.OnUpdate = func(TableUpdate) {}
+	}
+	if hdl.OnProbe == nil {
+		hdl.OnProbe = func() {}
 	}
+	return hdl
 }
 
 func (prs *Peers) close() { _ = prs.conn.Close() }
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -134,7 +134,10 @@
 	if cl.callerGone() {
 		return
 	}
-	cl.gw.recordFailure(nd)
+	// The loss of an engine concerns streams of many gateways. A plain upstream that
+	// drops one response is sound in most cases; if every gateway suspended it, its
+	// load would fall on the few others.
+	cl.gw.recordFailure(nd, cl.match.Route.Kind == bwforward.EventStream)
 	cl.exclude = append(cl.exclude, nd.ID)
 }
 
--- a/io/bwgateway/settings.go
+++ b/io/bwgateway/settings.go
@@ -28,6 +28,8 @@
 	// LeaveTime is the time after which a leaving upstream must receive no more
 	// requests.
 	LeaveTime time.Duration `default:"2s" min:"500ms"`
+	// ChangeTime is the time after which a new manifest must be in effect.
+	ChangeTime time.Duration `default:"2s" min:"500ms"`
 	// RetryShare limits retries, as a share of all requests.
 	RetryShare float64 `default:"0.1" min:"0"`
 	// RetrySlack is the number of retries that all gateways together may send beyond
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -249,23 +249,33 @@
 const minSharingMembers = 6
 
 // Follow applies the changes of a table until the context ends, and shares
-// what it reads with the other gateways. It sets Log, SendUpdate and
-// SharesReads itself.
+// what it reads with the other gateways. It sets Log, SendUpdate, SendProbe and
+// Readers itself.
 func (st *ControlState) Follow(ctx context.Context, cfg FollowerConfig) {
 	cfg.Log = st.cfg.Log
-	cfg.SendUpdate = func(TableUpdate) {}
-	cfg.SharesReads = func() bool { return false }
-	if prs := st.cfg.Peers; prs != nil {
+	cfg.SendUpdate, cfg.SendProbe = func(TableUpdate) {}, func() {}
+	cfg.Readers = func() int { return 1 }
+	prs := st.cfg.Peers
+	if prs != nil {
 		cfg.SendUpdate = prs.SendUpdate
-		cfg.SharesReads = func() bool { return st.View().Members >= minSharingMembers }
+		cfg.SendProbe = func() { prs.SendProbe(cfg.Table) }
+		cfg.Readers = st.readers
 	}
-	fol := newFollower(cfg)
-	if prs := st.cfg.Peers; prs != nil {
-		prs.Subscribe(cfg.Table, fol.enqueue)
+	fol := NewFollower(cfg)
+	if prs != nil {
+		prs.Subscribe(cfg.Table, TableHandler{OnUpdate: fol.Receive, OnProbe: fol.ReceiveProbe})
 	}
 	fol.Start(ctx)
 }
 
+// readers returns the number of gateways that share reads, or 1.
+func (st *ControlState) readers() int {
+	if members := st.View().Members; members >= minSharingMembers {
+		return members
+	}
+	return 1
+}
+
 // loop applies the changes that come with time: entries that are still missing
 // some time after an outage of the list, and the division of the retry budgets.
 func (st *ControlState) loop(ctx context.Context) {
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -173,9 +173,10 @@
 			info.CopyName = stm.gw.cfg.Dialect.CopyName(nd.Address, stm.info.RequestID)
 		}
 	}
+	note := bwforward.PeerNote{Kind: bwforward.PlacementNote, Upstream: nd.ID, Session: wrk.Session, Prompt: wrk.PromptTokens}
 	backup := stm.chooseBackup(nd)
 	if backup != nil {
-		info.CopyTarget = backup.Address
+		info.CopyTarget, note.CopyTarget = backup.Address, backup.ID
 	}
 	sentAt := stm.gw.cfg.Now()
 	exc, err := stm.sendRequest(ctx, nd, info)
@@ -183,7 +184,7 @@
 		return err
 	}
 	stm.gw.cfg.Pool.RecordSession(nd, wrk.Session)
-	stm.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.PlacementNote, Upstream: nd.ID, Session: wrk.Session, Prompt: wrk.PromptTokens})
+	stm.gw.cfg.SendNote(note)
 	defer exc.close()
 	sat := &streamAttempt{stream: stm, exc: exc, node: nd, placement: placement, sentAt: sentAt, backup: backup, copyValidSince: sentAt}
 	sat.reserveCopy()
