Bound what upstreams send and count events as progress, not bytes

An upstream in trouble may send bytes that are no answer without end. The header of a response and the informational responses before it were read without a bound, repeated events were dropped for as long as they came, and an upstream that sent a byte every 40 ms was never suspected of silence, since that was only checked after 50 ms without data.

Headers end at 64 KiB, repeated events at 1 MiB, one event at 256 KiB; the check for progress runs every 50 ms whatever arrives, and the time in which a caller doesn't read is not the upstream's. All bodies of requests together, and all of responses, have a limit from the memory of the process: a request that would exceed it is refused as not run, the response of one that ran keeps its memory. A failure's body that is too long or breaks off is no longer passed on as whole.

--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -25,6 +24,8 @@
 	out          outgoingRequest
 	match        bwforward.Match
 	stateVersion uint64
+	// requestBody and responseBodies hold the memory of the bodies below.
+	requestBody, responseBodies bodyHolder
 
 	// exclude lists the upstreams that failed this request, possibleRuns counts
 	// those that may have run it, and attempts counts all that were chosen.
@@ -58,7 +59,8 @@
 )
 
 // readBody buffers the whole body, so that it can be sent again. If the body is
-// too long it refuses the request and returns false; if reading fails it aborts
+// too long or the process has no memory for it, it refuses the request and returns
+// false; if reading fails it aborts
 // the connection.
 func (cl *call) readBody(req *http.Request, lim bwforward.Limits) bool {
 	limit := lim.Body
@@ -69,8 +71,13 @@
 	// time out.
 	ctl := http.NewResponseController(cl.wrt)
 	_ = ctl.SetReadDeadline(cl.arrived.Add(bodyTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(cl.wrt, req.Body, limit))
+	body, err := cl.requestBody.read(http.MaxBytesReader(cl.wrt, req.Body, limit), limit)
 	_ = ctl.SetReadDeadline(time.Time{})
+	if errors.Is(err, errBodiesInHand) {
+		cl.wrt.Header().Set("Connection", "close")
+		cl.refuse(http.StatusServiceUnavailable, "no memory for the body")
+		return false
+	}
 	if _, tooLong := errors.AsType[*http.MaxBytesError](err); tooLong {
 		cl.refuse(http.StatusRequestEntityTooLarge, "body is too long")
 		return false
--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -41,10 +41,17 @@
 	conn net.Conn
 	rdr  *bufio.Reader
 	rsp  *http.Response
-	// deadline bounds each read. onIdle may be nil; otherwise it is called after
-	// each idleCheckInterval without data, and its error ends the read.
+	// deadline bounds each read. onIdle may be nil; otherwise it is called in each
+	// idleCheckInterval, and its error ends the read. Bytes alone don't prevent that
+	// call: an upstream may send some now and then and make no progress.
 	deadline time.Time
 	onIdle   func() error
+	// lastCheck is when onIdle was last called.
+	lastCheck time.Time
+	// headLeft is the number of bytes that the upstream may still send before the end
+	// of the header; it is not used after that.
+	headLeft int
+	inHead   bool
 	// unregisterAbort removes the call of abort that runs when the context ends.
 	unregisterAbort func() bool
 }
@@ -114,30 +121,56 @@
 func (exc *exchange) Read(buf []byte) (int, error) {
 	for {
 		now := time.Now()
+		if exc.onIdle != nil && now.Sub(exc.lastCheck) >= idleCheckInterval {
+			exc.lastCheck = now
+			if err := exc.onIdle(); err != nil {
+				return 0, err
+			}
+		}
 		deadline := exc.deadline
 		if exc.onIdle != nil {
-			deadline = earliest(deadline, now.Add(idleCheckInterval))
+			deadline = earliest(deadline, exc.lastCheck.Add(idleCheckInterval))
 		}
 		if err := exc.conn.SetReadDeadline(deadline); err != nil {
 			return 0, err
 		}
 		size, err := exc.conn.Read(buf)
 		if size > 0 || !isTimeout(err) || exc.onIdle == nil || !time.Now().Before(exc.deadline) {
-			return size, err
-		}
-		if err := exc.onIdle(); err != nil {
-			return 0, err
+			return size, exc.countHead(size, err)
 		}
 	}
 }
 
+// errHeaderTooLong means that an upstream has sent maxHeadBytes and no complete
+// header.
+var errHeaderTooLong = errors.New("header is too long")
+
+// countHead counts bytes of a header and returns errHeaderTooLong or the error of
+// the read.
+func (exc *exchange) countHead(size int, err error) error {
+	if !exc.inHead {
+		return err
+	}
+	exc.headLeft -= size
+	if exc.headLeft < 0 {
+		return errHeaderTooLong
+	}
+	return err
+}
+
 // idleCheckInterval is much shorter than the gap allowed between events.
 const idleCheckInterval = 50 * time.Millisecond
 
+// maxHeadBytes bounds the header of a response, together with the informational
+// responses before it.
+const maxHeadBytes = 64 << 10
+
 // readHeader reads the header of the final response before a deadline. Its errors
 // are ErrIncompleteResponse.
 func (exc *exchange) readHeader(deadline time.Time, method string) error {
-	exc.deadline = deadline
+	exc.deadline, exc.lastCheck = deadline, time.Now()
+	exc.headLeft, exc.inHead = maxHeadBytes, true
+	defer func() { exc.inHead = false }()
 	for {
 		rsp, err := http.ReadResponse(exc.rdr, &http.Request{Method: method})
 		if err != nil {
--- a/io/bwgateway/event.go
+++ b/io/bwgateway/event.go
@@ -21,11 +21,16 @@
 	buf []byte
 }
 
-// maxEventBytes bounds one event; the largest in use have a few hundred bytes.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one event; the largest in use have a few hundred bytes.
+	maxEventBytes = 256 << 10
+	// maxRepeatedBytes bounds the events of one attempt that the caller already has.
+	maxRepeatedBytes = 1 << 20
+)
 
 var (
 	errEventTooLong = errors.New("event is too long")
+	errRepeated     = errors.New("engine repeats events that were delivered")
 	errEventNoID    = errors.New("event has no ID")
 )
 
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -23,6 +23,8 @@
 	// stopTime is when the process must exit; nil until SetStopTime is called.
 	stopTime       atomic.Pointer[time.Time]
 	activeRequests atomic.Int64
+
+	requestBodies, responseBodies bodyMemory
 }
 
 // Config configures a Gateway.
@@ -59,13 +61,20 @@
 	// MaxBodyBytes bounds a request's body if the routing table sets no limit; 0
 	// means 4 MiB.
 	MaxBodyBytes int64
-	Metrics      *Metrics
-	Now          func() time.Time
-	Log          *slog.Logger
+	// BodyMemoryBytes bounds the bodies of all requests and plain responses that are
+	// held at a time, half of it for each; 0 means 32 MiB. A request that would exceed
+	// it is refused.
+	BodyMemoryBytes int64
+	Metrics         *Metrics
+	Now             func() time.Time
+	Log             *slog.Logger
 }
 
-// defaultMaxBodyBytes is the limit of current deployments.
-const defaultMaxBodyBytes = 4 << 20
+const (
+	// defaultMaxBodyBytes is the limit of current deployments.
+	defaultMaxBodyBytes    = 4 << 20
+	defaultBodyMemoryBytes = 32 << 20
+)
 
 // New returns a Gateway, or an error if a required field is not set.
 func New(cfg Config) (*Gateway, error) {
@@ -97,7 +106,18 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Gateway{cfg: cfg}, nil
+	if cfg.BodyMemoryBytes == 0 {
+		cfg.BodyMemoryBytes = defaultBodyMemoryBytes
+	}
+	gw := &Gateway{cfg: cfg}
+	gw.SetBodyMemory(cfg.BodyMemoryBytes)
+	return gw, nil
+}
+
+// SetBodyMemory changes the limit of Config.BodyMemoryBytes.
+func (gw *Gateway) SetBodyMemory(size int64) {
+	gw.requestBodies.limit.Store(size / 2)
+	gw.responseBodies.limit.Store(size / 2)
 }
 
 // Ready reports whether the gateway has a routing table and is not draining.
@@ -124,7 +144,11 @@
 		info:         gw.cfg.Dialect.ParseRequest(req.Header),
 		callerHeader: req.Header,
 		out:          outgoingRequest{method: req.Method, target: req.RequestURI, host: req.Host},
+		requestBody:  bodyHolder{memory: &gw.requestBodies},
 	}
+	cl.responseBodies = bodyHolder{memory: &gw.responseBodies, isResponse: true}
+	defer cl.requestBody.release()
+	defer cl.responseBodies.release()
 	if gw.draining.Load() {
 		wrt.Header().Set("Connection", "close")
 	}
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -110,12 +109,10 @@
 	if info.NotRun || info.OtherUpstream {
 		return nil, errNotRun
 	}
-	body, err := io.ReadAll(io.LimitReader(exc.rsp.Body, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = errors.New("response is too long")
-	}
-	if err == nil {
-		err = cl.checkComplete(nd, exc)
+	body, err := cl.readResponseBody(nd, exc)
+	if errors.Is(err, errBodiesInHand) {
+		cl.exclude = append(cl.exclude, nd.ID)
+		return nil, fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 	}
 	if err != nil {
 		cl.excludeFailed(nd)
@@ -128,6 +125,16 @@
 	return &response{status: exc.rsp.StatusCode, header: exc.rsp.Header, body: body}, nil
 }
 
+// readResponseBody reads a complete body into the memory that the process keeps
+// for bodies, until the request ends.
+func (cl *call) readResponseBody(nd *bwforward.Node, exc *exchange) ([]byte, error) {
+	body, err := cl.responseBodies.read(exc.rsp.Body, maxResponseBytes)
+	if err != nil {
+		return nil, err
+	}
+	return body, cl.checkComplete(nd, exc)
+}
+
 // excludeFailed records that an upstream failed and excludes it from further
 // attempts, unless the caller disconnected.
 func (cl *call) excludeFailed(nd *bwforward.Node) {
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -70,8 +70,14 @@
 	// which the garbage collector runs more often. The rest is for stacks and for
 	// memory outside of the heap.
 	heapShare = 0.7
+	// bodyShare is the part of MemoryLimit that bodies may take. Each byte of it may
+	// need a second one until the garbage collector has run.
+	bodyShare = 0.25
 )
 
+// bodyMemoryBytes returns the memory for bodies of a process with a limit in MiB.
+func bodyMemoryBytes(limit float64) int64 { return int64(limit * bodyShare * (1 << 20)) }
+
 // NewProcess returns a process that Run starts. It listens for datagrams of other
 // gateways, and returns an error if it can't.
 func NewProcess(cfg ProcessConfig) (*Process, error) {
@@ -97,6 +103,7 @@
 		Identify:        cfg.Identify,
 		OnSuccessor:     prc.state.AddSuccessor,
 		ListUnavailable: func() bool { return prc.state.View().ListUnavailable },
+		BodyMemoryBytes: bodyMemoryBytes(sts.MemoryLimit),
 		Metrics:         prc.metrics,
 		Log:             cfg.Log,
 	})
--- a/io/bwgateway/reload.go
+++ b/io/bwgateway/reload.go
@@ -55,6 +55,7 @@
 		rld.cfg.OnStoreAddressChange(sts.Store)
 	}
 	setMemoryLimit(sts.MemoryLimit)
+	rld.gateway.SetBodyMemory(bodyMemoryBytes(sts.MemoryLimit))
 	rld.cfg.Log.Info("settings reloaded", "Cause", cause, "Changed", true, "Store", sts.Store, "MemoryLimit", sts.MemoryLimit)
 	if needsRestart(old, *sts) {
 		rld.cfg.Log.Warn("some changed settings need a restart", "Callers", sts.Callers, "Status", sts.Status,
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -310,7 +310,7 @@
 // readFailure stores the engine's error response, which the caller receives if no
 // other engine succeeds.
 func (sat *streamAttempt) readFailure() error {
-	body, err := io.ReadAll(io.LimitReader(sat.exc.rsp.Body, maxResponseBytes))
+	body, err := sat.readResponseBody(sat.node, sat.exc)
 	if err != nil {
 		return sat.recordLoss(fmt.Errorf("%w: %w", ErrIncompleteResponse, err))
 	}
@@ -319,9 +319,11 @@
 	return fmt.Errorf("%w: status %d", ErrIncompleteResponse, sat.exc.rsp.StatusCode)
 }
 
-// readEvents forwards events until the stream ends. It drops repeated events.
+// readEvents forwards events until the stream ends. It drops repeated events, up
+// to maxRepeatedBytes.
 func (sat *streamAttempt) readEvents() error {
 	rdr := newEventReader(sat.exc.rsp.Body)
+	repeated := 0
 	for {
 		evt, err := rdr.next()
 		if errors.Is(err, io.EOF) {
@@ -331,6 +333,9 @@
 			return sat.recordLoss(fmt.Errorf("%w: %w", ErrIncompleteResponse, err))
 		}
 		if evt.id <= sat.lastEventID {
+			if repeated += len(evt.raw); repeated > maxRepeatedBytes {
+				return sat.recordLoss(errRepeated)
+			}
 			continue
 		}
 		if evt.id != sat.lastEventID+1 {
@@ -368,6 +373,8 @@
 	}
 	sat.lastEventID = evt.id
 	sat.lastEventAt = now
+	// The time that the caller needs to read must not count as the engine's silence.
+	sat.lastReceived = sat.gw.cfg.Now()
 	sat.maintainCopy(now)
 	return nil
 }
