Start streams at idle engines whatever their time

An engine without a backlog now takes any stream; the margin and the shares decide only where prompts wait.

--- a/core/bwforward/admission.go
+++ b/core/bwforward/admission.go
@@ -82,9 +82,9 @@
 	// expected: other streams' tokens come between the chunks of a prompt, and VMs are
 	// disturbed for moments.
 	firstEventMargin = 2.0
-	// lateMargin is the factor of its own prefill within which an engine must send the
-	// first event of a stream that is late already: it gets what is left over.
-	lateMargin = 1.2
+	// idleMargin is the factor of its own prefill within which an engine that is idle
+	// is expected to send a stream's first event.
+	idleMargin = 1.2
 	// overShareFactor lengthens the expected time for teams with more running streams
 	// than others, so that a backlog refuses them first and leaves room for the others.
 	overShareFactor = 1.6
@@ -169,25 +169,21 @@
 	if adm.isOverShare(apl.Team) {
 		expected = scaled(expected, overShareFactor)
 	}
-	late := apl.isLate(dcn.Estimate, now)
+	hasBacklog := dcn.Estimate.First > scaled(dcn.Estimate.Prefill, idleMargin)
 	switch {
 	case !dcn.Estimate.HasRoom:
 		dcn.Reason = reasonNoRoom
 		return waitOrRefuse(dcn, apl, now)
-	case !late && now.Add(expected).After(apl.UsefulUntil), late && dcn.Estimate.First > scaled(dcn.Estimate.Prefill, lateMargin):
+	case hasBacklog && now.Add(expected).After(apl.UsefulUntil):
 		// The backlog shrinks no faster than the time that is left.
 		dcn.Reason = reasonBacklog
 		return refusal(dcn, dcn.Estimate.First-dcn.Estimate.Prefill)
 	}
+	// Without a backlog a stream that will be late only takes what is left over.
 	dcn.Verdict, dcn.Reason = Start, reasonStarts
 	return dcn
 }
 
-// isLate reports whether the stream would be late even at an idle engine.
-func (apl *Applicant) isLate(est Estimate, now time.Time) bool {
-	return now.Add(scaled(est.Prefill, firstEventMargin)).After(apl.UsefulUntil)
-}
-
 func waitOrRefuse(dcn Decision, apl *Applicant, now time.Time) Decision {
 	if now.Before(apl.GiveUpAt) {
 		dcn.Verdict = Wait
--- a/core/bwforward/crest_test.go
+++ b/core/bwforward/crest_test.go
@@ -388,3 +388,25 @@
 		t.Errorf("%d streams were refused at a third of the engines' limit", got)
 	}
 }
+
+// Guards against a caller that comes back after its stream was lost and is refused
+// by an idle engine, since little of its time is left or its team has more streams
+// than others.
+func TestIdleEngineTakesLateStream(t *testing.T) {
+	for _, left := range []time.Duration{-time.Second, 100 * time.Millisecond, 1500 * time.Millisecond, crestTarget} {
+		crs := newCrest(4, true)
+		gw := crs.gateways[0]
+		for range 10 {
+			gw.admission.Begin("large")
+		}
+		gw.admission.Begin("small")
+		apl := &bwforward.Applicant{
+			Work: bwforward.Work{Service: bwforward.Service{Name: "model", Model: &bwforward.Model{Memory: crestMemory}}, PromptTokens: crestPrompt, MaxOutputTokens: crestOutput},
+			Team: "large", UsefulUntil: crs.clk.now.Add(left), GiveUpAt: crs.clk.now, Age: crestTarget - left,
+		}
+		gw.admission.Enter(apl)
+		if dcn := gw.admission.Decide(apl); dcn.Verdict != bwforward.Start {
+			t.Errorf("with %v left: %s", left, dcn.Reason)
+		}
+	}
+}
