--- a/io/bwgateway/settings.go
+++ b/io/bwgateway/settings.go
@@ -28,7 +28,7 @@
 	// LeaveTime is the time after which a leaving upstream must receive no more
 	// requests.
 	LeaveTime time.Duration `default:"2s" min:"500ms"`
-	// ChangeTime is the time after which a new manifest must be in effect.
+	// ChangeTime is the time after which new routes must be in effect.
 	ChangeTime time.Duration `default:"2s" min:"500ms"`
 	// RetryShare limits retries, as a share of all requests.
 	RetryShare float64 `default:"0.1" min:"0"`
