Learn which callers came back from the time that they have left

The age of a caller was the route's timeout less its own time, so that callers with less time than the route allows, or a manifest with a longer timeout, made every caller look late. It is now taken from the time that most callers of the route have, and is unknown if they have different times.

--- a/io/bwgateway/admission.go
+++ b/io/bwgateway/admission.go
@@ -43,10 +43,9 @@
 }
 
 func (stm *stream) applicant() *bwforward.Applicant {
-	// A caller that has come back sends what is left of its time.
 	age := time.Duration(0)
-	if limit := stm.match.Route.Timeout; limit > 0 && stm.info.Timeout > 0 {
-		age = max(limit-stm.info.Timeout, 0)
+	if stm.info.Timeout > 0 {
+		age = stm.gw.ages.Observe(stm.match.Route.Name, stm.info.Timeout)
 	}
 	return &bwforward.Applicant{
 		Work:        stm.work(),
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -24,6 +24,7 @@
 	stopTime       atomic.Pointer[time.Time]
 	activeRequests atomic.Int64
 	admission      *bwforward.Admission
+	ages           bwforward.CallerAges
 
 	requestBodies, responseBodies bodyMemory
 }
