Announce the successors that are found while the list is away

Since the first refusal under another ID is announced, the other gateways avoid the old entry and no longer ask its address themselves, so that an engine which restarted while the store was away was used by one gateway only. The gateway that identifies a successor now announces it.

--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -22,6 +22,9 @@
 	Prompt  int
 	// CopyTarget is the upstream that receives a copy of the work's KV cache, or empty.
 	CopyTarget bwmodel.UpstreamID `cbor:",omitempty"`
+	// Successor is the upstream of a SuccessorNote, and Slots the number of its slots.
+	Successor bwmodel.UpstreamID `cbor:",omitempty"`
+	Slots     int                `cbor:",omitempty"`
 	// Slowdown is the factor of a SlowNote.
 	Slowdown float64 `cbor:",omitempty"`
 }
@@ -38,6 +41,9 @@
 	FailureNote
 	// ReplacedNote reports that another upstream has the address of an upstream.
 	ReplacedNote
+	// SuccessorNote reports which upstream now has the address of another one. It
+	// matters while the list of upstreams can't be read.
+	SuccessorNote
 	// EndNote reports that a stream of a PlacementNote has ended.
 	EndNote
 	// SlowNote reports that an upstream took much longer than expected.
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -104,6 +104,9 @@
 	return count
 }
 
+// Node returns an upstream's node, or nil.
+func (pl *Pool) Node(id bwmodel.UpstreamID) *Node { return pl.view.Load().nodes[id] }
+
 // AcceptsWork reports whether a node still takes new work.
 func (pl *Pool) AcceptsWork(nd *Node) bool {
 	current := pl.view.Load().nodes[nd.ID]
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -85,7 +85,7 @@
 	pool := bwforward.NewPool(bwforward.PoolConfig{Zone: bwmodel.ZoneID(sts.Zone)})
 	budgets := bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack, Window: sts.RetryWindow})
 	prc := &Process{cfg: cfg, state: NewControlState(ControlStateConfig{Pool: pool, Budgets: budgets, Log: cfg.Log}), metrics: NewMetrics()}
-	prs, err := NewPeers(PeersConfig{Member: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone), Address: sts.Peers, OnNote: pool.ApplyNote, Lend: budgets.Lend, KeepLoan: budgets.Keep, Log: cfg.Log})
+	prs, err := NewPeers(PeersConfig{Member: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone), Address: sts.Peers, OnNote: func(nt bwforward.PeerNote) { prc.gateway.HandleNote(nt) }, Lend: budgets.Lend, KeepLoan: budgets.Keep, Log: cfg.Log})
 	if err != nil {
 		return nil, err
 	}
--- a/io/bwgateway/stream_test.go
+++ b/io/bwgateway/stream_test.go
@@ -334,3 +334,33 @@
 		t.Error("the upstream that refused was not identified")
 	}
 }
+
+// Guards against engines that restarted under another ID while the list of
+// upstreams is unavailable and are used by one gateway only: the others avoid the
+// old entry and never learn of the new one.
+func TestSuccessorIsAnnounced(t *testing.T) {
+	for _, unavailable := range []bool{true, false} {
+		found := make(chan bwgateway.Identity, 1)
+		eng := newFakeEngine(t, "e1", respondOK)
+		tg := newGateway(t, []*fakeEngine{eng}, func(cfg *bwgateway.Config, _ *bwforward.RoutingTableConfig) {
+			cfg.ListUnavailable = func() bool { return unavailable }
+			cfg.OnSuccessor = func(_ context.Context, old bwforward.Upstream, idy bwgateway.Identity) {
+				if old.ID == "e1" {
+					found <- idy
+				}
+			}
+		})
+		tg.gw.HandleNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: "unknown", Successor: "e8", Slots: 8})
+		tg.gw.HandleNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: "e1", Successor: "e9", Slots: 8})
+		select {
+		case idy := <-found:
+			if !unavailable || idy.ID != "e9" || idy.Slots != 8 {
+				t.Errorf("list unavailable %v: got %+v", unavailable, idy)
+			}
+		case <-time.After(100 * time.Millisecond):
+			if unavailable {
+				t.Error("the successor was not taken")
+			}
+		}
+	}
+}
--- a/io/bwgateway/successor.go
+++ b/io/bwgateway/successor.go
@@ -61,6 +61,33 @@
 	}
 	if idy.ID != ssr.old.ID {
 		cfg.OnSuccessor(ctx, ssr.old.Upstream, idy)
+		cfg.SendNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: ssr.old.ID, Successor: idy.ID, Slots: idy.Slots})
 	}
 	return true
 }
+
+// HandleNote applies a note of another gateway. While the list can't be read a
+// successor that another gateway has identified is used here as well: the note
+// that its predecessor was replaced keeps this gateway from finding it itself.
+func (gw *Gateway) HandleNote(nt bwforward.PeerNote) {
+	gw.cfg.Pool.ApplyNote(nt)
+	old := gw.cfg.Pool.Node(nt.Upstream)
+	if nt.Kind != bwforward.SuccessorNote || old == nil || gw.cfg.OnSuccessor == nil || gw.cfg.ListUnavailable == nil || !gw.cfg.ListUnavailable() {
+		return
+	}
+	nsc := &notedSuccessor{gw: gw, old: old.Upstream, now: Identity{ID: nt.Successor, Slots: nt.Slots}}
+	go nsc.run()
+}
+
+// notedSuccessor is a successor that another gateway has identified.
+type notedSuccessor struct {
+	gw  *Gateway
+	old bwforward.Upstream
+	now Identity
+}
+
+func (nsc *notedSuccessor) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
+	defer cancel()
+	nsc.gw.cfg.OnSuccessor(ctx, nsc.old, nsc.now)
+}
