Record the admitted engine in the stream

The loop over engines took the first one from a variable that it cleared; the stream holds it now, and chooseEngine returns it first.

--- a/io/bwgateway/admission.go
+++ b/io/bwgateway/admission.go
@@ -8,13 +8,12 @@
 	"bilberrywick/core/bwretry"
 )
 
-// admit waits until the stream may start and returns its engine. It returns false
-// if the stream was refused or its caller has left. A stream that goes on after
-// events that its caller has is always admitted, to the engine that chooseEngine
-// returns.
-func (stm *stream) admit() (*bwforward.Node, bool) {
+// admit waits until the stream may start, at the engine that it records. It returns
+// false if the stream was refused or its caller has left. A stream that goes on
+// after events that its caller has is always admitted, to any engine.
+func (stm *stream) admit() bool {
 	if stm.info.LastEventID != "" {
-		return nil, true
+		return true
 	}
 	apl := stm.applicant()
 	adm := stm.gw.admission
@@ -25,15 +24,16 @@
 		switch {
 		case stm.callerGone():
 			stm.finishUnserved()
-			return nil, false
+			return false
 		case dcn.Verdict == bwforward.Start:
 			if waited {
 				stm.gw.cfg.Metrics.observeAdmission("started", stm.gw.cfg.Now().Sub(stm.arrived))
 			}
-			return dcn.Node, true
+			stm.admitted = dcn.Node
+			return true
 		case dcn.Verdict == bwforward.Refuse:
 			stm.refuseByAdmission(apl, dcn)
-			return nil, false
+			return false
 		}
 		if !waited {
 			stm.gw.cfg.Log.Info("stream waits", admissionAttrs(stm, apl, dcn)...)
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -22,6 +22,8 @@
 	lastEventID uint64
 	// headerSent is set once the response header has been sent to the caller.
 	headerSent bool
+	// admitted is the engine of the first attempt, or nil.
+	admitted *bwforward.Node
 	// resumeNode is the engine with a KV cache copy of the last failed attempt.
 	resumeNode *bwforward.Node
 	// resumeCopyName is the name of that copy; empty means the name from
@@ -80,17 +82,13 @@
 		cl.refuse(http.StatusServiceUnavailable, "too little time is left")
 		return
 	}
-	first, ok := stm.admit()
-	if !ok {
+	if !stm.admit() {
 		return
 	}
 	cl.gw.admission.Begin(cl.match.Team)
 	defer cl.gw.admission.End(cl.match.Team)
 	for cl.attempts < maxAttempts && !cl.callerGone() && cl.remaining() > 0 {
-		nd, fromCopy := first, false
-		if first = nil; nd == nil {
-			nd, fromCopy = stm.chooseEngine()
-		}
+		nd, fromCopy := stm.chooseEngine()
 		if nd == nil {
 			break
 		}
@@ -139,9 +137,14 @@
 	}
 }
 
-// chooseEngine returns the engine with a KV cache copy if it accepts work, and
-// otherwise the best one. It waits briefly if there is none.
+// chooseEngine returns the engine of the admission, then the engine with a KV
+// cache copy if it accepts work, and otherwise the best one. It waits briefly if
+// there is none.
 func (stm *stream) chooseEngine() (nd *bwforward.Node, fromCopy bool) {
+	if nd := stm.admitted; nd != nil {
+		stm.admitted = nil
+		return nd, false
+	}
 	if nd := stm.resumeNode; nd != nil {
 		stm.resumeNode = nil
 		if stm.gw.cfg.Pool.AcceptsWork(nd) {
