--- a/core/bwforward/crest_test.go
+++ b/core/bwforward/crest_test.go
@@ -393,7 +393,7 @@
 // by an idle engine, since little of its time is left or its team has more streams
 // than others.
 func TestIdleEngineTakesLateStream(t *testing.T) {
-	for _, left := range []time.Duration{-time.Second, 100 * time.Millisecond, 1500 * time.Millisecond, crestTarget} {
+	for _, left := range []time.Duration{-time.Second, 100 * time.Millisecond, 1500 * time.Millisecond, 2500 * time.Millisecond, crestTarget} {
 		crs := newCrest(4, true)
 		gw := crs.gateways[0]
 		for range 10 {
