--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -28,6 +28,8 @@
 	// early has updates that follow a version which has not been applied yet, since
 	// datagrams overtake each other.
 	early []TableUpdate
+	// currentAt is the time of the last read or update that was applied.
+	currentAt time.Time
 	// clockOffset is the reading of the store's monotonic clock at startedAt.
 	clockOffset time.Duration
 	startedAt   time.Time
@@ -124,7 +126,7 @@
 	if cfg.OnReadFailure == nil {
 		cfg.OnReadFailure = func(context.Context, error) error { return nil }
 	}
-	return &Follower{cfg: cfg, updates: make(chan TableUpdate, updateQueueSize), probes: make(chan struct{}, 1), startedAt: time.Now()}
+	return &Follower{cfg: cfg, updates: make(chan TableUpdate, updateQueueSize), probes: make(chan struct{}, 1), currentAt: time.Now(), startedAt: time.Now()}
 }
 
 // Start follows the table until the context ends.
@@ -165,7 +167,7 @@
 		default:
 			// A call without a wait detects sooner that the store has recovered.
 			wait = 0
-			fol.cfg.Log.Warn("store call failed", "Table", fol.cfg.Table, "Version", fol.version, "Error", err, "Pause", pause)
+			fol.cfg.Log.Warn("store call failed", "Table", fol.cfg.Table, "Version", fol.version, "Age", time.Since(fol.currentAt), "Error", err, "Pause", pause)
 			if err := fol.cfg.OnReadFailure(ctx, err); err != nil {
 				return
 			}
@@ -231,7 +233,7 @@
 	if res.Now > 0 {
 		fol.clockOffset = res.Now - time.Since(fol.startedAt)
 	}
-	fol.version = max(res.Version, fol.version)
+	fol.version, fol.currentAt = max(res.Version, fol.version), time.Now()
 	return fol.cfg.Apply(ctx, res, full)
 }
 
@@ -288,7 +290,7 @@
 	}
 	for next := &upd; next != nil; next = fol.nextEarly() {
 		upd = *next
-		fol.version = upd.Version
+		fol.version, fol.currentAt = upd.Version, time.Now()
 		if err := fol.cfg.Apply(ctx, upd.ReadResult, false); err != nil {
 			return 0, false
 		}
