Read the whole table when the missed changes are longer

Callers of gateways that the store had refused for some seconds were served by an old manifest for up to 13 s after its return: old routes, keys that had been withdrawn, 404 on new routes (CONFIG).

Cause: the store's changes hold every version of a row. A gateway that was behind asked for all manifests since its own, and a call ended after 0.8 s, whatever had arrived. On a link of 10 Mbit/s three manifests of 1,400 routes take longer, each attempt had more to read than the last one, and only the end of the store's history, 20 s later, made the gateway read the current state. With 150 routes more it takes twenty missed changes.

Changes that are longer than the table, by their Content-Length or while they are read, are no longer read: the table is, which is bounded by its own length. A gateway whose history is lost keeps its version meanwhile, so that updates of the others still apply.

--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -25,6 +25,10 @@
 	probes  chan struct{}
 	// version is the table version that has been applied; 0 means none.
 	version uint64
+	// tableBytes is the length of the whole table when it was last read. readWhole
+	// makes the next read one of the whole table.
+	tableBytes int64
+	readWhole  bool
 	// early has updates that follow a version which has not been applied yet, since
 	// datagrams overtake each other.
 	early []TableUpdate
@@ -45,8 +49,9 @@
 	// ReadTable returns the whole table.
 	ReadTable func(ctx context.Context) (ReadResult, error)
 	// ReadChanges returns the changes after a version, and waits for them if there
-	// are none. It returns ErrHistoryLost if the store no longer has all of them.
-	ReadChanges func(ctx context.Context, after uint64, wait time.Duration) (ReadResult, error)
+	// are none. It returns ErrHistoryLost if the store no longer has all of them, and
+	// ErrHistoryTooLong if they take more than maxBytes.
+	ReadChanges func(ctx context.Context, after uint64, wait time.Duration, maxBytes int64) (ReadResult, error)
 	// Apply applies the rows that were read; if full is set they are the whole
 	// table.
 	Apply func(ctx context.Context, res ReadResult, full bool) error
@@ -78,6 +83,8 @@
 	Version uint64
 	// Now is the store's monotonic clock at the time of the read.
 	Now time.Duration
+	// Bytes is the length of the response, which is not sent to other gateways.
+	Bytes int64 `cbor:"-"`
 }
 
 // TableUpdate holds changes of a table that another gateway has read. Its field
@@ -93,6 +100,10 @@
 // whole table must be read.
 var ErrHistoryLost = errors.New("store no longer has the requested changes")
 
+// ErrHistoryTooLong means that the changes are longer than the table, so that the
+// whole table is read instead.
+var ErrHistoryTooLong = errors.New("changes are longer than the table")
+
 const (
 	// defaultLongPoll is how long a call waits for changes when reads are not
 	// shared. A dead connection is detected after this time plus the timeout of a
@@ -113,6 +124,10 @@
 	// updateQueueSize exceeds the number of updates that arrive during the
 	// longest call.
 	updateQueueSize = 64
+	// extraHistoryBytes is how much longer than the table the changes may be that a
+	// gateway reads. The changes include every version of a row, so those of a long
+	// outage may take many times the table's length, and grow while they are read.
+	extraHistoryBytes = 64 << 10
 	// maxEarlyUpdates exceeds the number of updates in the time for which one may be
 	// overtaken.
 	maxEarlyUpdates = 8
@@ -161,9 +176,9 @@
 			fol.sleep(ctx, fol.nextInterval(), nil)
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, ErrHistoryLost):
-			fol.cfg.Log.Warn("store no longer has the changes; reading the whole table", "Table", fol.cfg.Table, "Version", fol.version)
-			fol.version = 0
+		case errors.Is(err, ErrHistoryLost), errors.Is(err, ErrHistoryTooLong):
+			fol.cfg.Log.Info("reading the whole table", "Table", fol.cfg.Table, "Version", fol.version, "Age", time.Since(fol.currentAt), "Cause", err)
+			fol.readWhole = true
 		default:
 			// A call without a wait detects sooner that the store has recovered.
 			wait = 0
@@ -204,20 +219,21 @@
 	onProbe, onGap func() time.Duration
 }
 
-// poll reads the whole table if no version has been applied, and otherwise the
-// changes, which it sends to the other gateways.
+// poll reads the whole table if no version has been applied or its changes can't
+// be read, and otherwise the changes, which it sends to the other gateways.
 func (fol *Follower) poll(ctx context.Context, wait time.Duration) error {
-	if fol.version == 0 {
+	if fol.version == 0 || fol.readWhole {
 		res, err := fol.cfg.ReadTable(ctx)
 		if err != nil {
 			return err
 		}
+		fol.tableBytes, fol.readWhole = res.Bytes, false
 		return fol.apply(ctx, res, true)
 	}
 	if fol.cfg.Readers() > 1 {
 		wait = 0
 	}
-	res, err := fol.cfg.ReadChanges(ctx, fol.version, wait)
+	res, err := fol.cfg.ReadChanges(ctx, fol.version, wait, fol.tableBytes+extraHistoryBytes)
 	if err != nil {
 		return err
 	}
--- a/io/bwgateway/follower_fleet_test.go
+++ b/io/bwgateway/follower_fleet_test.go
@@ -65,7 +65,7 @@
 			Table:        "servers",
 			PollInterval: fleetPollInterval,
 			ReadTable:    func(context.Context) (bwgateway.ReadResult, error) { return nd.read(0) },
-			ReadChanges: func(_ context.Context, after uint64, _ time.Duration) (bwgateway.ReadResult, error) {
+			ReadChanges: func(_ context.Context, after uint64, _ time.Duration, _ int64) (bwgateway.ReadResult, error) {
 				return nd.read(after)
 			},
 			Apply:      nd.apply,
--- a/io/bwgateway/follower_test.go
+++ b/io/bwgateway/follower_test.go
@@ -113,7 +113,7 @@
 			Table:        "servers",
 			PollInterval: pollInterval,
 			ReadTable:    func(context.Context) (bwgateway.ReadResult, error) { return stb.read(tfl.name, 0) },
-			ReadChanges: func(_ context.Context, after uint64, wait time.Duration) (bwgateway.ReadResult, error) {
+			ReadChanges: func(_ context.Context, after uint64, wait time.Duration, _ int64) (bwgateway.ReadResult, error) {
 				res, err := stb.read(tfl.name, after)
 				if err == nil && len(res.Rows) == 0 {
 					<-time.After(min(wait, pollInterval))
