Share the newest version of each row only

Gateways that the store refuses live on the updates of the others. The store's changes hold every version of a row, so that an update had several manifests where the last one was enough, and more often did not fit into the datagrams; then the others get its number only. Updates now have the last version of each row, and no version is applied that a later one has replaced.

TestUpdateHasNewestRowsOnly failed before.

--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -237,6 +237,7 @@
 	if err != nil {
 		return err
 	}
+	res.Rows = newestRows(res.Rows)
 	after := fol.version
 	if err := fol.apply(ctx, res, false); err != nil {
 		return err
@@ -245,6 +246,22 @@
 	return nil
 }
 
+// newestRows keeps the last change of each row. Those before it have no effect any
+// more, and with them an update may be too long for the other gateways.
+func newestRows(rows []Row) []Row {
+	last := make(map[string]int, len(rows))
+	for ix, rw := range rows {
+		last[rw.Key] = ix
+	}
+	newest := make([]Row, 0, len(last))
+	for ix, rw := range rows {
+		if last[rw.Key] == ix {
+			newest = append(newest, rw)
+		}
+	}
+	return newest
+}
+
 func (fol *Follower) apply(ctx context.Context, res ReadResult, full bool) error {
 	if res.Now > 0 {
 		fol.clockOffset = res.Now - time.Since(fol.startedAt)
--- a/io/bwgateway/follower_test.go
+++ b/io/bwgateway/follower_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
+	"reflect"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"bilberrywick/core/bwforward"
@@ -259,3 +262,34 @@
 	stb.put(last)
 	awaitValue(t, followers, last)
 }
+
+// Guards against updates with all versions of a row, which are too long for the
+// datagrams, so that a gateway which the store refuses does not get any of them.
+func TestUpdateHasNewestRowsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		row := func(key, value string) bwgateway.Row { return bwgateway.Row{Key: key, Value: []byte(value)} }
+		updates := make(chan bwgateway.TableUpdate, 1)
+		fol := bwgateway.NewFollower(bwgateway.FollowerConfig{
+			Table:        "op",
+			PollInterval: pollInterval,
+			ReadTable:    func(context.Context) (bwgateway.ReadResult, error) { return bwgateway.ReadResult{Version: 1}, nil },
+			ReadChanges: func(context.Context, uint64, time.Duration, int64) (bwgateway.ReadResult, error) {
+				return bwgateway.ReadResult{Version: 6, Rows: []bwgateway.Row{row("a", "1"), row("b", "1"), row("a", "2"), {Key: "b", Deleted: true}, row("a", "3")}}, nil
+			},
+			Apply: func(context.Context, bwgateway.ReadResult, bool) error { return nil },
+			SendUpdate: func(upd bwgateway.TableUpdate) {
+				updates <- upd
+				cancel()
+			},
+			Readers: func() int { return 1 },
+			Log:     slog.New(slog.DiscardHandler),
+		})
+		fol.Start(ctx)
+		upd := <-updates
+		want := []bwgateway.Row{{Key: "b", Deleted: true}, row("a", "3")}
+		if !reflect.DeepEqual(upd.Rows, want) || upd.After != 1 || upd.Version != 6 {
+			t.Errorf("got %+v, want the rows %+v", upd, want)
+		}
+	})
+}
