Log the shared parts of a prompt whose engine was lost

The lines of streams that lost their engines showed nothing that the streams have in common, nor how long an attempt had run.

--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -38,6 +38,8 @@
 	// Session identifies the part of the prompt that is specific to the request or
 	// its session; empty if there is none.
 	Session string
+	// Parts identifies the other parts of the prompt, which requests share.
+	Parts []bwforward.PartID
 	// LastEventID is the event after which the stream resumes; empty means the
 	// start.
 	LastEventID string
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -33,6 +33,8 @@
 	lastFailure *response
 	ctl         *http.ResponseController
 	lastEventAt time.Time
+	// sentAt is when the request was last sent to an engine.
+	sentAt time.Time
 }
 
 const (
@@ -196,6 +198,7 @@
 	if err != nil {
 		return err
 	}
+	stm.sentAt = sentAt
 	stm.gw.cfg.Pool.RecordSession(nd, wrk.Session)
 	stm.gw.cfg.SendNote(note)
 	defer stm.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.EndNote, Upstream: note.Upstream, CopyTarget: note.CopyTarget})
@@ -438,7 +441,7 @@
 	}
 	stm.gw.cfg.Log.Warn("stream lost its engine", "Request", stm.info.RequestID, "Upstream", nd.ID, "Address", nd.Address,
 		"Copied", fromCopy, "CopyAt", backupID, "LastEvent", stm.lastEventID, "Error", err, "Sent", stm.possibleRuns, "Left", stm.remaining(),
-		"SinceEvent", elapsedSince(stm.lastEventAt, stm.gw.cfg.Now()))
+		"SinceEvent", elapsedSince(stm.lastEventAt, stm.gw.cfg.Now()), "SinceSent", elapsedSince(stm.sentAt, stm.gw.cfg.Now()), "Parts", stm.info.Parts)
 }
 
 func elapsedSince(at, now time.Time) time.Duration {
