Put prompts that crash engines into quarantine

Cause: nothing connected the crashes. An attempt was judged by its engine, a stream by itself and a gateway by itself, and avoiding the crashed engine sent the prompt to a sound one.

bwforward.Quarantine finds such parts from what attempts show: an engine lost as it begins with a prompt suspects the parts that other requests share, a response clears them, and three crashes without a response name the group that the crashed prompts have in common. Crashes, groups and responses go to all gateways at once; a group also stands in the announcement of the gateway that named it, for those that start or miss the note. New requests are refused as not run, those in hand are taken off their engines. A group is forgotten after ten minutes or with a response. Prompts with only some of its parts are served.

--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -27,6 +27,10 @@
 	Slots     int                `cbor:",omitempty"`
 	// Slowdown is the factor of a SlowNote.
 	Slowdown float64 `cbor:",omitempty"`
+	// Parts are the parts of prompts of a CrashNote, ServedNote or QuarantineNote.
+	Parts []PartID `cbor:",omitempty"`
+	// Left is the time until the end of the quarantine of a QuarantineNote.
+	Left time.Duration `cbor:",omitempty"`
 }
 
 // PeerNoteKind is the event that a note reports.
@@ -48,8 +52,20 @@
 	EndNote
 	// SlowNote reports that an upstream took much longer than expected.
 	SlowNote
+	// CrashNote reports that an engine crashed as it began with a prompt.
+	CrashNote
+	// ServedNote reports that prompts with suspected parts have had a response.
+	ServedNote
+	// QuarantineNote reports that prompts with all of the parts crash engines.
+	QuarantineNote
 )
 
+// ReachesAll reports whether all gateways must get such a note, not only a part of
+// a large fleet: a prompt that crashes engines may come to any of them.
+func (knd PeerNoteKind) ReachesAll() bool {
+	return knd == CrashNote || knd == ServedNote || knd == QuarantineNote
+}
+
 // ApplyNote applies another gateway's note; it ignores unknown upstreams.
 func (pl *Pool) ApplyNote(nt PeerNote) {
 	nd := pl.view.Load().nodes[nt.Upstream]
--- /dev/null
+++ b/core/bwforward/quarantine.go
@@ -0,0 +1,274 @@
+package bwforward
+
+import (
+	"slices"
+	"sync"
+	"time"
+)
+
+// Quarantine finds the parts of prompts that crash engines, so that prompts with
+// them are no longer sent to any. The load pattern it answers is requests of which
+// each one crashes the engine that begins with it, whatever else it has in common
+// with sound ones, at any gateway.
+//
+// A part is suspected when engines crash as they begin with prompts that have it,
+// and cleared when a prompt that has it gets a response. Prompts with several
+// suspected parts are named by the parts that all of them have: the sound ones of
+// these are found when a prompt without the deadly one is served. It is safe for
+// concurrent use.
+type Quarantine struct {
+	mu    sync.Mutex
+	now   func() time.Time
+	parts map[PartID]*partRecord
+	// named has the groups of parts in quarantine; the last one was added last.
+	named []QuarantinedParts
+}
+
+// partRecord is what is known of a part.
+type partRecord struct {
+	// crashes counts the crashes since the last response, those at about the same
+	// time once. lastCrash is the last one, lastServed the last response.
+	crashes               int
+	lastCrash, lastServed time.Time
+	// group has the parts that all prompts had which crashed with this one.
+	group []PartID
+	// isKnown is set when the part has been in quarantine, of which one more crash
+	// makes it a member again.
+	isKnown bool
+}
+
+// QuarantinedParts is a group of parts: prompts that have all of them crash engines.
+type QuarantinedParts struct {
+	Parts []PartID
+	// Until is the end of the quarantine.
+	Until time.Time
+	// isOwn is set if this gateway has named the group.
+	isOwn bool
+}
+
+const (
+	// QuarantineTime is the time for which parts stay in quarantine. When it ends, a
+	// prompt is sent to an engine again, which crashes if nothing has changed.
+	QuarantineTime = 10 * time.Minute
+	// crashesToName is the number of crashes without a response in between after which
+	// parts are named. The crash of a zone hits a prompt once or twice.
+	crashesToName = 3
+	// crashSpacing is the time within which crashes count as one: engines of a zone
+	// that fail together take all prompts of a part with them at the same moment.
+	crashSpacing = 150 * time.Millisecond
+	// servedTime is the time after a response during which crashes don't count. A
+	// part that many prompts share is served all the time while engines crash for
+	// other reasons.
+	servedTime = 5 * time.Second
+	// maxRecords and maxNamed bound the memory for records and groups. The oldest
+	// group yields.
+	maxRecords = 8192
+	maxNamed   = 64
+)
+
+// NewQuarantine returns an empty Quarantine. A nil now means time.Now.
+func NewQuarantine(now func() time.Time) *Quarantine {
+	if now == nil {
+		now = time.Now
+	}
+	return &Quarantine{now: now, parts: make(map[PartID]*partRecord)}
+}
+
+// RecordCrash records that an engine crashed as it began with a prompt, which
+// another gateway saw unless isOwn is set. It returns the group that this crash
+// put into quarantine, or nil.
+func (qrt *Quarantine) RecordCrash(parts []PartID, isOwn bool) *QuarantinedParts {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	now := qrt.now()
+	suspects := slices.DeleteFunc(slices.Clone(parts), func(part PartID) bool { return qrt.isServed(part, now) })
+	var named *QuarantinedParts
+	for _, part := range suspects {
+		rec := qrt.record(part, now)
+		rec.addCrash(suspects, now)
+		if rec.crashes < crashesToName && !rec.isKnown {
+			continue
+		}
+		if qp := qrt.name(QuarantinedParts{Parts: rec.group, Until: now.Add(QuarantineTime), isOwn: isOwn}); qp != nil {
+			named = qp
+		}
+	}
+	return named
+}
+
+// isServed reports whether a prompt with the part has had a response lately.
+func (qrt *Quarantine) isServed(part PartID, now time.Time) bool {
+	rec := qrt.parts[part]
+	return rec != nil && !rec.lastServed.IsZero() && now.Sub(rec.lastServed) < servedTime
+}
+
+// addCrash counts a crash with a prompt of which these parts are suspected.
+func (rec *partRecord) addCrash(suspects []PartID, now time.Time) {
+	if now.Sub(rec.lastCrash) > QuarantineTime {
+		rec.crashes, rec.group = 0, nil
+	}
+	if rec.group == nil {
+		rec.group = slices.Clone(suspects)
+	} else {
+		rec.group = slices.DeleteFunc(slices.Clone(rec.group), func(part PartID) bool { return !slices.Contains(suspects, part) })
+	}
+	if rec.crashes == 0 || now.Sub(rec.lastCrash) >= crashSpacing {
+		rec.crashes++
+		rec.lastCrash = now
+	}
+}
+
+// name adds a group and returns it, or returns nil if it is in quarantine already.
+// A smaller group replaces those that contain it.
+func (qrt *Quarantine) name(qp QuarantinedParts) *QuarantinedParts {
+	if len(qp.Parts) == 0 {
+		return nil
+	}
+	for _, old := range qrt.named {
+		if containsAll(qp.Parts, old.Parts) {
+			return nil
+		}
+	}
+	qrt.named = slices.DeleteFunc(qrt.named, func(old QuarantinedParts) bool { return containsAll(old.Parts, qp.Parts) })
+	qrt.named = append(qrt.named[max(len(qrt.named)-maxNamed+1, 0):], qp)
+	for _, part := range qp.Parts {
+		qrt.record(part, qrt.now()).isKnown = true
+	}
+	return &qp
+}
+
+// RecordServed records that a prompt has had a response, and reports whether one of
+// its parts was suspected. This gateway and the others must then clear it.
+func (qrt *Quarantine) RecordServed(parts []PartID) bool {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	now := qrt.now()
+	wasSuspected := false
+	for _, part := range parts {
+		rec := qrt.record(part, now)
+		wasSuspected = wasSuspected || rec.crashes > 0 || rec.isKnown
+		*rec = partRecord{lastServed: now}
+	}
+	if !wasSuspected {
+		return false
+	}
+	qrt.clearServed(parts)
+	return true
+}
+
+// clearServed removes served parts from the groups of others.
+func (qrt *Quarantine) clearServed(served []PartID) {
+	isServed := func(part PartID) bool { return slices.Contains(served, part) }
+	for _, rec := range qrt.parts {
+		if slices.ContainsFunc(rec.group, isServed) {
+			rec.group = slices.DeleteFunc(slices.Clone(rec.group), isServed)
+		}
+	}
+	for ix := range qrt.named {
+		if slices.ContainsFunc(qrt.named[ix].Parts, isServed) {
+			qrt.named[ix].Parts = slices.DeleteFunc(slices.Clone(qrt.named[ix].Parts), isServed)
+		}
+	}
+	qrt.named = slices.DeleteFunc(qrt.named, func(qp QuarantinedParts) bool { return len(qp.Parts) == 0 })
+}
+
+// Adopt puts a group into quarantine that was named by another gateway, or by this
+// one before a restart if isOwn is set, until a time. It leaves out the parts that
+// have been served here since or shortly before, and returns them: the others don't
+// know of it. It reports whether a group was added.
+func (qrt *Quarantine) Adopt(parts []PartID, until time.Time, isOwn bool) (served []PartID, ok bool) {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	now := qrt.now()
+	if until = earliest(until, now.Add(QuarantineTime)); !until.After(now) {
+		return nil, false
+	}
+	namedAt := until.Add(-QuarantineTime)
+	var group []PartID
+	for _, part := range parts {
+		if rec := qrt.parts[part]; qrt.isServed(part, now) || rec != nil && rec.lastServed.After(namedAt) {
+			served = append(served, part)
+		} else {
+			group = append(group, part)
+		}
+	}
+	return served, qrt.name(QuarantinedParts{Parts: group, Until: until, isOwn: isOwn}) != nil
+}
+
+func earliest(ta, tb time.Time) time.Time {
+	if tb.Before(ta) {
+		return tb
+	}
+	return ta
+}
+
+// Find returns the group that a prompt contains, and the time until the end of its
+// quarantine, which is 0 if there is none.
+func (qrt *Quarantine) Find(parts []PartID) ([]PartID, time.Duration) {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	now := qrt.now()
+	qrt.expire(now)
+	for _, qp := range qrt.named {
+		if containsAll(parts, qp.Parts) {
+			return qp.Parts, qp.Until.Sub(now)
+		}
+	}
+	return nil, 0
+}
+
+// Own returns the groups that this gateway has named, at most maxAnnounced of them.
+func (qrt *Quarantine) Own() []QuarantinedParts {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	qrt.expire(qrt.now())
+	own := slices.DeleteFunc(slices.Clone(qrt.named), func(qp QuarantinedParts) bool { return !qp.isOwn })
+	return own[max(len(own)-maxAnnounced, 0):]
+}
+
+// maxAnnounced bounds the length of an announcement.
+const maxAnnounced = 16
+
+// Count returns the number of groups in quarantine.
+func (qrt *Quarantine) Count() int {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	qrt.expire(qrt.now())
+	return len(qrt.named)
+}
+
+// expire removes the groups whose quarantine has ended.
+func (qrt *Quarantine) expire(now time.Time) {
+	qrt.named = slices.DeleteFunc(qrt.named, func(qp QuarantinedParts) bool { return !qp.Until.After(now) })
+}
+
+// record returns the record of a part, and makes room for it if it is new.
+func (qrt *Quarantine) record(part PartID, now time.Time) *partRecord {
+	rec := qrt.parts[part]
+	if rec == nil {
+		if len(qrt.parts) >= maxRecords {
+			qrt.makeRoom(now)
+		}
+		rec = new(partRecord)
+		qrt.parts[part] = rec
+	}
+	return rec
+}
+
+// makeRoom forgets the parts that are not suspected and were not served lately, or
+// all if there are none: callers may send any number of parts.
+func (qrt *Quarantine) makeRoom(now time.Time) {
+	for part, rec := range qrt.parts {
+		if rec.crashes == 0 && !rec.isKnown && !qrt.isServed(part, now) {
+			delete(qrt.parts, part)
+		}
+	}
+	if len(qrt.parts) >= maxRecords {
+		clear(qrt.parts)
+	}
+}
+
+// containsAll reports whether a prompt has all parts of a group.
+func containsAll(parts, group []PartID) bool {
+	return !slices.ContainsFunc(group, func(part PartID) bool { return !slices.Contains(parts, part) })
+}
--- /dev/null
+++ b/core/bwforward/quarantine_test.go
@@ -0,0 +1,191 @@
+package bwforward_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"bilberrywick/core/bwforward"
+)
+
+// quarantineTest is a Quarantine with a clock.
+type quarantineTest struct {
+	*bwforward.Quarantine
+	now time.Time
+}
+
+func newQuarantineTest() *quarantineTest {
+	qt := &quarantineTest{now: time.Unix(1_000_000, 0)}
+	qt.Quarantine = bwforward.NewQuarantine(func() time.Time { return qt.now })
+	return qt
+}
+
+// crash lets some prompts crash engines, a second apart.
+func (qt *quarantineTest) crash(prompts ...[]bwforward.PartID) {
+	for _, prompt := range prompts {
+		qt.now = qt.now.Add(time.Second)
+		qt.RecordCrash(prompt, true)
+	}
+}
+
+func (qt *quarantineTest) refuses(prompt ...bwforward.PartID) bool {
+	group, _ := qt.Find(prompt)
+	return group != nil
+}
+
+type prompt = []bwforward.PartID
+
+// Guards against a deadly part that is not found among others, whether it comes with
+// the same parts or with others each time, and against sound prompts with the other
+// parts that are refused.
+func TestQuarantineFindsDeadlyPart(t *testing.T) {
+	tests := []struct {
+		name    string
+		observe func(*quarantineTest)
+		refused []prompt
+		served  []prompt
+	}{
+		{"alone", func(qt *quarantineTest) { qt.crash(prompt{"d"}, prompt{"d"}, prompt{"d"}) }, []prompt{{"d"}, {"a", "d"}}, []prompt{{"a"}, {}}},
+		{"two crashes", func(qt *quarantineTest) { qt.crash(prompt{"d"}, prompt{"d"}) }, nil, []prompt{{"d"}}},
+		{"with a part that is served", func(qt *quarantineTest) {
+			qt.RecordServed(prompt{"first"})
+			qt.crash(prompt{"first", "d"}, prompt{"first", "d"}, prompt{"first", "d"})
+		}, []prompt{{"d"}, {"first", "d"}}, []prompt{{"first"}, {"first", "a"}}},
+		{"always with the same parts", func(qt *quarantineTest) { qt.crash(prompt{"a", "d"}, prompt{"a", "d"}, prompt{"a", "d"}) }, []prompt{{"a", "d"}, {"a", "d", "b"}}, []prompt{{"a"}, {"d"}, {"a", "b"}}},
+		{"always with the same parts, of which one is served later", func(qt *quarantineTest) {
+			qt.crash(prompt{"a", "d"}, prompt{"a", "d"}, prompt{"a", "d"})
+			qt.RecordServed(prompt{"a", "b"})
+		}, []prompt{{"a", "d"}, {"d"}, {"c", "d"}}, []prompt{{"a"}, {"b"}, {"c"}}},
+		{"with other parts each time", func(qt *quarantineTest) { qt.crash(prompt{"a", "d"}, prompt{"b", "d"}, prompt{"d", "c"}) }, []prompt{{"d"}, {"e", "d"}}, []prompt{{"a"}, {"b"}, {"c"}, {"a", "b", "c"}}},
+		{"with the same parts, then with others", func(qt *quarantineTest) {
+			qt.crash(prompt{"a", "d"}, prompt{"a", "d"}, prompt{"a", "d"}, prompt{"b", "d"})
+		}, []prompt{{"d"}, {"c", "d"}}, []prompt{{"a"}, {"b"}, {"a", "b"}}},
+		{"two deadly parts", func(qt *quarantineTest) {
+			qt.crash(prompt{"a", "d"}, prompt{"b", "e"}, prompt{"b", "d"}, prompt{"a", "e"}, prompt{"c", "d"}, prompt{"f", "e"})
+		}, []prompt{{"d"}, {"e"}}, []prompt{{"f"}, {"c"}}},
+		{"engines that fail at the same moment", func(qt *quarantineTest) {
+			for range 10 {
+				qt.RecordCrash(prompt{"a"}, true)
+				qt.now = qt.now.Add(10 * time.Millisecond)
+			}
+		}, nil, []prompt{{"a"}}},
+		{"a response between the crashes", func(qt *quarantineTest) {
+			qt.crash(prompt{"a"}, prompt{"a"})
+			qt.RecordServed(prompt{"a"})
+			qt.now = qt.now.Add(time.Minute)
+			qt.crash(prompt{"a"}, prompt{"a"})
+		}, nil, []prompt{{"a"}}},
+		{"a part that turns deadly", func(qt *quarantineTest) {
+			qt.RecordServed(prompt{"d"})
+			qt.now = qt.now.Add(5 * time.Second)
+			qt.crash(prompt{"d"}, prompt{"d"}, prompt{"d"})
+		}, []prompt{{"d"}}, nil},
+		{"crashes that are hours apart", func(qt *quarantineTest) {
+			for range 5 {
+				qt.now = qt.now.Add(time.Hour)
+				qt.RecordCrash(prompt{"a"}, true)
+			}
+		}, nil, []prompt{{"a"}}},
+		{"a prompt without shared parts", func(qt *quarantineTest) { qt.crash(prompt{}, prompt{}, prompt{}) }, nil, []prompt{{}, {"a"}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			qt := newQuarantineTest()
+			tt.observe(qt)
+			for _, prm := range tt.refused {
+				if !qt.refuses(prm...) {
+					t.Errorf("prompt %q is not refused", prm)
+				}
+			}
+			for _, prm := range tt.served {
+				if qt.refuses(prm...) {
+					t.Errorf("prompt %q is refused", prm)
+				}
+			}
+		})
+	}
+}
+
+// Guards against parts that stay in quarantine for ever, and against a part that
+// crashes many engines again after its quarantine.
+func TestQuarantineEnds(t *testing.T) {
+	qt := newQuarantineTest()
+	qt.crash(prompt{"d"}, prompt{"d"}, prompt{"d"})
+	if _, left := qt.Find(prompt{"d"}); left != bwforward.QuarantineTime {
+		t.Errorf("%v are left, want %v", left, bwforward.QuarantineTime)
+	}
+	qt.now = qt.now.Add(bwforward.QuarantineTime)
+	if qt.refuses("d") || qt.Count() != 0 {
+		t.Error("the part is still in quarantine")
+	}
+	qt.crash(prompt{"d"})
+	if !qt.refuses("d") {
+		t.Error("the part is not in quarantine after one more crash")
+	}
+	qt.RecordServed(prompt{"d"})
+	if qt.refuses("d") {
+		t.Error("the part is still in quarantine after a response")
+	}
+	qt.now = qt.now.Add(time.Minute)
+	qt.crash(prompt{"d"})
+	if qt.refuses("d") {
+		t.Error("a part that was cleared is in quarantine after one crash")
+	}
+}
+
+// Guards against a gateway that refuses what others have named although it serves
+// it, that adopts what has been served since, or announces what it did not name.
+func TestQuarantineAdopts(t *testing.T) {
+	qt := newQuarantineTest()
+	until := qt.now.Add(bwforward.QuarantineTime)
+	qt.RecordServed(prompt{"first"})
+	served, ok := qt.Adopt(prompt{"first", "d"}, until, false)
+	if !ok || !slices.Equal(served, prompt{"first"}) {
+		t.Errorf("served %q, adopted %v", served, ok)
+	}
+	if !qt.refuses("a", "d") || qt.refuses("first") {
+		t.Error("the deadly part is served, or the other one refused")
+	}
+	if _, ok := qt.Adopt(prompt{"d"}, until, false); ok {
+		t.Error("a known group is adopted again")
+	}
+	qt.now = qt.now.Add(10 * time.Second)
+	qt.RecordServed(prompt{"d"})
+	qt.now = qt.now.Add(time.Minute)
+	if _, ok := qt.Adopt(prompt{"d"}, until, false); ok || qt.refuses("d") {
+		t.Error("a part is adopted that was served since it was named")
+	}
+	if _, ok := qt.Adopt(prompt{"e"}, qt.now, false); ok {
+		t.Error("a group is adopted whose quarantine has ended")
+	}
+	qt.Adopt(prompt{"e"}, qt.now.Add(time.Hour*24), true)
+	if _, left := qt.Find(prompt{"e"}); left != bwforward.QuarantineTime {
+		t.Errorf("%v are left, want %v at most", left, bwforward.QuarantineTime)
+	}
+	if own := qt.Own(); len(own) != 1 || !slices.Equal(own[0].Parts, prompt{"e"}) {
+		t.Errorf("own groups %+v, want the one of e", own)
+	}
+}
+
+// Guards against callers that fill a gateway's memory with parts, and against one
+// whose parts push a deadly one out of the quarantine.
+func TestQuarantineIsBounded(t *testing.T) {
+	qt := newQuarantineTest()
+	qt.crash(prompt{"d"}, prompt{"d"}, prompt{"d"})
+	for ix := range 20_000 {
+		qt.RecordServed(prompt{bwforward.PartID(fmt.Sprint("s", ix))})
+		qt.RecordCrash(prompt{bwforward.PartID(fmt.Sprint("c", ix))}, true)
+		qt.now = qt.now.Add(time.Millisecond)
+	}
+	if !qt.refuses("d") {
+		t.Error("the deadly part is not in quarantine any more")
+	}
+	for ix := range 200 {
+		part := bwforward.PartID(fmt.Sprint("n", ix))
+		qt.crash(prompt{part}, prompt{part}, prompt{part})
+	}
+	if qt.Count() > 64 || len(qt.Own()) > 16 {
+		t.Errorf("%d groups, %d announced", qt.Count(), len(qt.Own()))
+	}
+}
--- a/core/bwforward/roster.go
+++ b/core/bwforward/roster.go
@@ -27,6 +27,15 @@
 	// Seen is the time of the announcement on the store's monotonic clock, which all
 	// gateways share.
 	Seen time.Duration
+	// Quarantined has the parts of prompts that the gateway has put into quarantine.
+	Quarantined []AnnouncedParts
+}
+
+// AnnouncedParts is a group of quarantined parts in an announcement.
+type AnnouncedParts struct {
+	Parts []PartID
+	// Until is the end of the quarantine on the store's monotonic clock.
+	Until time.Duration
 }
 
 const (
--- a/io/bwgateway/announcer.go
+++ b/io/bwgateway/announcer.go
@@ -41,6 +41,7 @@
 		case <-tmr.C:
 		case <-stopping:
 			stopping = nil
+		case <-anc.state.announceNow:
 		case <-ctx.Done():
 		}
 		tmr.Stop()
@@ -53,7 +54,13 @@
 
 // announce reports whether the announcement was written.
 func (anc *announcer) announce(ctx context.Context, leaving bool) bool {
-	ann := bwforward.Announcement{Leaving: leaving, Seen: anc.state.View().storeClock()}
+	clock := anc.state.View().storeClock()
+	ann := bwforward.Announcement{Leaving: leaving, Seen: clock}
+	if qrt := anc.state.cfg.Quarantine; qrt != nil {
+		for _, qp := range qrt.Own() {
+			ann.Quarantined = append(ann.Quarantined, bwforward.AnnouncedParts{Parts: qp.Parts, Until: clock + qp.Until.Sub(anc.state.cfg.Now())})
+		}
+	}
 	if prs := anc.state.cfg.Peers; prs != nil {
 		ann.Zone, ann.Address, ann.Key = prs.cfg.Zone, prs.Address(), prs.Key()
 	}
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -54,6 +54,11 @@
 	SendNote func(bwforward.PeerNote)
 	// Dial opens connections to upstreams; nil means TCP.
 	Dial DialFunc
+	// Quarantine finds the parts of prompts that crash engines; nil means a new one.
+	Quarantine *bwforward.Quarantine
+	// OnQuarantine is called when the parts change that this gateway has put into
+	// quarantine; it may be nil.
+	OnQuarantine func()
 	// Budgets limits retries.
 	Budgets *bwforward.RetryBudgets
 	// Borrow requests an amount of a service's retry budget from other gateways, and
@@ -105,6 +110,12 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Quarantine == nil {
+		cfg.Quarantine = bwforward.NewQuarantine(cfg.Now)
+	}
+	if cfg.OnQuarantine == nil {
+		cfg.OnQuarantine = func() {}
+	}
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
--- a/io/bwgateway/metrics.go
+++ b/io/bwgateway/metrics.go
@@ -40,3 +40,9 @@
 func (mx *Metrics) observeAdmission(outcome string, waited time.Duration) {
 	mx.set.GetOrCreateHistogram(fmt.Sprintf("bilberrywick_gateway_admission_seconds{outcome=%q}", outcome)).Update(waited.Seconds())
 }
+
+// countQuarantine counts an event of the quarantine of prompts: refused, named or
+// cleared.
+func (mx *Metrics) countQuarantine(event string) {
+	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_quarantine_total{event=%q}", event)).Inc()
+}
--- a/io/bwgateway/peers.go
+++ b/io/bwgateway/peers.go
@@ -132,13 +132,18 @@
 // thus has only part of the others' placements.
 const maxNoteRecipients = 128
 
-// SendNote sends a note to the other gateways, at most maxNoteRecipients of them.
+// SendNote sends a note to the other gateways, at most maxNoteRecipients of them
+// unless all must get it.
 // A nil Peers sends nothing.
 func (prs *Peers) SendNote(nt bwforward.PeerNote) {
 	if prs == nil {
 		return
 	}
-	prs.sendTo(prs.fleet.Load().Some(maxNoteRecipients), packet{Note: &nt})
+	rcp := prs.fleet.Load().Some(maxNoteRecipients)
+	if nt.Kind.ReachesAll() {
+		rcp = prs.fleet.Load().All()
+	}
+	prs.sendTo(rcp, packet{Note: &nt})
 }
 
 // SendUpdate sends an update to all other gateways. Of one that is too long they
--- a/io/bwgateway/peers_test.go
+++ b/io/bwgateway/peers_test.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"reflect"
 	"strconv"
 	"testing"
 	"time"
@@ -56,7 +57,7 @@
 	sender.SendNote(want)
 	select {
 	case got := <-received:
-		if got != want {
+		if !reflect.DeepEqual(got, want) {
 			t.Errorf("got %+v, want %+v", got, want)
 		}
 	case <-time.After(5 * time.Second):
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -84,7 +84,8 @@
 	sts := cfg.Settings
 	pool := bwforward.NewPool(bwforward.PoolConfig{Zone: bwmodel.ZoneID(sts.Zone)})
 	budgets := bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack, Window: sts.RetryWindow})
-	prc := &Process{cfg: cfg, state: NewControlState(ControlStateConfig{Pool: pool, Budgets: budgets, Log: cfg.Log}), metrics: NewMetrics()}
+	quarantine := bwforward.NewQuarantine(nil)
+	prc := &Process{cfg: cfg, state: NewControlState(ControlStateConfig{Pool: pool, Budgets: budgets, Quarantine: quarantine, Log: cfg.Log}), metrics: NewMetrics()}
 	prs, err := NewPeers(PeersConfig{Member: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone), Address: sts.Peers, OnNote: func(nt bwforward.PeerNote) { prc.gateway.HandleNote(nt) }, Lend: budgets.Lend, KeepLoan: budgets.Keep, Log: cfg.Log})
 	if err != nil {
 		return nil, err
@@ -96,6 +97,8 @@
 		Table:           prc.state.Table,
 		Pool:            pool,
 		Budgets:         budgets,
+		Quarantine:      quarantine,
+		OnQuarantine:    prc.state.AnnounceQuarantine,
 		SendNote:        prs.SendNote,
 		Borrow:          prs.Borrow,
 		CopyKVCache:     cfg.CopyKVCache,
@@ -130,6 +133,7 @@
 			}
 			return 0
 		},
+		"bilberrywick_gateway_quarantined": func() float64 { return float64(prc.gateway.cfg.Quarantine.Count()) },
 		"bilberrywick_gateway_list_away": func() float64 {
 			if prc.state.View().ListUnavailable {
 				return 1
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -20,12 +20,17 @@
 	// membersKnown is closed when the other gateways' announcements are applied
 	// for the first time, stopping when this gateway stops.
 	membersKnown, stopping chan struct{}
+	// announceNow makes the announcer write an announcement at once.
+	announceNow chan struct{}
 }
 
 // ControlStateConfig configures a ControlState.
 type ControlStateConfig struct {
 	Pool    *bwforward.Pool
 	Budgets *bwforward.RetryBudgets
+	// Quarantine receives the parts of prompts that other gateways have put into
+	// quarantine; nil means that none are.
+	Quarantine *bwforward.Quarantine
 	// Peers receives the addresses of the other gateways; nil disables the exchange
 	// with them.
 	Peers *Peers
@@ -82,7 +87,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &ControlState{cfg: cfg, membersKnown: make(chan struct{}), stopping: make(chan struct{}), control: bwcontrol.New(bwcontrol.Config[ownedState, View]{
+	return &ControlState{cfg: cfg, membersKnown: make(chan struct{}), stopping: make(chan struct{}), announceNow: make(chan struct{}, 1), control: bwcontrol.New(bwcontrol.Config[ownedState, View]{
 		State: &ownedState{dir: bwforward.NewUpstreamDirectory()},
 		View: func(cst *ownedState) *View {
 			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt}
@@ -196,6 +201,7 @@
 	err := st.control.Do(ctx, func(cst *ownedState) {
 		first = cst.clockAt.IsZero()
 		cst.clock, cst.clockAt = now, time.Now()
+		st.adoptQuarantined(anns, now)
 		anns = st.otherAnnouncements(anns, first)
 		if full {
 			cst.roster.Replace(anns)
@@ -222,6 +228,31 @@
 	return err
 }
 
+// adoptQuarantined puts the announced parts of prompts into quarantine. Those of
+// this gateway are from before a restart.
+func (st *ControlState) adoptQuarantined(anns []bwforward.Announcement, now time.Duration) {
+	if st.cfg.Quarantine == nil {
+		return
+	}
+	for _, ann := range anns {
+		isOwn := st.cfg.Peers != nil && ann.Member == st.cfg.Peers.Member()
+		for _, qp := range ann.Quarantined {
+			if _, ok := st.cfg.Quarantine.Adopt(qp.Parts, st.cfg.Now().Add(qp.Until-now), isOwn); ok {
+				st.cfg.Log.Info("parts of prompts in quarantine", "Parts", qp.Parts, "Left", qp.Until-now, "Source", ann.Member)
+			}
+		}
+	}
+}
+
+// AnnounceQuarantine makes the announcer announce the parts that this gateway has in
+// quarantine.
+func (st *ControlState) AnnounceQuarantine() {
+	select {
+	case st.announceNow <- struct{}{}:
+	default:
+	}
+}
+
 // AnnounceLeaving makes the announcer announce that this gateway stops. It
 // must be called once only.
 func (st *ControlState) AnnounceLeaving() { close(st.stopping) }
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -84,7 +84,7 @@
 		cl.refuse(http.StatusServiceUnavailable, "too little time is left")
 		return
 	}
-	if !stm.admit() {
+	if stm.refuseQuarantined() || !stm.admit() {
 		return
 	}
 	cl.gw.admission.Begin(cl.match.Team)
@@ -94,6 +94,10 @@
 		if nd == nil {
 			break
 		}
+		// The wait for an engine, or the attempt before, may have shown it.
+		if stm.refuseQuarantined() {
+			return
+		}
 		cl.attempts++
 		err := stm.attempt(nd, fromCopy)
 		if err == nil {
@@ -203,9 +207,10 @@
 	stm.gw.cfg.SendNote(note)
 	defer stm.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.EndNote, Upstream: note.Upstream, CopyTarget: note.CopyTarget})
 	defer exc.close()
-	sat := &streamAttempt{stream: stm, exc: exc, node: nd, placed: wrk, estimate: estimate, placement: placement, sentAt: sentAt, backup: backup, copyValidSince: sentAt}
+	sat := &streamAttempt{stream: stm, exc: exc, node: nd, placed: wrk, estimate: estimate, placement: placement, sentAt: sentAt, backup: backup, copyValidSince: sentAt, resumed: info.LastEventID != ""}
 	sat.reserveCopy()
 	err = sat.read()
+	sat.observeStart(err)
 	// Engines refuse to resume from a copy of a generation without output.
 	if err != nil && sat.eventCount > 0 {
 		stm.resumeNode, stm.resumeCopyName = sat.backup, sat.copyName
@@ -265,8 +270,13 @@
 	// lastReceived is when the engine's last event arrived, lastProbe when the
 	// engine was last probed.
 	lastReceived, lastProbe time.Time
-	// eventCount is the number of events forwarded from this engine.
-	eventCount int
+	// eventCount is the number of events forwarded from this engine, firstEventAt the
+	// time of the first one.
+	eventCount   int
+	firstEventAt time.Time
+	// resumed is set if the attempt goes on after events of another engine, startSeen
+	// once the engine has begun with the prompt without a crash.
+	resumed, startSeen bool
 }
 
 func (sat *streamAttempt) read() error {
@@ -304,6 +314,11 @@
 // engine that sends nothing.
 func (sat *streamAttempt) checkIdle() error {
 	now := sat.gw.cfg.Now()
+	if sat.eventCount == 0 && !sat.resumed {
+		if parts, _ := sat.gw.cfg.Quarantine.Find(sat.info.Parts); parts != nil {
+			return fmt.Errorf("%w: parts %q", errQuarantined, parts)
+		}
+	}
 	suspect, giveUp := sat.idleLimits()
 	idle := now.Sub(sat.lastReceived)
 	if idle >= giveUp {
@@ -373,6 +388,11 @@
 		sat.placement.FinishPrefill()
 		sat.node.RecordResponse(now)
 		sat.observeFirstEvent(now)
+		sat.firstEventAt = now
+	}
+	if !sat.startSeen && now.Sub(sat.firstEventAt) >= servedAfter {
+		sat.startSeen = true
+		sat.gw.recordServed(sat.info.Parts)
 	}
 	sat.eventCount++
 	sat.lastReceived = now
@@ -422,9 +442,12 @@
 	return nil
 }
 
-// recordLoss records that the engine failed and returns the error.
+// recordLoss records that the engine failed and returns the error. An attempt that
+// the gateway ends since the prompt crashes engines says nothing of its engine.
 func (sat *streamAttempt) recordLoss(err error) error {
-	sat.excludeFailed(sat.node)
+	if !errors.Is(err, errQuarantined) {
+		sat.excludeFailed(sat.node)
+	}
 	return err
 }
 
--- a/io/bwgateway/successor.go
+++ b/io/bwgateway/successor.go
@@ -70,6 +70,10 @@
 // successor that another gateway has identified is used here as well: the note
 // that its predecessor was replaced keeps this gateway from finding it itself.
 func (gw *Gateway) HandleNote(nt bwforward.PeerNote) {
+	if nt.Kind.ReachesAll() {
+		gw.applyQuarantineNote(nt)
+		return
+	}
 	gw.cfg.Pool.ApplyNote(nt)
 	old := gw.cfg.Pool.Node(nt.Upstream)
 	if nt.Kind != bwforward.SuccessorNote || old == nil || gw.cfg.OnSuccessor == nil || gw.cfg.ListUnavailable == nil || !gw.cfg.ListUnavailable() {
