Keep sound prompts out of quarantine

A broken connection counts as a crash only if the engine takes no connection afterwards, or another one has its address; it is asked only then. The gateway that has named a group lets a prompt pass after a minute, and again after twice as long, so that a sound part is cleared.

--- a/core/bwforward/quarantine.go
+++ b/core/bwforward/quarantine.go
@@ -42,14 +42,21 @@
 	Parts []PartID
 	// Until is the end of the quarantine.
 	Until time.Time
-	// isOwn is set if this gateway has named the group.
-	isOwn bool
+	// isOwn is set if this gateway has named the group. It lets one prompt pass at
+	// testAt, and again after testPause, which doubles.
+	isOwn     bool
+	testAt    time.Time
+	testPause time.Duration
 }
 
 const (
 	// QuarantineTime is the time for which parts stay in quarantine. When it ends, a
 	// prompt is sent to an engine again, which crashes if nothing has changed.
 	QuarantineTime = 10 * time.Minute
+	// firstTestPause is the time after which a prompt is sent to an engine to test
+	// whether it still crashes. A sound part that had bad luck is cleared by it, a
+	// deadly one costs an engine.
+	firstTestPause = time.Minute
 	// crashesToName is the number of crashes without a response in between after which
 	// parts are named. The crash of a zone hits a prompt once or twice.
 	crashesToName = 3
@@ -130,6 +137,8 @@
 		}
 	}
 	qrt.named = slices.DeleteFunc(qrt.named, func(old QuarantinedParts) bool { return containsAll(old.Parts, qp.Parts) })
+	qp.testPause = firstTestPause
+	qp.testAt = qrt.now().Add(qp.testPause)
 	qrt.named = append(qrt.named[max(len(qrt.named)-maxNamed+1, 0):], qp)
 	for _, part := range qp.Parts {
 		qrt.record(part, qrt.now()).isKnown = true
@@ -138,40 +147,44 @@
 }
 
 // RecordServed records that a prompt has had a response, and reports whether one of
-// its parts was suspected. This gateway and the others must then clear it.
+// its parts was in quarantine, or would have been with the next crash. The others
+// must be told then.
 func (qrt *Quarantine) RecordServed(parts []PartID) bool {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
 	now := qrt.now()
-	wasSuspected := false
+	wasNear := false
 	for _, part := range parts {
 		rec := qrt.record(part, now)
-		wasSuspected = wasSuspected || rec.crashes > 0 || rec.isKnown
+		isSuspected := rec.crashes > 0 || rec.isKnown
+		wasNear = wasNear || rec.crashes >= crashesToName-1 || rec.isKnown
 		*rec = partRecord{lastServed: now}
+		if isSuspected {
+			qrt.clearServed(part)
+		}
 	}
-	if !wasSuspected {
-		return false
-	}
-	qrt.clearServed(parts)
-	return true
+	return wasNear
 }
 
-// clearServed removes served parts from the groups of others.
-func (qrt *Quarantine) clearServed(served []PartID) {
-	isServed := func(part PartID) bool { return slices.Contains(served, part) }
+// clearServed removes a served part from all groups.
+func (qrt *Quarantine) clearServed(served PartID) {
 	for _, rec := range qrt.parts {
-		if slices.ContainsFunc(rec.group, isServed) {
-			rec.group = slices.DeleteFunc(slices.Clone(rec.group), isServed)
-		}
+		rec.group = without(rec.group, served)
 	}
 	for ix := range qrt.named {
-		if slices.ContainsFunc(qrt.named[ix].Parts, isServed) {
-			qrt.named[ix].Parts = slices.DeleteFunc(slices.Clone(qrt.named[ix].Parts), isServed)
-		}
+		qrt.named[ix].Parts = without(qrt.named[ix].Parts, served)
 	}
 	qrt.named = slices.DeleteFunc(qrt.named, func(qp QuarantinedParts) bool { return len(qp.Parts) == 0 })
 }
 
+// without returns a group without a part. Groups are shared and not changed in place.
+func without(group []PartID, part PartID) []PartID {
+	if !slices.Contains(group, part) {
+		return group
+	}
+	return slices.DeleteFunc(slices.Clone(group), func(other PartID) bool { return other == part })
+}
+
 // Adopt puts a group into quarantine that was named by another gateway, or by this
 // one before a restart if isOwn is set, until a time. It leaves out the parts that
 // have been served here since or shortly before, and returns them: the others don't
@@ -207,7 +220,10 @@
 func (qrt *Quarantine) Find(parts []PartID) ([]PartID, time.Duration) {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	now := qrt.now()
+	return qrt.find(parts, qrt.now())
+}
+
+func (qrt *Quarantine) find(parts []PartID, now time.Time) ([]PartID, time.Duration) {
 	qrt.expire(now)
 	for _, qp := range qrt.named {
 		if containsAll(parts, qp.Parts) {
@@ -217,6 +233,30 @@
 	return nil, 0
 }
 
+// Admit is Find for a new request. Now and then the gateway that has named a group lets
+// one pass, as a test whether the group is still deadly.
+func (qrt *Quarantine) Admit(parts []PartID) (group []PartID, left time.Duration, isTest bool) {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	now := qrt.now()
+	group, left = qrt.find(parts, now)
+	if group == nil {
+		return nil, 0, false
+	}
+	for ix := range qrt.named {
+		qp := &qrt.named[ix]
+		if !containsAll(parts, qp.Parts) {
+			continue
+		}
+		if !qp.isOwn || now.Before(qp.testAt) {
+			return group, left, false
+		}
+		qp.testPause *= 2
+		qp.testAt = now.Add(qp.testPause)
+	}
+	return nil, 0, true
+}
+
 // Own returns the groups that this gateway has named, at most maxAnnounced of them.
 func (qrt *Quarantine) Own() []QuarantinedParts {
 	qrt.mu.Lock()
--- a/core/bwforward/quarantine_test.go
+++ b/core/bwforward/quarantine_test.go
@@ -189,3 +189,32 @@
 		t.Errorf("%d groups, %d announced", qt.Count(), len(qt.Own()))
 	}
 }
+
+// Guards against a sound part that stays in quarantine after bad luck, and against
+// tests of a deadly one at every gateway or for each request.
+func TestQuarantineTestsParts(t *testing.T) {
+	qt, other := newQuarantineTest(), newQuarantineTest()
+	qt.crash(prompt{"d"}, prompt{"d"}, prompt{"d"})
+	other.Adopt(prompt{"d"}, other.now.Add(bwforward.QuarantineTime), false)
+	tests := 0
+	for range 400 {
+		qt.now, other.now = qt.now.Add(time.Second), other.now.Add(time.Second)
+		if _, _, isTest := other.Admit(prompt{"d"}); isTest {
+			t.Fatal("a gateway that has not named the part tests it")
+		}
+		if _, _, isTest := qt.Admit(prompt{"a", "d"}); isTest {
+			tests++
+			qt.RecordCrash(prompt{"a", "d"}, true)
+		}
+	}
+	if tests != 2 {
+		t.Errorf("%d tests in 400 s, want 2", tests)
+	}
+	qt.now = qt.now.Add(time.Minute)
+	if _, _, isTest := qt.Admit(prompt{"d"}); !isTest || !qt.RecordServed(prompt{"d"}) {
+		t.Error("no third test, or its response need not be announced")
+	}
+	if group, _, isTest := qt.Admit(prompt{"d"}); group != nil || isTest {
+		t.Error("the part is still in quarantine")
+	}
+}
--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -31,6 +31,7 @@
 	copyHeader       = "Test-Copy"
 	lastEventHeader  = "Last-Event-Id"
 	retryHeader      = "Retry-After"
+	partsHeader      = "Test-Parts"
 )
 
 func dialect() bwgateway.Dialect {
@@ -42,6 +43,7 @@
 				Key:         hdr.Get("Key"),
 				Timeout:     time.Duration(ms) * time.Millisecond,
 				LastEventID: hdr.Get(lastEventHeader),
+				Parts:       parts(hdr.Get(partsHeader)),
 			}
 		},
 		UpstreamHeaders: func(caller http.Header, info bwgateway.AttemptInfo) http.Header {
@@ -71,6 +73,14 @@
 	}
 }
 
+func parts(text string) []bwforward.PartID {
+	var ids []bwforward.PartID
+	for _, id := range strings.Fields(text) {
+		ids = append(ids, bwforward.PartID(id))
+	}
+	return ids
+}
+
 // fakeEngine is an engine that runs a script for each request.
 type fakeEngine struct {
 	t   *testing.T
--- a/io/bwgateway/quarantine.go
+++ b/io/bwgateway/quarantine.go
@@ -1,9 +1,11 @@
 package bwgateway
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -14,13 +16,43 @@
 // with a prompt without a crash. Engines crash within about 0.1 s of the start.
 const servedAfter = 500 * time.Millisecond
 
-// refuseQuarantined ends a stream whose prompt crashes engines, and reports whether
-// it did.
-func (stm *stream) refuseQuarantined() bool {
-	parts, left := stm.gw.cfg.Quarantine.Find(stm.info.Parts)
+// admitPrompt refuses a new stream whose prompt crashes engines, and reports whether
+// it may go on.
+func (stm *stream) admitPrompt() bool {
+	parts, left, isTest := stm.gw.cfg.Quarantine.Admit(stm.info.Parts)
+	if isTest {
+		stm.gw.cfg.Log.Info("stream tests parts in quarantine", "Request", stm.info.RequestID, "Parts", stm.info.Parts)
+	}
+	stm.testsPrompt = isTest
 	if parts == nil {
-		return false
+		return true
+	}
+	stm.refuseQuarantined(parts, left)
+	return false
+}
+
+// mayGoOn ends a stream whose prompt was put into quarantine since it was admitted, or
+// has failed its test, and reports whether it may go on.
+func (stm *stream) mayGoOn() bool {
+	parts, left := stm.quarantined()
+	if parts == nil {
+		return true
 	}
+	stm.refuseQuarantined(parts, left)
+	return false
+}
+
+// quarantined returns the group in quarantine that the prompt contains, if any, and
+// the time until its end. The first attempt of a test is not subject to it.
+func (stm *stream) quarantined() ([]bwforward.PartID, time.Duration) {
+	if len(stm.info.Parts) == 0 || stm.testsPrompt && stm.possibleRuns == 0 {
+		return nil, 0
+	}
+	return stm.gw.cfg.Quarantine.Find(stm.info.Parts)
+}
+
+// refuseQuarantined responds to a stream whose prompt has a group in quarantine.
+func (stm *stream) refuseQuarantined(parts []bwforward.PartID, left time.Duration) {
 	stm.gw.cfg.Log.Info("stream refused", "Request", stm.info.RequestID, "Parts", parts, "QuarantineLeft", left, "Sent", stm.possibleRuns)
 	stm.gw.cfg.Metrics.countQuarantine("refused")
 	const reason = "its prompt crashes engines"
@@ -33,7 +65,6 @@
 	default:
 		stm.refuse(http.StatusBadGateway, reason)
 	}
-	return true
 }
 
 // recordCrash records that an engine was lost as it began with the prompt, and tells
@@ -89,24 +120,6 @@
 
 var errQuarantined = errors.New("prompt crashes engines")
 
-// isCrash reports whether an error of an attempt is that of an engine which ended, as
-// opposed to one that is slow, refuses or fails the request, and to an error of the
-// caller's connection.
-func isCrash(err error) bool {
-	if errors.Is(err, errIncomplete) {
-		return true
-	}
-	if !errors.Is(err, ErrIncompleteResponse) {
-		return false
-	}
-	for _, cause := range []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE, errNoConnection} {
-		if errors.Is(err, cause) {
-			return true
-		}
-	}
-	return false
-}
-
 // observeStart records whether the engine of an attempt crashed as it began with the
 // prompt, or has begun.
 func (sat *streamAttempt) observeStart(err error) {
@@ -114,7 +127,38 @@
 	case len(sat.info.Parts) == 0 || sat.callerGone():
 	case err == nil:
 		sat.gw.recordServed(sat.info.Parts)
-	case !sat.resumed && !sat.startSeen && isCrash(err):
+	case !sat.resumed && !sat.startSeen && sat.isCrash(err):
 		sat.gw.recordCrash(sat.info.Parts)
 	}
 }
+
+// isCrash reports whether an error of an attempt is that of an engine which ended, as
+// opposed to one that is slow, refuses or fails the request or loses its response,
+// and to an error of the caller's connection.
+func (sat *streamAttempt) isCrash(err error) bool {
+	switch {
+	case errors.Is(err, errIncomplete):
+	case !errors.Is(err, ErrIncompleteResponse):
+		return false
+	case errors.Is(err, errNoConnection):
+		return true
+	case !slices.ContainsFunc(brokenConnection, func(cause error) bool { return errors.Is(err, cause) }):
+		return false
+	}
+	return sat.probe(sat.node) != nil || sat.isReplaced()
+}
+
+// brokenConnection has the errors of a connection that the upstream has closed.
+var brokenConnection = []error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE}
+
+// isReplaced reports whether another engine has the address of this one, since it has
+// restarted already.
+func (sat *streamAttempt) isReplaced() bool {
+	if sat.gw.cfg.Identify == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(sat.ctx, probeTimeout)
+	defer cancel()
+	idy, err := sat.gw.cfg.Identify(ctx, sat.node.Address, sat.match.Service.Health)
+	return err == nil && idy.ID != sat.node.ID
+}
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -35,6 +35,8 @@
 	lastEventAt time.Time
 	// sentAt is when the request was last sent to an engine.
 	sentAt time.Time
+	// testsPrompt is set if the stream's first attempt tests a prompt in quarantine.
+	testsPrompt bool
 }
 
 const (
@@ -84,7 +86,7 @@
 		cl.refuse(http.StatusServiceUnavailable, "too little time is left")
 		return
 	}
-	if stm.refuseQuarantined() || !stm.admit() {
+	if !stm.admitPrompt() || !stm.admit() {
 		return
 	}
 	cl.gw.admission.Begin(cl.match.Team)
@@ -95,7 +97,7 @@
 			break
 		}
 		// The wait for an engine, or the attempt before, may have shown it.
-		if stm.refuseQuarantined() {
+		if !stm.mayGoOn() {
 			return
 		}
 		cl.attempts++
@@ -314,8 +316,8 @@
 // engine that sends nothing.
 func (sat *streamAttempt) checkIdle() error {
 	now := sat.gw.cfg.Now()
-	if sat.eventCount == 0 && !sat.resumed {
-		if parts, _ := sat.gw.cfg.Quarantine.Find(sat.info.Parts); parts != nil {
+	if sat.eventCount == 0 && !sat.resumed && !sat.testsPrompt {
+		if parts, _ := sat.quarantined(); parts != nil {
 			return fmt.Errorf("%w: parts %q", errQuarantined, parts)
 		}
 	}
