Ask other gateways for the prompts in quarantine at the start

A gateway that had named a part while the store refused it was killed before it could write its announcement. The gateways that had gone on knew the part all the time.

--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -58,6 +58,9 @@
 	ServedNote
 	// QuarantineNote reports that prompts with all of the parts crash engines.
 	QuarantineNote
+	// QuarantineRequest asks for a QuarantineNote for each group. The sender has just
+	// started, and the store may not have them all.
+	QuarantineRequest
 )
 
 // ReachesAll reports whether all gateways must get such a note, not only a part of
--- a/core/bwforward/quarantine.go
+++ b/core/bwforward/quarantine.go
@@ -269,12 +269,12 @@
 // maxAnnounced bounds the length of an announcement.
 const maxAnnounced = 16
 
-// Count returns the number of groups in quarantine.
-func (qrt *Quarantine) Count() int {
+// All returns all groups in quarantine.
+func (qrt *Quarantine) All() []QuarantinedParts {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
 	qrt.expire(qrt.now())
-	return len(qrt.named)
+	return slices.Clone(qrt.named)
 }
 
 // expire removes the groups whose quarantine has ended.
--- a/core/bwforward/quarantine_test.go
+++ b/core/bwforward/quarantine_test.go
@@ -116,7 +116,7 @@
 		t.Errorf("%v are left, want %v", left, bwforward.QuarantineTime)
 	}
 	qt.now = qt.now.Add(bwforward.QuarantineTime)
-	if qt.refuses("d") || qt.Count() != 0 {
+	if qt.refuses("d") || len(qt.All()) != 0 {
 		t.Error("the part is still in quarantine")
 	}
 	qt.crash(prompt{"d"})
@@ -185,8 +185,8 @@
 		part := bwforward.PartID(fmt.Sprint("n", ix))
 		qt.crash(prompt{part}, prompt{part}, prompt{part})
 	}
-	if qt.Count() > 64 || len(qt.Own()) > 16 {
-		t.Errorf("%d groups, %d announced", qt.Count(), len(qt.Own()))
+	if len(qt.All()) > 64 || len(qt.Own()) > 16 {
+		t.Errorf("%d groups, %d announced", len(qt.All()), len(qt.Own()))
 	}
 }
 
--- a/io/bwgateway/announcer.go
+++ b/io/bwgateway/announcer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwretry"
 )
 
 // StartAnnouncing announces this gateway to the others until the context ends.
@@ -15,6 +16,32 @@
 func (st *ControlState) StartAnnouncing(ctx context.Context, writeRow func(context.Context, bwforward.Announcement) error) {
 	anc := &announcer{state: st, writeRow: writeRow, log: st.cfg.Log}
 	go anc.loop(ctx)
+	if st.cfg.Peers != nil && st.cfg.Quarantine != nil {
+		qrq := &quarantineRequester{state: st}
+		go qrq.run(ctx)
+	}
+}
+
+// quarantineRequester asks other gateways for the parts of prompts in quarantine when
+// this one has started: the gateway that named them may not have been able to write
+// them to the store.
+type quarantineRequester struct{ state *ControlState }
+
+// quarantineRequestDelays are the times of the requests after the announcements were
+// read. Gateways that have not read this one's announcement don't accept the first.
+var quarantineRequestDelays = []time.Duration{0, 500 * time.Millisecond, 4 * time.Second}
+
+func (qrq *quarantineRequester) run(ctx context.Context) {
+	select {
+	case <-qrq.state.membersKnown:
+	case <-ctx.Done():
+		return
+	}
+	knownAt := time.Now()
+	for _, delay := range quarantineRequestDelays {
+		bwretry.Pause(ctx, time.Until(knownAt.Add(delay)))
+		qrq.state.cfg.Peers.RequestQuarantine()
+	}
 }
 
 // announcer writes this gateway's announcement periodically.
--- a/io/bwgateway/peers.go
+++ b/io/bwgateway/peers.go
@@ -146,6 +146,15 @@
 	prs.sendTo(rcp, packet{Note: &nt})
 }
 
+// RequestQuarantine asks some other gateways, chosen at random, for the parts of prompts
+// in quarantine.
+func (prs *Peers) RequestQuarantine() {
+	for _, group := range prs.fleet.Load().Lenders() {
+		prs.sendTo(bwspread.Recipients{Direct: group}, packet{Note: &bwforward.PeerNote{Kind: bwforward.QuarantineRequest}})
+		return
+	}
+}
+
 // SendUpdate sends an update to all other gateways. Of one that is too long they
 // get only the version, and read it from the store at their own intervals.
 func (prs *Peers) SendUpdate(upd TableUpdate) {
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -133,7 +133,7 @@
 			}
 			return 0
 		},
-		"bilberrywick_gateway_quarantined": func() float64 { return float64(prc.gateway.cfg.Quarantine.Count()) },
+		"bilberrywick_gateway_quarantined": func() float64 { return float64(len(prc.gateway.cfg.Quarantine.All())) },
 		"bilberrywick_gateway_list_away": func() float64 {
 			if prc.state.View().ListUnavailable {
 				return 1
--- a/io/bwgateway/quarantine.go
+++ b/io/bwgateway/quarantine.go
@@ -107,6 +107,10 @@
 			gw.cfg.Log.Info("parts of prompts cleared", "Parts", nt.Parts, "Source", "note")
 			gw.cfg.OnQuarantine()
 		}
+	case bwforward.QuarantineRequest:
+		for _, qp := range qrt.All() {
+			gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.QuarantineNote, Parts: qp.Parts, Left: qp.Until.Sub(gw.cfg.Now())})
+		}
 	case bwforward.QuarantineNote:
 		served, ok := qrt.Adopt(nt.Parts, gw.cfg.Now().Add(nt.Left), false)
 		if ok {
--- a/io/bwgateway/successor.go
+++ b/io/bwgateway/successor.go
@@ -70,7 +70,7 @@
 // successor that another gateway has identified is used here as well: the note
 // that its predecessor was replaced keeps this gateway from finding it itself.
 func (gw *Gateway) HandleNote(nt bwforward.PeerNote) {
-	if nt.Kind.ReachesAll() {
+	if nt.Kind.ReachesAll() || nt.Kind == bwforward.QuarantineRequest {
 		gw.applyQuarantineNote(nt)
 		return
 	}
