Name the narrowest group that explains the crashes

Right after a start, before any prompt was served, the first part that all prompts of a caller share was put into quarantine in place of the deadly one, and 44 sound requests of a test were refused until a stream under way was served.

Sound prompts that wait at an engine crash with it, so that their common part has as many crashes as the deadly one, and the first of them to reach three was named. A part is now passed over while another suspect explains its crashes that fewer prompts have, and the crashes that a named group explains no longer count for its wider parts. A response counts as served 0.25 s after its first event.

TestQuarantineFindsDeadlyPart: the case with bystanders failed before.

--- a/core/bwforward/quarantine.go
+++ b/core/bwforward/quarantine.go
@@ -60,6 +60,9 @@
 	// crashesToName is the number of crashes without a response in between after which
 	// parts are named. The crash of a zone hits a prompt once or twice.
 	crashesToName = 3
+	// explainedCrashes is what is left of the crashes of a part when a group with it is
+	// named.
+	explainedCrashes = 1
 	// crashSpacing is the time within which crashes count as one: engines of a zone
 	// that fail together take all prompts of a part with them at the same moment.
 	crashSpacing = 150 * time.Millisecond
@@ -89,20 +92,52 @@
 	defer qrt.mu.Unlock()
 	now := qrt.now()
 	suspects := slices.DeleteFunc(slices.Clone(parts), func(part PartID) bool { return qrt.isServed(part, now) })
+	for _, part := range suspects {
+		qrt.record(part, now).addCrash(suspects, now)
+	}
 	var named *QuarantinedParts
 	for _, part := range suspects {
-		rec := qrt.record(part, now)
-		rec.addCrash(suspects, now)
-		if rec.crashes < crashesToName && !rec.isKnown {
+		rec := qrt.parts[part]
+		if rec.crashes < crashesToName && !rec.isKnown || qrt.hasNarrowerSuspect(part) {
 			continue
 		}
 		if qp := qrt.name(QuarantinedParts{Parts: rec.group, Until: now.Add(QuarantineTime), isOwn: isOwn}); qp != nil {
 			named = qp
+			qrt.explainCrashes(rec.group)
 		}
 	}
 	return named
 }
 
+// hasNarrowerSuspect reports whether the crashes of a part are explained as well by
+// another one that fewer prompts have and that is not in quarantine yet. Prompts that wait at an engine crash with it,
+// so that parts which many prompts share are suspected with the deadly one.
+func (qrt *Quarantine) hasNarrowerSuspect(part PartID) bool {
+	rec := qrt.parts[part]
+	for _, other := range qrt.parts {
+		if len(other.group) > len(rec.group) && other.crashes >= rec.crashes-1 && slices.Contains(other.group, part) && !qrt.isNamed(other.group) {
+			return true
+		}
+	}
+	return false
+}
+
+// isNamed reports whether a group is in quarantine, so that its prompts crash no more
+// engines.
+func (qrt *Quarantine) isNamed(group []PartID) bool {
+	return slices.ContainsFunc(qrt.named, func(qp QuarantinedParts) bool { return slices.Equal(qp.Parts, group) })
+}
+
+// explainCrashes lowers the count of crashes of those parts of a named group that have
+// crashed in other prompts too: the group explains most of them.
+func (qrt *Quarantine) explainCrashes(group []PartID) {
+	for _, part := range group {
+		if rec := qrt.parts[part]; len(rec.group) < len(group) {
+			rec.crashes, rec.isKnown = min(rec.crashes, explainedCrashes), false
+		}
+	}
+}
+
 // isServed reports whether a prompt with the part has had a response lately.
 func (qrt *Quarantine) isServed(part PartID, now time.Time) bool {
 	rec := qrt.parts[part]
--- a/core/bwforward/quarantine_test.go
+++ b/core/bwforward/quarantine_test.go
@@ -64,6 +64,16 @@
 		{"two deadly parts", func(qt *quarantineTest) {
 			qt.crash(prompt{"a", "d"}, prompt{"b", "e"}, prompt{"b", "d"}, prompt{"a", "e"}, prompt{"c", "d"}, prompt{"f", "e"})
 		}, []prompt{{"d"}, {"e"}}, []prompt{{"f"}, {"c"}}},
+		{"with bystanders that share a part", func(qt *quarantineTest) {
+			for range 3 {
+				qt.crash(prompt{"a"})
+				qt.RecordCrash(prompt{"a", "d"}, true)
+				qt.RecordCrash(prompt{"a", "b"}, true)
+			}
+		}, []prompt{{"a", "d"}}, []prompt{{"a"}, {"a", "c"}}},
+		{"a part that many prompts share", func(qt *quarantineTest) {
+			qt.crash(prompt{"d", "a"}, prompt{"d", "b"}, prompt{"d", "a"}, prompt{"d", "c"}, prompt{"d"})
+		}, []prompt{{"d"}, {"d", "e"}}, []prompt{{"a"}, {"b"}}},
 		{"engines that fail at the same moment", func(qt *quarantineTest) {
 			for range 10 {
 				qt.RecordCrash(prompt{"a"}, true)
--- a/io/bwgateway/quarantine.go
+++ b/io/bwgateway/quarantine.go
@@ -14,7 +14,7 @@
 
 // servedAfter is the time after the first event from which on an engine has begun
 // with a prompt without a crash. Engines crash within about 0.1 s of the start.
-const servedAfter = 500 * time.Millisecond
+const servedAfter = 250 * time.Millisecond
 
 // admitPrompt refuses a new stream whose prompt crashes engines, and reports whether
 // it may go on.
