Survive a quarantine whose records are full

When the records of suspected parts were full, a crash of a prompt with several parts could drop the record of its first part while the others were recorded, and the gateway ended with a nil pointer. Found by reading; TestQuarantineIsBounded plays 20,000 crashes of prompts with 16 parts now and failed with the panic before.

--- a/core/bwforward/quarantine.go
+++ b/core/bwforward/quarantine.go
@@ -97,8 +97,8 @@
 	}
 	var named *QuarantinedParts
 	for _, part := range suspects {
-		rec := qrt.parts[part]
-		if rec.crashes < crashesToName && !rec.isKnown || qrt.hasNarrowerSuspect(part) {
+		rec := qrt.record(part, now)
+		if rec.crashes < crashesToName && !rec.isKnown || qrt.hasNarrowerSuspect(part, rec) {
 			continue
 		}
 		if qp := qrt.name(QuarantinedParts{Parts: rec.group, Until: now.Add(QuarantineTime), isOwn: isOwn}); qp != nil {
@@ -112,8 +112,7 @@
 // hasNarrowerSuspect reports whether the crashes of a part are explained as well by
 // another one that fewer prompts have and that is not in quarantine yet. Prompts that wait at an engine crash with it,
 // so that parts which many prompts share are suspected with the deadly one.
-func (qrt *Quarantine) hasNarrowerSuspect(part PartID) bool {
-	rec := qrt.parts[part]
+func (qrt *Quarantine) hasNarrowerSuspect(part PartID, rec *partRecord) bool {
 	for _, other := range qrt.parts {
 		if len(other.group) > len(rec.group) && other.crashes >= rec.crashes-1 && slices.Contains(other.group, part) && !qrt.isNamed(other.group) {
 			return true
@@ -132,7 +131,7 @@
 // crashed in other prompts too: the group explains most of them.
 func (qrt *Quarantine) explainCrashes(group []PartID) {
 	for _, part := range group {
-		if rec := qrt.parts[part]; len(rec.group) < len(group) {
+		if rec := qrt.parts[part]; rec != nil && len(rec.group) < len(group) {
 			rec.crashes, rec.isKnown = min(rec.crashes, explainedCrashes), false
 		}
 	}
--- a/core/bwforward/quarantine_test.go
+++ b/core/bwforward/quarantine_test.go
@@ -188,6 +188,14 @@
 		qt.RecordCrash(prompt{bwforward.PartID(fmt.Sprint("c", ix))}, true)
 		qt.now = qt.now.Add(time.Millisecond)
 	}
+	for ix := range 20_000 {
+		long := make(prompt, 16)
+		for part := range long {
+			long[part] = bwforward.PartID(fmt.Sprint("l", ix%3000, "-", part))
+		}
+		qt.RecordCrash(long, true)
+		qt.now = qt.now.Add(time.Millisecond)
+	}
 	if !qt.refuses("d") {
 		t.Error("the deadly part is not in quarantine any more")
 	}
