--- a/io/bwgateway/quarantine_test.go
+++ b/io/bwgateway/quarantine_test.go
@@ -95,7 +95,7 @@
 		name   string
 		script func(*attempt)
 	}{
-		{"response lost", func(att *attempt) { time.Sleep(200 * time.Millisecond) }},
+		{"response lost", func(*attempt) { time.Sleep(200 * time.Millisecond) }},
 		{"connection reset", func(att *attempt) {
 			time.Sleep(200 * time.Millisecond)
 			att.reset()
