Log the limits that upstreams name

The lines of the gateways could not tell when which gateway had been told of an engine's limit. They log each change of it now, as ResponseInfo.Limit; nothing uses the limit yet.

--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -54,6 +54,8 @@
 	peerWork peerWork
 	// slow is nil unless the upstream was slow.
 	slow atomic.Pointer[slowdown]
+	// limit is nil unless the upstream limits its requests.
+	limit atomic.Pointer[rateLimit]
 }
 
 // Load is the load that an upstream reports.
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -201,9 +201,9 @@
 	return cl.gw.cfg.Borrow(cl.ctx, svc, bds.Shortfall(svc), func(sum float64) bool { return bds.Borrow(svc, sum) })
 }
 
-// processHeader evaluates the header of a response. It returns
-// ErrMismatchedResponse if the response belongs to another request.
-func (cl *call) processHeader(nd *bwforward.Node, rsp *http.Response) (ResponseInfo, error) {
+// processHeader evaluates the header of a response to a request sent at sentAt. It
+// returns ErrMismatchedResponse if the response belongs to another request.
+func (cl *call) processHeader(nd *bwforward.Node, rsp *http.Response, sentAt time.Time) (ResponseInfo, error) {
 	info := cl.gw.cfg.Dialect.ParseResponse(rsp)
 	if info.Load != nil {
 		nd.ObserveLoad(*info.Load, cl.gw.cfg.Now())
@@ -220,9 +220,24 @@
 			cl.gw.searchSuccessor(nd)
 		}
 	}
+	if !info.OtherUpstream {
+		cl.observeLimit(nd, info.Limit, sentAt)
+	}
 	return info, nil
 }
 
+// observeLimit records the limit that a response names, and logs its changes.
+func (cl *call) observeLimit(nd *bwforward.Node, rate *float64, sentAt time.Time) {
+	if !nd.ObserveLimit(rate, sentAt, cl.gw.cfg.Now()) {
+		return
+	}
+	if rate == nil {
+		cl.gw.cfg.Log.Info("upstream limit ended", "Upstream", nd.ID, "Request", cl.info.RequestID)
+		return
+	}
+	cl.gw.cfg.Log.Info("upstream limit", "Upstream", nd.ID, "PerSecond", *rate, "Request", cl.info.RequestID)
+}
+
 // probeTimeout bounds a probe's connection attempt; a round trip takes a few
 // milliseconds.
 const probeTimeout = 150 * time.Millisecond
--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -78,4 +78,7 @@
 	OtherUpstream bool
 	// Load is the load that the upstream reports; nil if it reports none.
 	Load *bwforward.Load
+	// Limit is the number of requests a second that the upstream takes from all
+	// gateways together; nil if it names none.
+	Limit *float64
 }
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -101,7 +101,7 @@
 		cl.excludeFailed(nd)
 		return nil, err
 	}
-	info, err := cl.processHeader(nd, exc.rsp)
+	info, err := cl.processHeader(nd, exc.rsp, started)
 	if err != nil {
 		cl.excludeFailed(nd)
 		return nil, err
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -287,7 +287,7 @@
 	if err := sat.exc.readHeader(sat.deadline, sat.out.method); err != nil {
 		return sat.recordLoss(err)
 	}
-	info, err := sat.processHeader(sat.node, sat.exc.rsp)
+	info, err := sat.processHeader(sat.node, sat.exc.rsp, sat.sentAt)
 	if err != nil {
 		return sat.recordLoss(err)
 	}
