Keep the limits that upstreams name

What callers and engines saw: an engine that takes 2.2 requests a second from all gateways together got 35 in 4 s, where 18 are allowed (LIMIT). Cause: no gateway took the limit from the responses. Used by each gateway for itself it would be exceeded by their number. Fix: time is divided into windows, each of whose requests one gateway grants, found by hashing over the announcements. Every request to a limited upstream needs a permit; who gets none sends elsewhere, or refuses at once with the time until there is one. Why it works: a window is counted by one gateway only. Where gateways disagree on the fleet, holder and sender must agree, so that only part of the windows can be granted twice.

--- a/core/bwforward/admission.go
+++ b/core/bwforward/admission.go
@@ -36,7 +36,8 @@
 	Now func() time.Time
 }
 
-// Applicant is a new stream. Its fields must not change after Admission.Enter.
+// Applicant is a new stream. Its fields must not change after Admission.Enter, except
+// Work.SkipLimited.
 type Applicant struct {
 	Work     Work
 	Team     bwmodel.TeamID
@@ -107,6 +108,7 @@
 	reasonNoRoom  = "no engine has room"
 	reasonBacklog = "no engine can send the first event in time"
 	reasonCrowd   = "too many streams wait"
+	reasonLimits  = "engines are at their limits"
 )
 
 // NewAdmission returns an Admission without streams.
@@ -162,6 +164,9 @@
 	}
 	nd := adm.cfg.Pool.Choose(apl.Work)
 	if nd == nil {
+		if until, ok := adm.cfg.Pool.BlockedUntil(apl.Work.Service.Name); ok && until.After(apl.GiveUpAt) {
+			return refusal(Decision{Reason: reasonLimits}, until.Sub(now))
+		}
 		return waitOrRefuse(Decision{Reason: reasonNoRoom}, apl, now)
 	}
 	dcn := Decision{Node: nd, Estimate: adm.cfg.Pool.Estimate(nd, apl.Work)}
--- a/core/bwforward/limit.go
+++ b/core/bwforward/limit.go
@@ -1,6 +1,15 @@
 package bwforward
 
-import "time"
+import (
+	"time"
+
+	"bilberrywick/core/bwmodel"
+)
+
+// limitTestInterval is the time after which a response that names a limit is followed by
+// another request, even if other upstreams have room: only a response shows that the
+// limit has ended.
+const limitTestInterval = 2 * time.Second
 
 // rateLimit is the number of requests a second that an upstream takes from all
 // gateways together.
@@ -21,14 +30,71 @@
 }
 
 // ObserveLimit records the limit that a response names to a request sent at sentAt;
-// nil means that it names none. It reports whether that changed the limit. A
-// response without a limit ends the limit only if the request was sent after the
-// limit was last named: other responses may be older than the limit.
+// nil means that it names none. It reports whether other gateways should know of it:
+// the limit has changed, or was due for a test. A response without a limit ends it
+// only if the request was sent after the limit was last named: other responses may
+// be older than the limit.
 func (nd *Node) ObserveLimit(rate *float64, sentAt, now time.Time) bool {
 	old := nd.limit.Load()
 	if rate == nil {
 		return old != nil && sentAt.After(old.namedAt) && nd.limit.CompareAndSwap(old, nil)
 	}
 	nd.limit.Store(&rateLimit{rate: *rate, namedAt: now})
-	return old == nil || old.rate != *rate
+	return old == nil || old.rate != *rate || old.isDue(now)
+}
+
+// isDue reports whether a request should test if the limit still holds.
+func (lim *rateLimit) isDue(now time.Time) bool { return now.Sub(lim.namedAt) >= limitTestInterval }
+
+// limitCost returns the cost of a node that limits its requests: other upstreams come
+// first until the limit is due for a test.
+func (nd *Node) limitCost(now time.Time) time.Duration {
+	lim := nd.limit.Load()
+	if lim == nil || lim.isDue(now) {
+		return 0
+	}
+	return limitedCost
+}
+
+// permitBlock is the time for which an upstream gets no requests, since the permit
+// for one was refused.
+type permitBlock struct {
+	// until is the end of the window, permitAt when a permit can be expected.
+	until, permitAt time.Time
+}
+
+// RecordRefusedPermit keeps requests away from the upstream for as long as an answer
+// says.
+func (nd *Node) RecordRefusedPermit(ans PermitAnswer, now time.Time) {
+	nd.permits.Store(&permitBlock{until: now.Add(ans.Blocked), permitAt: now.Add(max(ans.Wait, ans.Blocked))})
+}
+
+// blockedAt reports whether the upstream gets no requests now, and when it can be
+// expected to take one again.
+func (nd *Node) blockedAt(now time.Time) (expected time.Time, blocked bool) {
+	blk := nd.permits.Load()
+	if blk == nil || !now.Before(blk.until) {
+		return time.Time{}, false
+	}
+	if _, limited := nd.Limit(); !limited {
+		return time.Time{}, false
+	}
+	return blk.permitAt, true
+}
+
+// BlockedUntil returns when the first upstream of a service can be expected to take a
+// request again that takes none now because of its limit. It returns false if no
+// upstream is in that state.
+func (pl *Pool) BlockedUntil(svc bwmodel.ServiceID) (time.Time, bool) {
+	now := pl.cfg.Now()
+	first, found := time.Time{}, false
+	for _, nd := range pl.view.Load().services[svc] {
+		if nd.Leaving || nd.replaced.Load() {
+			continue
+		}
+		if expected, blocked := nd.blockedAt(now); blocked && (!found || expected.Before(first)) {
+			first, found = expected, true
+		}
+	}
+	return first, found
 }
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -56,6 +56,8 @@
 	slow atomic.Pointer[slowdown]
 	// limit is nil unless the upstream limits its requests.
 	limit atomic.Pointer[rateLimit]
+	// permits is nil unless a permit for the upstream was refused.
+	permits atomic.Pointer[permitBlock]
 }
 
 // Load is the load that an upstream reports.
--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -29,6 +29,8 @@
 	Slowdown float64 `cbor:",omitempty"`
 	// Parts are the parts of prompts of a CrashNote, ServedNote or QuarantineNote.
 	Parts []PartID `cbor:",omitempty"`
+	// Limit is the requests a second of a LimitNote.
+	Limit float64 `cbor:",omitempty"`
 	// Left is the time until the end of the quarantine of a QuarantineNote.
 	Left time.Duration `cbor:",omitempty"`
 }
@@ -61,12 +63,32 @@
 	// QuarantineRequest asks for a QuarantineNote for each group. The sender has just
 	// started, and the store may not have them all.
 	QuarantineRequest
+	// LimitNote reports the limit that an upstream has named, LimitEndNote that it names
+	// none any more.
+	LimitNote
+	LimitEndNote
 )
 
+// ConcernsQuarantine reports whether such a note is about parts of prompts.
+func (knd PeerNoteKind) ConcernsQuarantine() bool {
+	switch knd {
+	case CrashNote, ServedNote, QuarantineNote, QuarantineRequest:
+		return true
+	default:
+		return false
+	}
+}
+
 // ReachesAll reports whether all gateways must get such a note, not only a part of
-// a large fleet: a prompt that crashes engines may come to any of them.
+// a large fleet: a prompt that crashes engines, or a request to a limited upstream, may
+// come to any of them.
 func (knd PeerNoteKind) ReachesAll() bool {
-	return knd == CrashNote || knd == ServedNote || knd == QuarantineNote
+	switch knd {
+	case CrashNote, ServedNote, QuarantineNote, LimitNote, LimitEndNote:
+		return true
+	default:
+		return false
+	}
 }
 
 // ApplyNote applies another gateway's note; it ignores unknown upstreams.
@@ -98,6 +120,13 @@
 		}
 	case SlowNote:
 		nd.setSlowdown(nt.Slowdown, now)
+	case LimitNote:
+		// NaN compares as false.
+		if nt.Limit >= 0 {
+			nd.ObserveLimit(&nt.Limit, now, now)
+		}
+	case LimitEndNote:
+		nd.limit.Store(nil)
 	}
 }
 
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -126,6 +126,8 @@
 	// Exclude lists the upstreams that must not be chosen since they have failed
 	// the request.
 	Exclude []bwmodel.UpstreamID
+	// SkipLimited excludes the upstreams that limit their requests.
+	SkipLimited bool
 }
 
 // Costs of an upstream, as the time by which a request is expected to take longer
@@ -164,6 +166,9 @@
 	// maxLoadAge is how long a load report is used. Plain upstreams finish most of
 	// the reported work within that time.
 	maxLoadAge = 500 * time.Millisecond
+	// limitedCost is added for an upstream that limits its requests. It gets work when
+	// the others are as busy as with a request that waits.
+	limitedCost = waitingCost
 	// usableMemoryShare is the part of an engine's KV cache that choices may fill.
 	// The rest is left for other gateways, whose use of the cache is not counted.
 	usableMemoryShare = 0.9
@@ -186,6 +191,10 @@
 		if nd.Zone == source.Zone {
 			cost += fullCost
 		}
+		// The run could go on there only with a permit.
+		if _, limited := nd.Limit(); limited {
+			cost += fullCost
+		}
 		return cost
 	})
 	if target == nil || !target.hasMemory(wrk, now) {
@@ -205,7 +214,7 @@
 	nodes := vw.services[wrk.Service.Name]
 	preferred := pl.preferredNode(vw, wrk)
 	for _, nd := range nodes {
-		if nd.Leaving || nd.replaced.Load() || slices.Contains(wrk.Exclude, nd.ID) {
+		if !nd.takes(wrk, now) {
 			continue
 		}
 		cost := pl.cost(nd, wrk, now) + extraCost(nd) + rand.N(time.Millisecond)
@@ -219,6 +228,18 @@
 	return best
 }
 
+// takes reports whether work may be sent to the node now.
+func (nd *Node) takes(wrk Work, now time.Time) bool {
+	if nd.Leaving || nd.replaced.Load() || slices.Contains(wrk.Exclude, nd.ID) {
+		return false
+	}
+	if _, limited := nd.Limit(); limited && wrk.SkipLimited {
+		return false
+	}
+	_, blocked := nd.blockedAt(now)
+	return !blocked
+}
+
 // affinityGain returns the reduction of the preferred node's cost.
 func (wrk Work) affinityGain() time.Duration {
 	if wrk.Reconnect {
@@ -272,6 +293,7 @@
 	if nd.zone.failing(now) {
 		cost += zoneFailureCost
 	}
+	cost += nd.limitCost(now)
 	ld, fresh := nd.freshLoad(now)
 	if fresh {
 		cost += time.Duration(ld.Waiting) * waitingCost
--- a/io/bwgateway/admission.go
+++ b/io/bwgateway/admission.go
@@ -25,6 +25,9 @@
 		case stm.callerGone():
 			stm.finishUnserved()
 			return false
+		case dcn.Verdict == bwforward.Start && !stm.takePermit(dcn.Node):
+			apl.Work = stm.work()
+			continue
 		case dcn.Verdict == bwforward.Start:
 			if waited {
 				stm.gw.cfg.Metrics.observeAdmission("started", stm.gw.cfg.Now().Sub(stm.arrived))
--- a/io/bwgateway/announcer.go
+++ b/io/bwgateway/announcer.go
@@ -81,8 +81,9 @@
 
 // announce reports whether the announcement was written.
 func (anc *announcer) announce(ctx context.Context, leaving bool) bool {
-	clock := anc.state.View().storeClock()
-	ann := bwforward.Announcement{Leaving: leaving, Seen: clock}
+	vw := anc.state.View()
+	clock := vw.storeClock()
+	ann := bwforward.Announcement{Leaving: leaving, Seen: clock, Started: vw.startedAt}
 	if qrt := anc.state.cfg.Quarantine; qrt != nil {
 		for _, qp := range qrt.Own() {
 			ann.Quarantined = append(ann.Quarantined, bwforward.AnnouncedParts{Parts: qp.Parts, Until: clock + qp.Until.Sub(anc.state.cfg.Now())})
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -36,6 +36,8 @@
 	// delivered counts the upstreams that received the request, including those
 	// that refused it.
 	delivered int
+	// refusedPermits counts the permits that were refused in the last choice.
+	refusedPermits int
 	// status and reason describe the response to the caller in the log.
 	status int
 	reason string
@@ -130,7 +132,7 @@
 func (cl *call) remaining() time.Duration { return cl.deadline.Sub(cl.gw.cfg.Now()) }
 
 func (cl *call) work() bwforward.Work {
-	wrk := bwforward.Work{Service: cl.match.Service, Exclude: cl.exclude}
+	wrk := bwforward.Work{Service: cl.match.Service, Exclude: cl.exclude, SkipLimited: cl.refusedPermits >= maxRefusedPermits}
 	if wrk.Service.Model != nil {
 		wrk.PromptTokens, wrk.MaxOutputTokens, wrk.Session = cl.info.PromptTokens, cl.info.MaxOutputTokens, cl.info.Session
 		wrk.Reconnect = cl.info.LastEventID != ""
@@ -226,16 +228,19 @@
 	return info, nil
 }
 
-// observeLimit records the limit that a response names, and logs its changes.
+// observeLimit records the limit that a response names, logs its changes and tells the
+// other gateways.
 func (cl *call) observeLimit(nd *bwforward.Node, rate *float64, sentAt time.Time) {
 	if !nd.ObserveLimit(rate, sentAt, cl.gw.cfg.Now()) {
 		return
 	}
 	if rate == nil {
 		cl.gw.cfg.Log.Info("upstream limit ended", "Upstream", nd.ID, "Request", cl.info.RequestID)
+		cl.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.LimitEndNote, Upstream: nd.ID})
 		return
 	}
 	cl.gw.cfg.Log.Info("upstream limit", "Upstream", nd.ID, "PerSecond", *rate, "Request", cl.info.RequestID)
+	cl.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.LimitNote, Upstream: nd.ID, Limit: *rate})
 }
 
 // probeTimeout bounds a probe's connection attempt; a round trip takes a few
--- a/io/bwgateway/copy.go
+++ b/io/bwgateway/copy.go
@@ -54,6 +54,10 @@
 	if sat.backup == nil || sat.gw.cfg.CopyKVCache == nil {
 		return
 	}
+	// The call would be one more request to an engine in need.
+	if _, limited := sat.node.Limit(); limited {
+		return
+	}
 	pause := copyRetryInterval
 	if sat.copyName != "" {
 		pause = copyRenewInterval
--- a/io/bwgateway/datagram.go
+++ b/io/bwgateway/datagram.go
@@ -25,12 +25,14 @@
 // and those of their fields are part of the encoding.
 type packet struct {
 	// Relay asks the receiver to send the packet to the other gateways of its zone.
-	Relay       bool                `cbor:",omitempty"`
-	Note        *bwforward.PeerNote `cbor:",omitempty"`
-	Fragment    *fragment           `cbor:",omitempty"`
-	Probe       *tableProbe         `cbor:",omitempty"`
-	LoanRequest *loanRequest        `cbor:",omitempty"`
-	Loan        *loan               `cbor:",omitempty"`
+	Relay         bool                `cbor:",omitempty"`
+	Note          *bwforward.PeerNote `cbor:",omitempty"`
+	Fragment      *fragment           `cbor:",omitempty"`
+	Probe         *tableProbe         `cbor:",omitempty"`
+	LoanRequest   *loanRequest        `cbor:",omitempty"`
+	Loan          *loan               `cbor:",omitempty"`
+	PermitRequest *PermitRequest      `cbor:",omitempty"`
+	Permit        *permitReply        `cbor:",omitempty"`
 }
 
 // tableProbe says that the sender tries to read a table after a failure.
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -65,6 +65,9 @@
 	// reports whether isEnough returned true for the sum of their loans; nil means
 	// that there are no others.
 	Borrow func(ctx context.Context, svc bwmodel.ServiceID, amount float64, isEnough func(sum float64) bool) bool
+	// TakePermit takes a permit for a request to an upstream that names a limit, in
+	// requests a second; nil means that all requests are permitted.
+	TakePermit func(ctx context.Context, up bwmodel.UpstreamID, limit float64) Permit
 	// MaxBodyBytes bounds a request's body if the routing table sets no limit; 0
 	// means 4 MiB.
 	MaxBodyBytes int64
@@ -101,6 +104,11 @@
 	if cfg.Borrow == nil {
 		cfg.Borrow = func(context.Context, bwmodel.ServiceID, float64, func(float64) bool) bool { return false }
 	}
+	if cfg.TakePermit == nil {
+		cfg.TakePermit = func(context.Context, bwmodel.UpstreamID, float64) Permit {
+			return Permit{PermitAnswer: bwforward.PermitAnswer{Granted: true}, Outcome: PermitGranted}
+		}
+	}
 	if cfg.MaxBodyBytes == 0 {
 		cfg.MaxBodyBytes = defaultMaxBodyBytes
 	}
--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -32,6 +32,7 @@
 	lastEventHeader  = "Last-Event-Id"
 	retryHeader      = "Retry-After"
 	partsHeader      = "Test-Parts"
+	limitHeader      = "Test-Limit"
 )
 
 func dialect() bwgateway.Dialect {
@@ -58,11 +59,15 @@
 			return hdr
 		},
 		ParseResponse: func(rsp *http.Response) bwgateway.ResponseInfo {
-			return bwgateway.ResponseInfo{
+			info := bwgateway.ResponseInfo{
 				RequestID:     rsp.Header.Get(requestHeader),
 				NotRun:        rsp.Header.Get(notRunHeader) != "",
 				OtherUpstream: rsp.Header.Get(otherHeader) != "",
 			}
+			if limit, err := strconv.ParseFloat(rsp.Header.Get(limitHeader), 64); err == nil {
+				info.Limit = &limit
+			}
+			return info
 		},
 		CopyName: func(engine netip.AddrPort, request string) string { return engine.String() + "/" + request },
 		AddRefusalHeaders: func(hdr http.Header, _ string, wait time.Duration) {
--- a/io/bwgateway/metrics.go
+++ b/io/bwgateway/metrics.go
@@ -41,6 +41,11 @@
 	mx.set.GetOrCreateHistogram(fmt.Sprintf("bilberrywick_gateway_admission_seconds{outcome=%q}", outcome)).Update(waited.Seconds())
 }
 
+// countPermit counts a request for a permit by its outcome.
+func (mx *Metrics) countPermit(outcome PermitOutcome) {
+	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_permits_total{outcome=%q}", outcome)).Inc()
+}
+
 // countQuarantine counts an event of the quarantine of prompts: refused, named or
 // cleared.
 func (mx *Metrics) countQuarantine(event string) {
--- a/io/bwgateway/peers.go
+++ b/io/bwgateway/peers.go
@@ -17,8 +17,8 @@
 	"bilberrywick/core/bwspread"
 )
 
-// Peers exchanges notes, table updates and loans with the other gateways, in
-// datagrams. They are useful only when they arrive soon, and a loss does no harm,
+// Peers exchanges notes, table updates, loans and permits with the other gateways,
+// in datagrams. They are useful only when they arrive soon, and a loss does no harm,
 // so they are not retransmitted. Datagrams are signed with a key that only
 // readers of the store have, since table updates change a gateway's state.
 type Peers struct {
@@ -38,6 +38,9 @@
 	// loans has the loan requests in progress.
 	loans map[uint64]chan<- float64
 
+	// permits has the requests for permits in progress.
+	permits sync.Map // uint64 to chan bwforward.PermitAnswer
+
 	// fragments is used by loop only.
 	fragments *reassembly
 }
@@ -55,7 +58,10 @@
 	// KeepLoan is called with a loan that came too late to be used; nil means that it
 	// is lost.
 	KeepLoan func(svc bwmodel.ServiceID, amount float64)
-	Log      *slog.Logger
+	// GrantPermit answers another gateway's request for a permit; nil means that none
+	// is answered.
+	GrantPermit func(PermitRequest) bwforward.PermitAnswer
+	Log         *slog.Logger
 }
 
 // NewPeers listens on the configured address; Start begins to read datagrams.
@@ -240,6 +246,12 @@
 	if pkt.Loan != nil {
 		prs.receiveLoan(*pkt.Loan)
 	}
+	if pkt.PermitRequest != nil {
+		prs.answerPermit(*pkt.PermitRequest, from)
+	}
+	if pkt.Permit != nil {
+		prs.receivePermit(*pkt.Permit)
+	}
 	if pkt.Fragment != nil {
 		prs.receiveFragment(*pkt.Fragment)
 	}
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -30,7 +30,7 @@
 func (cl *call) servePlain() {
 	var lastFailure *response
 	for cl.attempts < maxAttempts && !cl.callerGone() && cl.remaining() > 0 {
-		nd := cl.gw.cfg.Pool.Choose(cl.work())
+		nd := cl.choose()
 		if nd == nil {
 			break
 		}
@@ -69,7 +69,7 @@
 	case lastFailure != nil:
 		cl.writeResponse(nil, lastFailure)
 	case cl.possibleRuns == 0:
-		cl.refuse(http.StatusServiceUnavailable, "no upstream took it")
+		cl.refuseUnplaced("no upstream took it")
 	case cl.remaining() <= 0:
 		cl.refuse(http.StatusGatewayTimeout, "no answer in time")
 	default:
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -86,7 +86,10 @@
 	budgets := bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack, Window: sts.RetryWindow})
 	quarantine := bwforward.NewQuarantine(nil)
 	prc := &Process{cfg: cfg, state: NewControlState(ControlStateConfig{Pool: pool, Budgets: budgets, Quarantine: quarantine, Log: cfg.Log}), metrics: NewMetrics()}
-	prs, err := NewPeers(PeersConfig{Member: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone), Address: sts.Peers, OnNote: func(nt bwforward.PeerNote) { prc.gateway.HandleNote(nt) }, Lend: budgets.Lend, KeepLoan: budgets.Keep, Log: cfg.Log})
+	permits := NewPermits(PermitsConfig{Member: bwmodel.MemberID(sts.Member), Pool: pool, View: prc.state.View, Ask: func(ctx context.Context, addr netip.AddrPort, req PermitRequest) (bwforward.PermitAnswer, bool) {
+		return prc.peers.AskPermit(ctx, addr, req)
+	}, Metrics: prc.metrics})
+	prs, err := NewPeers(PeersConfig{Member: bwmodel.MemberID(sts.Member), Zone: bwmodel.ZoneID(sts.Zone), Address: sts.Peers, OnNote: func(nt bwforward.PeerNote) { prc.gateway.HandleNote(nt) }, Lend: budgets.Lend, KeepLoan: budgets.Keep, GrantPermit: permits.Grant, Log: cfg.Log})
 	if err != nil {
 		return nil, err
 	}
@@ -101,6 +104,7 @@
 		OnQuarantine:    prc.state.AnnounceQuarantine,
 		SendNote:        prs.SendNote,
 		Borrow:          prs.Borrow,
+		TakePermit:      permits.Take,
 		CopyKVCache:     cfg.CopyKVCache,
 		DropCopy:        cfg.DropCopy,
 		Identify:        cfg.Identify,
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"net/netip"
 	"time"
 
 	"bilberrywick/core/bwcontrol"
@@ -51,6 +52,13 @@
 	// clock is the reading of the store's monotonic clock at clockAt.
 	clock   time.Duration
 	clockAt time.Time
+	// startedAt is the reading of that clock when this gateway started.
+	startedAt time.Duration
+	// permitHolders are the gateways that grant permits, and holderAddresses the
+	// addresses of those that are not this one. settled is set once they are known.
+	permitHolders   []bwmodel.MemberID
+	holderAddresses map[bwmodel.MemberID]netip.AddrPort
+	settled         bool
 }
 
 // storeClock estimates the current reading of the store's monotonic clock.
@@ -73,6 +81,10 @@
 	activePeers int
 	clock       time.Duration
 	clockAt     time.Time
+	// startedAt is the reading of the clock at the first announcements.
+	startedAt       time.Duration
+	permitHolders   []bwmodel.MemberID
+	holderAddresses map[bwmodel.MemberID]netip.AddrPort
 }
 
 // expiryInterval is short against bwforward.OutageGracePeriod.
@@ -90,7 +102,7 @@
 	return &ControlState{cfg: cfg, membersKnown: make(chan struct{}), stopping: make(chan struct{}), announceNow: make(chan struct{}, 1), control: bwcontrol.New(bwcontrol.Config[ownedState, View]{
 		State: &ownedState{dir: bwforward.NewUpstreamDirectory()},
 		View: func(cst *ownedState) *View {
-			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt}
+			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt, startedAt: cst.startedAt, permitHolders: cst.permitHolders, holderAddresses: cst.holderAddresses, settled: cst.sharing > 0}
 		},
 	})}
 }
@@ -200,7 +212,10 @@
 	first := false
 	err := st.control.Do(ctx, func(cst *ownedState) {
 		first = cst.clockAt.IsZero()
-		cst.clock, cst.clockAt = now, time.Now()
+		if first {
+			cst.startedAt = now
+		}
+		cst.setClock(now)
 		st.adoptQuarantined(anns, now)
 		anns = st.otherAnnouncements(anns, first)
 		if full {
@@ -213,6 +228,7 @@
 			st.cfg.Peers.SetPeers(cst.roster.Others(now))
 		}
 		cst.activePeers = cst.roster.ActivePeers(now)
+		st.setPermitHolders(cst, now)
 		count := cst.roster.Count(now)
 		if count == cst.members {
 			return
@@ -228,6 +244,34 @@
 	return err
 }
 
+// maxReadingAge is the age that a reading of the store's clock may have when it
+// arrives. One that is further behind is of a clock that was set back.
+const maxReadingAge = 5 * time.Second
+
+// setClock takes a reading of the store's monotonic clock. Readings arrive late, some
+// of them through other gateways, so that the one furthest ahead is the best.
+func (cst *ownedState) setClock(reading time.Duration) {
+	current := cst.clock + time.Since(cst.clockAt)
+	if !cst.clockAt.IsZero() && reading < current && current-reading < maxReadingAge {
+		reading = current
+	}
+	cst.clock, cst.clockAt = reading, time.Now()
+}
+
+// setPermitHolders sets the gateways that grant permits.
+func (st *ControlState) setPermitHolders(cst *ownedState, now time.Duration) {
+	if st.cfg.Peers == nil {
+		return
+	}
+	holders := cst.roster.PermitHolders(bwforward.Announcement{Member: st.cfg.Peers.Member(), Started: cst.startedAt}, now)
+	cst.permitHolders = make([]bwmodel.MemberID, 0, len(holders))
+	cst.holderAddresses = make(map[bwmodel.MemberID]netip.AddrPort, len(holders))
+	for _, ann := range holders {
+		cst.permitHolders = append(cst.permitHolders, ann.Member)
+		cst.holderAddresses[ann.Member] = ann.Address
+	}
+}
+
 // adoptQuarantined puts the announced parts of prompts into quarantine. Those of
 // this gateway are from before a restart.
 func (st *ControlState) adoptQuarantined(anns []bwforward.Announcement, now time.Duration) {
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -137,7 +137,7 @@
 	case stm.lastFailure != nil:
 		stm.writeResponse(nil, stm.lastFailure)
 	case stm.possibleRuns == 0:
-		stm.refuse(http.StatusServiceUnavailable, "no engine took it")
+		stm.refuseUnplaced("no engine took it")
 	case stm.remaining() <= 0:
 		stm.refuse(http.StatusGatewayTimeout, "no answer in time")
 	default:
@@ -147,7 +147,7 @@
 
 // chooseEngine returns the engine of the admission, then the engine with a KV
 // cache copy if it accepts work, and otherwise the best one. It waits briefly if
-// there is none.
+// there is none, unless all are at their limits for longer.
 func (stm *stream) chooseEngine() (nd *bwforward.Node, fromCopy bool) {
 	if nd := stm.admitted; nd != nil {
 		stm.admitted = nil
@@ -155,15 +155,18 @@
 	}
 	if nd := stm.resumeNode; nd != nil {
 		stm.resumeNode = nil
-		if stm.gw.cfg.Pool.AcceptsWork(nd) {
+		if stm.gw.cfg.Pool.AcceptsWork(nd) && stm.takePermit(nd) {
 			return nd, true
 		}
 	}
 	giveUpAt := stm.gw.cfg.Now().Add(scale(stm.target(), engineWaitShare))
 	for {
-		if nd := stm.gw.cfg.Pool.Choose(stm.work()); nd != nil {
+		if nd := stm.choose(); nd != nil {
 			return nd, false
 		}
+		if until, ok := stm.gw.cfg.Pool.BlockedUntil(stm.match.Service.Name); ok && until.After(giveUpAt) {
+			return nil, false
+		}
 		if !stm.gw.cfg.Now().Before(giveUpAt) || !bwretry.Pause(stm.ctx, engineWaitInterval) {
 			return nil, false
 		}
--- a/io/bwgateway/successor.go
+++ b/io/bwgateway/successor.go
@@ -70,12 +70,16 @@
 // successor that another gateway has identified is used here as well: the note
 // that its predecessor was replaced keeps this gateway from finding it itself.
 func (gw *Gateway) HandleNote(nt bwforward.PeerNote) {
-	if nt.Kind.ReachesAll() || nt.Kind == bwforward.QuarantineRequest {
+	if nt.Kind.ConcernsQuarantine() {
 		gw.applyQuarantineNote(nt)
 		return
 	}
-	gw.cfg.Pool.ApplyNote(nt)
 	old := gw.cfg.Pool.Node(nt.Upstream)
+	if old != nil && (nt.Kind == bwforward.LimitNote || nt.Kind == bwforward.LimitEndNote) {
+		gw.applyLimitNote(old, nt)
+		return
+	}
+	gw.cfg.Pool.ApplyNote(nt)
 	if nt.Kind != bwforward.SuccessorNote || old == nil || gw.cfg.OnSuccessor == nil || gw.cfg.ListUnavailable == nil || !gw.cfg.ListUnavailable() {
 		return
 	}
