Stop sending to upstreams that say in a response that they leave

What callers see: requests go to an engine whose responses say that it leaves, for as long as the list says otherwise, is read late or is unavailable, and are cut off when it ends. Cause: the class of the limits: what an upstream says of itself in its responses was not read. Fix: the upstream gets no more requests until it starts again, at all gateways by a note. The mark outlives an entry that is lost and comes back. A note names the start of the upstream, so that a late one does not stop its successor.

--- a/core/bwforward/limit.go
+++ b/core/bwforward/limit.go
@@ -89,7 +89,7 @@
 	now := pl.cfg.Now()
 	first, found := time.Time{}, false
 	for _, nd := range pl.view.Load().services[svc] {
-		if nd.Leaving || nd.replaced.Load() {
+		if nd.isLeaving() || nd.replaced.Load() {
 			continue
 		}
 		if expected, blocked := nd.blockedAt(now); blocked && (!found || expected.Before(first)) {
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -47,6 +47,8 @@
 	doublings           atomic.Int64
 	lastReport          atomic.Pointer[loadReport]
 	replaced, searching atomic.Bool
+	// saysLeaving is set if the upstream has said in a response that it leaves.
+	saysLeaving atomic.Bool
 	// lastResponse is the time of the upstream's last response to this process, as
 	// returned by nanos.
 	lastResponse atomic.Int64
--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -31,6 +31,9 @@
 	Parts []PartID `cbor:",omitempty"`
 	// Limit is the requests a second of a LimitNote.
 	Limit float64 `cbor:",omitempty"`
+	// Start is the start of the upstream of a LeavingNote, since 1970: an upstream may
+	// start again under its ID before a delayed note arrives.
+	Start time.Duration `cbor:",omitempty"`
 	// Left is the time until the end of the quarantine of a QuarantineNote.
 	Left time.Duration `cbor:",omitempty"`
 }
@@ -67,6 +70,8 @@
 	// none any more.
 	LimitNote
 	LimitEndNote
+	// LeavingNote reports that an upstream has said that it leaves.
+	LeavingNote
 )
 
 // ConcernsQuarantine reports whether such a note is about parts of prompts.
@@ -80,11 +85,11 @@
 }
 
 // ReachesAll reports whether all gateways must get such a note, not only a part of
-// a large fleet: a prompt that crashes engines, or a request to a limited upstream, may
-// come to any of them.
+// a large fleet: a prompt that crashes engines, or a request to an upstream that takes
+// few or none, may come to any of them.
 func (knd PeerNoteKind) ReachesAll() bool {
 	switch knd {
-	case CrashNote, ServedNote, QuarantineNote, LimitNote, LimitEndNote:
+	case CrashNote, ServedNote, QuarantineNote, LimitNote, LimitEndNote, LeavingNote:
 		return true
 	default:
 		return false
@@ -127,6 +132,10 @@
 		}
 	case LimitEndNote:
 		nd.limit.Store(nil)
+	case LeavingNote:
+		if nt.Start == sinceEpoch(nd.StartTime) {
+			nd.MarkLeaving()
+		}
 	}
 }
 
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -21,6 +21,9 @@
 	zones    map[zoneKey]*zoneHealth
 	sessions *sessionIndex
 	rates    sync.Map // bwmodel.ServiceID to *prefillRate
+	// left has the upstreams that were removed after they had said that they leave, and
+	// when. Their entries may come back. Only the control goroutine uses it.
+	left map[upstreamRun]time.Time
 }
 
 // PoolConfig configures a Pool.
@@ -55,7 +58,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	pl := &Pool{cfg: cfg, zones: make(map[zoneKey]*zoneHealth), sessions: new(sessionIndex)}
+	pl := &Pool{cfg: cfg, zones: make(map[zoneKey]*zoneHealth), sessions: new(sessionIndex), left: make(map[upstreamRun]time.Time)}
 	pl.view.Store(&poolView{})
 	return pl
 }
@@ -70,9 +73,13 @@
 		if nd == nil || nd.Upstream != up {
 			nd = nd.withUpstream(up, pl.zoneHealth(zoneKey{up.Service, up.Zone}))
 		}
+		if _, ok := pl.left[upstreamRun{up.ID, up.StartTime}]; ok {
+			nd.MarkLeaving()
+		}
 		vw.nodes[up.ID] = nd
 		vw.services[up.Service] = append(vw.services[up.Service], nd)
 	}
+	pl.rememberLeft(old, vw)
 	pl.view.Store(vw)
 }
 
@@ -97,7 +104,7 @@
 func (pl *Pool) ActiveUpstreams(svc bwmodel.ServiceID) int {
 	count := 0
 	for _, nd := range pl.view.Load().services[svc] {
-		if !nd.Leaving {
+		if !nd.isLeaving() {
 			count++
 		}
 	}
@@ -110,7 +117,7 @@
 // AcceptsWork reports whether a node still takes new work.
 func (pl *Pool) AcceptsWork(nd *Node) bool {
 	current := pl.view.Load().nodes[nd.ID]
-	return current != nil && !current.Leaving && current.Address == nd.Address && current.StartTime.Equal(nd.StartTime)
+	return current != nil && !current.isLeaving() && current.Address == nd.Address && current.StartTime.Equal(nd.StartTime)
 }
 
 // Work describes a request for which an upstream is chosen.
@@ -230,7 +237,7 @@
 
 // takes reports whether work may be sent to the node now.
 func (nd *Node) takes(wrk Work, now time.Time) bool {
-	if nd.Leaving || nd.replaced.Load() || slices.Contains(wrk.Exclude, nd.ID) {
+	if nd.isLeaving() || nd.replaced.Load() || slices.Contains(wrk.Exclude, nd.ID) {
 		return false
 	}
 	if _, limited := nd.Limit(); limited && wrk.SkipLimited {
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -224,6 +224,7 @@
 	}
 	if !info.OtherUpstream {
 		cl.observeLimit(nd, info.Limit, sentAt)
+		cl.observeLeaving(nd, info.Leaving)
 	}
 	return info, nil
 }
@@ -243,6 +244,16 @@
 	cl.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.LimitNote, Upstream: nd.ID, Limit: *rate})
 }
 
+// observeLeaving records that an upstream has said in a response that it leaves, and
+// tells the other gateways. The list may not say so yet, or be unavailable.
+func (cl *call) observeLeaving(nd *bwforward.Node, leaving bool) {
+	if !leaving || !nd.MarkLeaving() {
+		return
+	}
+	cl.gw.cfg.Log.Info("upstream says that it leaves", "Upstream", nd.ID, "Request", cl.info.RequestID)
+	cl.gw.cfg.SendNote(bwforward.NewLeavingNote(nd.Upstream))
+}
+
 // probeTimeout bounds a probe's connection attempt; a round trip takes a few
 // milliseconds.
 const probeTimeout = 150 * time.Millisecond
--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -78,6 +78,8 @@
 	OtherUpstream bool
 	// Load is the load that the upstream reports; nil if it reports none.
 	Load *bwforward.Load
+	// Leaving means that the upstream takes no new work until it ends.
+	Leaving bool
 	// Limit is the number of requests a second that the upstream takes from all
 	// gateways together; nil if it names none.
 	Limit *float64
--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -33,6 +33,7 @@
 	retryHeader      = "Retry-After"
 	partsHeader      = "Test-Parts"
 	limitHeader      = "Test-Limit"
+	leavingHeader    = "Test-Leaving"
 )
 
 func dialect() bwgateway.Dialect {
@@ -63,6 +64,7 @@
 				RequestID:     rsp.Header.Get(requestHeader),
 				NotRun:        rsp.Header.Get(notRunHeader) != "",
 				OtherUpstream: rsp.Header.Get(otherHeader) != "",
+				Leaving:       rsp.Header.Get(leavingHeader) != "",
 			}
 			if limit, err := strconv.ParseFloat(rsp.Header.Get(limitHeader), 64); err == nil {
 				info.Limit = &limit
