Leave upstreams alone for the time they ask for

What callers see: an upstream that refuses with 503 and a time gets the next requests of the same gateway at once, which it refuses too; each of them costs its caller a round trip and the service's retry budget. Cause: the class of the limits: what an upstream says of itself in its responses was not read. Fix: the gateway that was told sends nothing until then. If no other upstream takes the request, it is refused at once with the time until one does. Evidence: TestUpstreamThatWantsNoRequestsGetsNone; without the fix 10 of 10 requests reached the upstream, and callers were told to come back after 0.3 to 0.5 s of 0.7 s.

--- a/core/bwforward/limit.go
+++ b/core/bwforward/limit.go
@@ -69,22 +69,42 @@
 	nd.permits.Store(&permitBlock{until: now.Add(ans.Blocked), permitAt: now.Add(max(ans.Wait, ans.Blocked))})
 }
 
+// RecordBackOff records that the upstream wants no requests from this gateway for a
+// time. A shorter one does not end a longer one before.
+func (nd *Node) RecordBackOff(dur time.Duration, now time.Time) {
+	until := nanos(now.Add(dur))
+	for old := nd.backOffUntil.Load(); old < until && !nd.backOffUntil.CompareAndSwap(old, until); {
+		old = nd.backOffUntil.Load()
+	}
+}
+
 // blockedAt reports whether the upstream gets no requests now, and when it can be
 // expected to take one again.
 func (nd *Node) blockedAt(now time.Time) (expected time.Time, blocked bool) {
+	if left := nd.backOffUntil.Load() - nanos(now); left > 0 {
+		expected, blocked = now.Add(time.Duration(left)), true
+	}
 	blk := nd.permits.Load()
-	if blk == nil || !now.Before(blk.until) {
-		return time.Time{}, false
+	if _, limited := nd.Limit(); !limited || blk == nil || !now.Before(blk.until) {
+		return expected, blocked
 	}
-	if _, limited := nd.Limit(); !limited {
-		return time.Time{}, false
+	if blk.permitAt.After(expected) {
+		expected = blk.permitAt
 	}
-	return blk.permitAt, true
+	return expected, true
+}
+
+// InNeed reports whether the upstream limits its requests or wants none now, so that it
+// should get no calls that can be left out.
+func (nd *Node) InNeed(now time.Time) bool {
+	_, limited := nd.Limit()
+	_, blocked := nd.blockedAt(now)
+	return limited || blocked
 }
 
 // BlockedUntil returns when the first upstream of a service can be expected to take a
-// request again that takes none now because of its limit. It returns false if no
-// upstream is in that state.
+// request again that takes none now because of its limit, or wants none. It returns
+// false if no upstream is in that state.
 func (pl *Pool) BlockedUntil(svc bwmodel.ServiceID) (time.Time, bool) {
 	now := pl.cfg.Now()
 	first, found := time.Time{}, false
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -60,6 +60,9 @@
 	limit atomic.Pointer[rateLimit]
 	// permits is nil unless a permit for the upstream was refused.
 	permits atomic.Pointer[permitBlock]
+	// backOffUntil is the time until which the upstream wants no requests from this
+	// gateway, as returned by nanos.
+	backOffUntil atomic.Int64
 }
 
 // Load is the load that an upstream reports.
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -114,8 +114,12 @@
 // Node returns an upstream's node, or nil.
 func (pl *Pool) Node(id bwmodel.UpstreamID) *Node { return pl.view.Load().nodes[id] }
 
-// AcceptsWork reports whether a node still takes new work.
+// AcceptsWork reports whether a node still takes new work, of which one with a limit
+// may need a permit.
 func (pl *Pool) AcceptsWork(nd *Node) bool {
+	if _, blocked := nd.blockedAt(pl.cfg.Now()); blocked {
+		return false
+	}
 	current := pl.view.Load().nodes[nd.ID]
 	return current != nil && !current.isLeaving() && current.Address == nd.Address && current.StartTime.Equal(nd.StartTime)
 }
@@ -198,8 +202,8 @@
 		if nd.Zone == source.Zone {
 			cost += fullCost
 		}
-		// The run could go on there only with a permit.
-		if _, limited := nd.Limit(); limited {
+		// The run could not go on there, or only with a permit.
+		if nd.InNeed(now) {
 			cost += fullCost
 		}
 		return cost
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -225,6 +225,10 @@
 	if !info.OtherUpstream {
 		cl.observeLimit(nd, info.Limit, sentAt)
 		cl.observeLeaving(nd, info.Leaving)
+		if info.RetryAfter > 0 {
+			cl.gw.cfg.Log.Info("upstream wants no requests", "Upstream", nd.ID, "Request", cl.info.RequestID, "For", info.RetryAfter)
+			nd.RecordBackOff(info.RetryAfter, cl.gw.cfg.Now())
+		}
 	}
 	return info, nil
 }
--- a/io/bwgateway/copy.go
+++ b/io/bwgateway/copy.go
@@ -55,7 +55,7 @@
 		return
 	}
 	// The call would be one more request to an engine in need.
-	if _, limited := sat.node.Limit(); limited {
+	if sat.node.InNeed(now) {
 		return
 	}
 	pause := copyRetryInterval
--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -83,4 +83,7 @@
 	// Limit is the number of requests a second that the upstream takes from all
 	// gateways together; nil if it names none.
 	Limit *float64
+	// RetryAfter is the time for which the upstream wants no requests from this
+	// gateway; 0 means that it says nothing.
+	RetryAfter time.Duration
 }
--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -66,6 +66,9 @@
 				OtherUpstream: rsp.Header.Get(otherHeader) != "",
 				Leaving:       rsp.Header.Get(leavingHeader) != "",
 			}
+			if secs, err := strconv.ParseFloat(rsp.Header.Get(retryHeader), 64); err == nil {
+				info.RetryAfter = time.Duration(secs * float64(time.Second))
+			}
 			if limit, err := strconv.ParseFloat(rsp.Header.Get(limitHeader), 64); err == nil {
 				info.Limit = &limit
 			}
--- a/io/bwgateway/permit.go
+++ b/io/bwgateway/permit.go
@@ -246,7 +246,7 @@
 func (cl *call) refuseUnplaced(reason string) {
 	delay := time.Duration(0)
 	if until, ok := cl.gw.cfg.Pool.BlockedUntil(cl.match.Service.Name); ok {
-		reason, delay = "upstreams are at their limits", until.Sub(cl.gw.cfg.Now())
+		reason, delay = "upstreams take no requests now", until.Sub(cl.gw.cfg.Now())
 	}
 	cl.refuseFor(http.StatusServiceUnavailable, reason, bwforward.SpreadRetryAfter(delay))
 }
