Tell callers to come back as soon as one upstream takes requests

What callers saw: where one upstream was full and the others at their limits, a refused caller was told to come back when a limit allows it, which may be seconds after the full one has room. Cause: the time was taken from the upstreams that take none, also if another one does. Fix: it counts only if all upstreams take none. Evidence: TestUpstreamLimit checks it, and failed before.

--- a/core/bwforward/limit.go
+++ b/core/bwforward/limit.go
@@ -103,8 +103,8 @@
 }
 
 // BlockedUntil returns when the first upstream of a service can be expected to take a
-// request again that takes none now because of its limit, or wants none. It returns
-// false if no upstream is in that state.
+// request again, if none takes any now because of their limits or since they want
+// none. Otherwise it returns false.
 func (pl *Pool) BlockedUntil(svc bwmodel.ServiceID) (time.Time, bool) {
 	now := pl.cfg.Now()
 	first, found := time.Time{}, false
@@ -112,7 +112,11 @@
 		if nd.isLeaving() || nd.replaced.Load() {
 			continue
 		}
-		if expected, blocked := nd.blockedAt(now); blocked && (!found || expected.Before(first)) {
+		expected, blocked := nd.blockedAt(now)
+		if !blocked {
+			return time.Time{}, false
+		}
+		if !found || expected.Before(first) {
 			first, found = expected, true
 		}
 	}
--- a/core/bwforward/permit_test.go
+++ b/core/bwforward/permit_test.go
@@ -250,6 +250,10 @@
 	if got := pl.Choose(wrk); got != nil {
 		t.Errorf("work goes to %s, whose permits are used up", got.ID)
 	}
+	if until, ok := pl.BlockedUntil("pult"); ok {
+		t.Errorf("the service takes no requests until %v, although one upstream does", until)
+	}
+	pl.Node("sound").RecordBackOff(time.Minute, clk.now)
 	if until, ok := pl.BlockedUntil("pult"); !ok || !until.Equal(clk.now.Add(3*time.Second)) {
 		t.Errorf("the next permit is expected at %v (%v), want in 3 s", until, ok)
 	}
