--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -25,6 +25,8 @@
 	probes  chan struct{}
 	// version is the table version that has been applied; 0 means none.
 	version uint64
+	// era is the store's era at the last read.
+	era uint64
 	// tableBytes is the length of the whole table when it was last read. readWhole
 	// makes the next read one of the whole table.
 	tableBytes int64
@@ -81,6 +83,9 @@
 	Rows []Row
 	// Version is the version after which to read the next changes.
 	Version uint64
+	// Era counts the times that the store was restored from an older copy. Versions of
+	// different eras can't be compared.
+	Era uint64
 	// Now is the store's monotonic clock at the time of the read.
 	Now time.Duration
 	// Bytes is the length of the response, which is not sent to other gateways.
@@ -266,6 +271,10 @@
 	if res.Now > 0 {
 		fol.clockOffset = res.Now - time.Since(fol.startedAt)
 	}
+	if res.Era != fol.era {
+		fol.cfg.Log.Info("era of the store changed", "Table", fol.cfg.Table, "Era", res.Era, "Before", fol.era, "TableVersion", res.Version, "VersionBefore", fol.version, "Whole", full)
+		fol.era = res.Era
+	}
 	fol.version, fol.currentAt = max(res.Version, fol.version), time.Now()
 	return fol.cfg.Apply(ctx, res, full)
 }
@@ -315,6 +324,7 @@
 // than the applied version is ignored.
 func (fol *Follower) applyUpdate(ctx context.Context, upd TableUpdate) (time.Duration, bool) {
 	if fol.version == 0 || upd.Version < fol.version {
+		fol.cfg.Log.Info("update not applied", "Table", fol.cfg.Table, "TableVersion", fol.version, "Era", fol.era, "UpdateAfter", upd.After, "UpdateVersion", upd.Version, "UpdateEra", upd.Era)
 		return 0, false
 	}
 	if upd.After > fol.version {
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -125,6 +125,9 @@
 func (st *ControlState) SetTable(ctx context.Context, tbl *bwforward.RoutingTable) error {
 	return st.control.Do(ctx, func(cst *ownedState) {
 		if cst.table != nil && tbl.Version() <= cst.table.Version() {
+			if tbl.Version() < cst.table.Version() {
+				st.cfg.Log.Info("older routing table not taken", "StateVersion", cst.table.Version(), "Older", tbl.Version(), "Routes", tbl.Routes())
+			}
 			return
 		}
 		cst.table = tbl
