Compare versions within an era of the store only

Cause: versions go back with a restore and are given out again. The gateways kept the highest version that they had had, asked for the changes after it, and never read those that got a version up to it. The class: numbers of two histories compared as if they were of one. Fix: a read in another era of the store starts anew with the whole table, which goes to the other gateways; updates of an earlier era are dropped, those of a later one make the gateway read. A manifest from the copy does not replace a newer one that is in force, unless the store still has it after ten seconds.

--- a/core/bwforward/table.go
+++ b/core/bwforward/table.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/netip"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -157,6 +158,9 @@
 // Version returns the version of the table.
 func (tbl *RoutingTable) Version() uint64 { return tbl.version }
 
+// Equal reports whether two tables have the same content.
+func (tbl *RoutingTable) Equal(other *RoutingTable) bool { return reflect.DeepEqual(tbl, other) }
+
 // Limits returns the limits on callers' requests.
 func (tbl *RoutingTable) Limits() Limits { return tbl.limits }
 
--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -25,7 +26,7 @@
 	probes  chan struct{}
 	// version is the table version that has been applied; 0 means none.
 	version uint64
-	// era is the store's era at the last read.
+	// era is the store's era of version. Versions of other eras say nothing.
 	era uint64
 	// tableBytes is the length of the whole table when it was last read. readWhole
 	// makes the next read one of the whole table.
@@ -98,6 +99,8 @@
 	Table string
 	// After is the version after which the changes were read.
 	After uint64
+	// Whole means that the rows are the whole table.
+	Whole bool `cbor:",omitempty"`
 	ReadResult
 }
 
@@ -109,6 +112,10 @@
 // whole table is read instead.
 var ErrHistoryTooLong = errors.New("changes are longer than the table")
 
+// errEraChanged means that the store was restored from an older copy, so that changes
+// after a version say nothing and the whole table is read instead.
+var errEraChanged = errors.New("store was restored")
+
 const (
 	// defaultLongPoll is how long a call waits for changes when reads are not
 	// shared. A dead connection is detected after this time plus the timeout of a
@@ -133,6 +140,9 @@
 	// gateway reads. The changes include every version of a row, so those of a long
 	// outage may take many times the table's length, and grow while they are read.
 	extraHistoryBytes = 64 << 10
+	// maxEraPause is the longest time until a gateway that is told by another one that
+	// the store was restored reads the whole table. It spreads the reads of a fleet.
+	maxEraPause = 500 * time.Millisecond
 	// maxEarlyUpdates exceeds the number of updates in the time for which one may be
 	// overtaken.
 	maxEarlyUpdates = 8
@@ -181,7 +191,7 @@
 			fol.sleep(ctx, fol.nextInterval(), nil)
 		case ctx.Err() != nil:
 			return
-		case errors.Is(err, ErrHistoryLost), errors.Is(err, ErrHistoryTooLong):
+		case errors.Is(err, ErrHistoryLost), errors.Is(err, ErrHistoryTooLong), errors.Is(err, errEraChanged):
 			fol.cfg.Log.Info("reading the whole table", "Table", fol.cfg.Table, "Version", fol.version, "Age", time.Since(fol.currentAt), "Cause", err)
 			fol.readWhole = true
 		default:
@@ -225,7 +235,8 @@
 }
 
 // poll reads the whole table if no version has been applied or its changes can't
-// be read, and otherwise the changes, which it sends to the other gateways.
+// be read, and otherwise the changes. It sends the changes, and the whole table of a
+// restored store, to the other gateways.
 func (fol *Follower) poll(ctx context.Context, wait time.Duration) error {
 	if fol.version == 0 || fol.readWhole {
 		res, err := fol.cfg.ReadTable(ctx)
@@ -233,7 +244,14 @@
 			return err
 		}
 		fol.tableBytes, fol.readWhole = res.Bytes, false
-		return fol.apply(ctx, res, true)
+		isRestored := fol.version > 0 && res.Era != fol.era
+		if err := fol.apply(ctx, res, true); err != nil {
+			return err
+		}
+		if isRestored {
+			fol.cfg.SendUpdate(TableUpdate{Table: fol.cfg.Table, Whole: true, ReadResult: res})
+		}
+		return nil
 	}
 	if fol.cfg.Readers() > 1 {
 		wait = 0
@@ -242,6 +260,9 @@
 	if err != nil {
 		return err
 	}
+	if res.Era != fol.era {
+		return fmt.Errorf("%w: era %d", errEraChanged, res.Era)
+	}
 	res.Rows = newestRows(res.Rows)
 	after := fol.version
 	if err := fol.apply(ctx, res, false); err != nil {
@@ -273,7 +294,7 @@
 	}
 	if res.Era != fol.era {
 		fol.cfg.Log.Info("era of the store changed", "Table", fol.cfg.Table, "Era", res.Era, "Before", fol.era, "TableVersion", res.Version, "VersionBefore", fol.version, "Whole", full)
-		fol.era = res.Era
+		fol.era, fol.version, fol.early = res.Era, 0, nil
 	}
 	fol.version, fol.currentAt = max(res.Version, fol.version), time.Now()
 	return fol.cfg.Apply(ctx, res, full)
@@ -320,10 +341,14 @@
 
 // applyUpdate applies an update of another gateway, and those that followed it
 // and came before. It returns the time until this gateway's next call, and true
-// if the update is recent enough to postpone that call. An update that is older
-// than the applied version is ignored.
+// if the update sets that time: since it is recent enough to postpone the call, or
+// shows that the store was restored. An update that is older than the applied version
+// is ignored.
 func (fol *Follower) applyUpdate(ctx context.Context, upd TableUpdate) (time.Duration, bool) {
-	if fol.version == 0 || upd.Version < fol.version {
+	if fol.version > 0 && upd.Era > fol.era {
+		return fol.enterEra(ctx, upd)
+	}
+	if fol.version == 0 || upd.Era < fol.era || upd.Version < fol.version {
 		fol.cfg.Log.Info("update not applied", "Table", fol.cfg.Table, "TableVersion", fol.version, "Era", fol.era, "UpdateAfter", upd.After, "UpdateVersion", upd.Version, "UpdateEra", upd.Era)
 		return 0, false
 	}
@@ -344,6 +369,18 @@
 	return fol.nextInterval(), true
 }
 
+// enterEra applies the whole table of a restored store that another gateway has read.
+// Other updates of a later era only show that this gateway has to read the table.
+func (fol *Follower) enterEra(ctx context.Context, upd TableUpdate) (time.Duration, bool) {
+	if upd.Whole {
+		fol.readWhole = false
+		return fol.nextInterval(), fol.apply(ctx, upd.ReadResult, true) == nil
+	}
+	isNew := !fol.readWhole
+	fol.readWhole = true
+	return rand.N(maxEraPause), isNew
+}
+
 // nextEarly removes and returns an early update that can be applied now, or nil.
 func (fol *Follower) nextEarly() *TableUpdate {
 	for ix, upd := range fol.early {
--- a/io/bwgateway/follower_fleet_test.go
+++ b/io/bwgateway/follower_fleet_test.go
@@ -21,6 +21,7 @@
 	rng     *rand.Rand
 	started time.Time
 	version uint64
+	era     uint64
 	// oversized is the newest version whose change doesn't fit in datagrams.
 	oversized uint64
 	calls     int
@@ -37,8 +38,8 @@
 	// lag makes the store answer with an older version.
 	lag uint64
 	// loss is the share of datagrams that the gateway doesn't get.
-	loss    float64
-	version uint64
+	loss         float64
+	version, era uint64
 }
 
 const (
@@ -88,29 +89,42 @@
 func (nd *followerNode) read(after uint64) (bwgateway.ReadResult, error) {
 	nd.flt.mu.Lock()
 	nd.flt.calls++
-	fails, took, version := nd.storeFails, nd.callTime, max(nd.flt.version-nd.lag, after)
+	fails, took, version, era := nd.storeFails, nd.callTime, nd.flt.version-nd.lag, nd.flt.era
 	nd.flt.mu.Unlock()
 	if fails {
 		time.Sleep(failedCallTime)
 		return bwgateway.ReadResult{}, errStoreAway
 	}
 	time.Sleep(took)
-	return bwgateway.ReadResult{Version: version, Now: time.Hour + time.Since(nd.flt.started)}, nil
+	if era == nd.knownEra() {
+		version = max(version, after)
+	}
+	return bwgateway.ReadResult{Version: version, Era: era, Now: time.Hour + time.Since(nd.flt.started)}, nil
 }
 
 func (nd *followerNode) apply(_ context.Context, res bwgateway.ReadResult, _ bool) error {
 	nd.flt.mu.Lock()
 	defer nd.flt.mu.Unlock()
+	if res.Era != nd.era {
+		nd.era, nd.version = res.Era, 0
+	}
 	nd.version = max(nd.version, res.Version)
 	return nil
 }
 
+// knownEra returns the era of the gateway's last read or update.
+func (nd *followerNode) knownEra() uint64 {
+	nd.flt.mu.Lock()
+	defer nd.flt.mu.Unlock()
+	return nd.era
+}
+
 func (nd *followerNode) sendUpdate(upd bwgateway.TableUpdate) {
 	nd.flt.mu.Lock()
 	tooLong := upd.After < nd.flt.oversized && nd.flt.oversized <= upd.Version
 	nd.flt.mu.Unlock()
 	if tooLong {
-		upd.After = upd.Version
+		upd.After, upd.Whole = upd.Version, false
 	}
 	nd.send(func(other *followerNode) { other.fol.Receive(upd) })
 }
@@ -148,7 +162,7 @@
 	startedAt := time.Now()
 	for range int(30 * time.Second / (10 * time.Millisecond)) {
 		flt.mu.Lock()
-		behind := slices.ContainsFunc(flt.gateways, func(nd *followerNode) bool { return nd.version != flt.version })
+		behind := slices.ContainsFunc(flt.gateways, func(nd *followerNode) bool { return nd.version != flt.version || nd.era != flt.era })
 		flt.mu.Unlock()
 		if !behind {
 			return time.Since(startedAt)
--- a/io/bwgateway/peers.go
+++ b/io/bwgateway/peers.go
@@ -162,12 +162,12 @@
 }
 
 // SendUpdate sends an update to all other gateways. Of one that is too long they
-// get only the version, and read it from the store at their own intervals.
+// get only the version and the era, and read it from the store at their own intervals.
 func (prs *Peers) SendUpdate(upd TableUpdate) {
 	rcp := prs.fleet.Load().All()
 	frgs := splitUpdate(upd)
 	if frgs == nil {
-		upd.After, upd.Rows = upd.Version, nil
+		upd.After, upd.Rows, upd.Whole = upd.Version, nil, false
 		frgs = splitUpdate(upd)
 	}
 	for _, frg := range frgs {
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -67,7 +67,13 @@
 // ownedState is changed only by the control goroutine.
 type ownedState struct {
 	table *bwforward.RoutingTable
-	dir   *bwforward.UpstreamDirectory
+	// lowerTable is a table with a lower version than table that the store has had since
+	// lowerSince, after it was restored; nil if there is none.
+	lowerTable *bwforward.RoutingTable
+	lowerSince time.Time
+	// tableEra is the store's era of the routing table.
+	tableEra uint64
+	dir      *bwforward.UpstreamDirectory
 	// poolRevision is the revision of dir that was passed to the pool.
 	poolRevision    uint64
 	upstreams       []bwforward.Upstream
@@ -120,21 +126,41 @@
 // Table returns the current routing table, or nil.
 func (st *ControlState) Table() *bwforward.RoutingTable { return st.control.Snapshot().Table }
 
-// SetTable replaces the routing table unless the current one has the same or a
-// higher version.
-func (st *ControlState) SetTable(ctx context.Context, tbl *bwforward.RoutingTable) error {
+// SetTable applies the routing table that the store has in an era. It replaces the
+// current one if it has a higher version. In another era the store may have a copy from
+// before the current one, which the operator writes again soon: a table with a lower
+// version is only applied if the store still has it after lowerTableDelay.
+func (st *ControlState) SetTable(ctx context.Context, tbl *bwforward.RoutingTable, era uint64) error {
 	return st.control.Do(ctx, func(cst *ownedState) {
-		if cst.table != nil && tbl.Version() <= cst.table.Version() {
-			if tbl.Version() < cst.table.Version() {
-				st.cfg.Log.Info("older routing table not taken", "StateVersion", cst.table.Version(), "Older", tbl.Version(), "Routes", tbl.Routes())
+		isRestored := cst.table != nil && era != cst.tableEra
+		cst.tableEra = era
+		switch {
+		case cst.table == nil || tbl.Version() > cst.table.Version() || isRestored && tbl.Version() == cst.table.Version() && !tbl.Equal(cst.table):
+			st.replaceTable(cst, tbl)
+		case tbl.Version() == cst.table.Version():
+			cst.lowerTable = nil
+		default:
+			st.cfg.Log.Info("older routing table not taken", "StateVersion", cst.table.Version(), "Older", tbl.Version(), "Routes", tbl.Routes(), "Era", era)
+			if isRestored {
+				cst.lowerSince = st.cfg.Now()
+			}
+			if isRestored || cst.lowerTable != nil {
+				cst.lowerTable = tbl
 			}
-			return
 		}
-		cst.table = tbl
-		st.cfg.Log.Info("routing table replaced", "StateVersion", tbl.Version(), "Routes", tbl.Routes())
 	})
 }
 
+// lowerTableDelay is the time after which a routing table with a lower version is applied
+// that a restored store has. It is five times that within which what was lost is
+// written again.
+const lowerTableDelay = 10 * time.Second
+
+func (st *ControlState) replaceTable(cst *ownedState, tbl *bwforward.RoutingTable) {
+	cst.table, cst.lowerTable = tbl, nil
+	st.cfg.Log.Info("routing table replaced", "StateVersion", tbl.Version(), "Routes", tbl.Routes(), "Era", cst.tableEra)
+}
+
 // MarkListUnavailable records that the list of upstreams can't be read.
 func (st *ControlState) MarkListUnavailable(ctx context.Context, cause error) error {
 	return st.control.Do(ctx, func(cst *ownedState) {
@@ -354,8 +380,9 @@
 	return 1
 }
 
-// loop applies the changes that come with time: entries that are still missing
-// some time after an outage of the list, and the division of the retry budgets.
+// loop applies the changes that come with time: a routing table of a restored store,
+// entries that are still missing some time after an outage of the list, and the
+// division of the retry budgets.
 func (st *ControlState) loop(ctx context.Context) {
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
@@ -372,6 +399,9 @@
 }
 
 func (st *ControlState) tick(cst *ownedState) {
+	if cst.lowerTable != nil && st.cfg.Now().Sub(cst.lowerSince) >= lowerTableDelay {
+		st.replaceTable(cst, cst.lowerTable)
+	}
 	st.expire(cst)
 	st.shareBudgets(cst)
 }
--- a/io/bwgateway/state_test.go
+++ b/io/bwgateway/state_test.go
@@ -19,7 +19,7 @@
 	st.Start(t.Context())
 	for _, tt := range []struct{ version, want uint64 }{{9, 9}, {7, 9}, {9, 9}, {12, 12}} {
 		tbl := bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: tt.version})
-		if err := st.SetTable(t.Context(), tbl); err != nil {
+		if err := st.SetTable(t.Context(), tbl, 0); err != nil {
 			t.Fatal(err)
 		}
 		if got := st.Table().Version(); got != tt.want {
