Hold entries of a restored list against what is known

What callers saw: in the time until an upstream that leaves had written its entry again, the restored store listed it as ready, and requests went to it later than 2 s after the gateways had acknowledged that it leaves. What had left for good was in use until its entry lapsed. Upstreams that had started since the copy were dropped at once. Cause: the list of a restored store was applied like any other. Missing ones are kept as after an outage.

--- a/core/bwforward/directory.go
+++ b/core/bwforward/directory.go
@@ -17,6 +17,9 @@
 	// end of the last outage of the list.
 	listUnavailable bool
 	availableSince  time.Time
+	// outdated has the entries of a restored list that are older than what is known.
+	// removed has the last entries of upstreams that were removed.
+	outdated, removed map[bwmodel.UpstreamID]datedEntry
 	// revision counts the changes that may affect the result of Upstreams.
 	revision uint64
 }
@@ -47,7 +50,11 @@
 
 // NewUpstreamDirectory returns an empty directory.
 func NewUpstreamDirectory() *UpstreamDirectory {
-	return &UpstreamDirectory{entries: make(map[bwmodel.UpstreamID]*directoryEntry)}
+	return &UpstreamDirectory{
+		entries:  make(map[bwmodel.UpstreamID]*directoryEntry),
+		outdated: make(map[bwmodel.UpstreamID]datedEntry),
+		removed:  make(map[bwmodel.UpstreamID]datedEntry),
+	}
 }
 
 // MarkListUnavailable records that the list can't be read, so that its entries
@@ -65,8 +72,14 @@
 
 // Put adds or replaces an upstream, and reports whether the directory changed.
 // An upstream that started before the listed one of the same ID replaces it only
-// if it is still listed after olderEntryDelay.
+// if it is still listed after olderEntryDelay. An outdated entry of a restored list
+// waits for outdatedEntryDelay.
 func (dir *UpstreamDirectory) Put(up Upstream, now time.Time) bool {
+	if dte, ok := dir.outdated[up.ID]; ok && dte.up == up {
+		return false
+	}
+	delete(dir.outdated, up.ID)
+	delete(dir.removed, up.ID)
 	ent := dir.entries[up.ID]
 	if ent != nil && !ent.unlisted && up.StartTime.Before(ent.up.StartTime) {
 		if ent.older == nil {
@@ -87,6 +100,7 @@
 // Remove removes an upstream that is no longer on the list. During an outage of
 // the list and for OutageGracePeriod after it, the entry is only marked as missing.
 func (dir *UpstreamDirectory) Remove(id bwmodel.UpstreamID, now time.Time) {
+	delete(dir.outdated, id)
 	ent := dir.entries[id]
 	if ent == nil {
 		return
@@ -97,7 +111,7 @@
 		}
 		return
 	}
-	dir.RemoveNow(id)
+	dir.remove(id, now)
 }
 
 // RemoveNow removes an upstream whose entry is invalid, without a grace period.
@@ -119,7 +133,7 @@
 		dir.Put(up, now)
 	}
 	for id := range dir.entries {
-		if !listed[id] {
+		if _, outdated := dir.outdated[id]; !listed[id] && !outdated {
 			dir.Remove(id, now)
 		}
 	}
@@ -135,6 +149,7 @@
 // those that are still missing after the grace period, and returns the IDs of the
 // removed ones.
 func (dir *UpstreamDirectory) Expire(now time.Time) []bwmodel.UpstreamID {
+	dir.expireOutdated(now)
 	for id, ent := range dir.entries {
 		if ent.older != nil && now.Sub(ent.olderSince) >= olderEntryDelay {
 			dir.entries[id] = &directoryEntry{up: *ent.older, missingSince: ent.missingSince}
@@ -147,7 +162,7 @@
 	var expired []bwmodel.UpstreamID
 	for id, ent := range dir.entries {
 		if !ent.missingSince.IsZero() {
-			dir.RemoveNow(id)
+			dir.remove(id, now)
 			expired = append(expired, id)
 		}
 	}
@@ -183,7 +198,7 @@
 			return "service is unclear"
 		}
 	}
-	old.ID, old.StartTime = id, now
+	old.ID, old.StartTime, old.Report = id, now, 0
 	dir.entries[id] = &directoryEntry{up: old, unlisted: true}
 	dir.revision++
 	return "taken in"
--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -51,6 +51,9 @@
 	Slots int
 	// Leaving is set when the upstream takes no new work.
 	Leaving bool
+	// Report is the number of the upstream's report, counted from its start, by which
+	// two entries of one run are ordered.
+	Report uint64
 }
 
 // NewPool returns a pool without upstreams.
--- a/io/bwgateway/process_test.go
+++ b/io/bwgateway/process_test.go
@@ -55,7 +55,7 @@
 		Watch: func(ctx context.Context, st *bwgateway.ControlState) {
 			up := eng.upstream()
 			_ = st.ApplyAnnouncements(ctx, others, time.Hour, true)
-			_ = st.ApplyChanges(ctx, []bwgateway.UpstreamChange{{ID: up.ID, Upstream: &up}}, true)
+			_ = st.ApplyChanges(ctx, []bwgateway.UpstreamChange{{ID: up.ID, Upstream: &up}}, 0, true)
 			_ = st.SetTable(ctx, table, 0)
 		},
 		Log: slog.New(slog.NewTextHandler(testLog{t}, nil)),
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -71,14 +71,17 @@
 	// lowerSince, after it was restored; nil if there is none.
 	lowerTable *bwforward.RoutingTable
 	lowerSince time.Time
-	// tableEra is the store's era of the routing table.
-	tableEra uint64
-	dir      *bwforward.UpstreamDirectory
+	// tableEra and listEra are the store's eras of the routing table and the list of
+	// upstreams.
+	tableEra, listEra uint64
+	dir               *bwforward.UpstreamDirectory
 	// poolRevision is the revision of dir that was passed to the pool.
 	poolRevision    uint64
 	upstreams       []bwforward.Upstream
 	listUnavailable bool
-	roster          bwforward.GatewayRoster
+	// listKnown is set once the list has been read.
+	listKnown bool
+	roster    bwforward.GatewayRoster
 	// members is the number of known gateways, and sharing the number by which the
 	// slack of the retry budgets is divided.
 	members     int
@@ -181,9 +184,9 @@
 	Err error
 }
 
-// ApplyChanges applies changes of the list of upstreams; if full is set they
-// are the whole list.
-func (st *ControlState) ApplyChanges(ctx context.Context, changes []UpstreamChange, full bool) error {
+// ApplyChanges applies changes of the list of upstreams in an era of the store; if full
+// is set they are the whole list.
+func (st *ControlState) ApplyChanges(ctx context.Context, changes []UpstreamChange, era uint64, full bool) error {
 	return st.control.Do(ctx, func(cst *ownedState) {
 		now := st.cfg.Now()
 		if cst.listUnavailable {
@@ -191,12 +194,14 @@
 		}
 		cst.listUnavailable = false
 		cst.dir.MarkListAvailable(now)
-		st.updateDirectory(cst, changes, full, now)
+		isRestored := cst.listKnown && era != cst.listEra
+		cst.listKnown, cst.listEra = true, era
+		st.updateDirectory(cst, changes, full, isRestored, now)
 		st.updatePool(cst)
 	})
 }
 
-func (st *ControlState) updateDirectory(cst *ownedState, changes []UpstreamChange, full bool, now time.Time) {
+func (st *ControlState) updateDirectory(cst *ownedState, changes []UpstreamChange, full, isRestored bool, now time.Time) {
 	var ups []bwforward.Upstream
 	for _, chg := range changes {
 		switch {
@@ -208,14 +213,17 @@
 			cst.dir.Remove(chg.ID, now)
 		default:
 			ups = append(ups, *chg.Upstream)
-			if !cst.dir.Put(*chg.Upstream, now) {
+			if isRestored || !cst.dir.Put(*chg.Upstream, now) {
 				continue
 			}
 			st.cfg.Log.Info("entry", "Upstream", chg.ID, "Service", chg.Upstream.Service, "Address", chg.Upstream.Address,
 				"Zone", chg.Upstream.Zone, "Leaving", chg.Upstream.Leaving, "Born", chg.Upstream.StartTime)
 		}
 	}
-	if full {
+	if isRestored {
+		outdated := cst.dir.ReplaceRestored(ups, now)
+		st.cfg.Log.Info("list of upstreams restored", "Entries", len(ups), "Era", cst.listEra, "Outdated", outdated)
+	} else if full {
 		cst.dir.Replace(ups, now)
 	}
 }
@@ -380,9 +388,9 @@
 	return 1
 }
 
-// loop applies the changes that come with time: a routing table of a restored store,
-// entries that are still missing some time after an outage of the list, and the
-// division of the retry budgets.
+// loop applies the changes that come with time: a routing table and entries of a
+// restored store, entries that are still missing some time after an outage of the
+// list, and the division of the retry budgets.
 func (st *ControlState) loop(ctx context.Context) {
 	tick := time.NewTicker(expiryInterval)
 	defer tick.Stop()
--- a/io/bwgateway/state_test.go
+++ b/io/bwgateway/state_test.go
@@ -42,11 +42,11 @@
 		want int
 	}{
 		{"listed", func() error {
-			return st.ApplyChanges(t.Context(), []bwgateway.UpstreamChange{{ID: up.ID, Upstream: &up}}, true)
+			return st.ApplyChanges(t.Context(), []bwgateway.UpstreamChange{{ID: up.ID, Upstream: &up}}, 0, true)
 		}, 1},
 		{"list unavailable", func() error { return st.MarkListUnavailable(t.Context(), errors.New("down")) }, 1},
 		{"unreadable", func() error {
-			return st.ApplyChanges(t.Context(), []bwgateway.UpstreamChange{{ID: up.ID, Err: errors.New("bytes")}}, false)
+			return st.ApplyChanges(t.Context(), []bwgateway.UpstreamChange{{ID: up.ID, Err: errors.New("bytes")}}, 0, false)
 		}, 0},
 	}
 	for _, stp := range steps {
@@ -75,13 +75,13 @@
 		}
 		changes = append(changes, bwgateway.UpstreamChange{ID: up.ID, Upstream: &up})
 	}
-	if err := st.ApplyChanges(t.Context(), changes, true); err != nil {
+	if err := st.ApplyChanges(t.Context(), changes, 0, true); err != nil {
 		t.Fatal(err)
 	}
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
 	for range reads {
-		if err := st.ApplyChanges(t.Context(), changes[:1], false); err != nil {
+		if err := st.ApplyChanges(t.Context(), changes[:1], 0, false); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -91,7 +91,7 @@
 	}
 	leaving := *changes[7].Upstream
 	leaving.Leaving = true
-	if err := st.ApplyChanges(t.Context(), []bwgateway.UpstreamChange{{ID: leaving.ID, Upstream: &leaving}}, false); err != nil {
+	if err := st.ApplyChanges(t.Context(), []bwgateway.UpstreamChange{{ID: leaving.ID, Upstream: &leaving}}, 0, false); err != nil {
 		t.Fatal(err)
 	}
 	if got := pool.ActiveUpstreams("svc"); got != upstreams-1 {
