Keep announcements that a restored store has lost

What callers would see: a gateway that had announced itself since the copy was forgotten by the others for up to a minute. Their shares of the retry budget and of permits were too large meanwhile, its notes and updates were refused; parts of prompts that had been cleared since the copy were in quarantine again. Cause: the announcements of a restored store replaced all that were known, and a lost one was only written again after its interval. Fix: only newer announcements are taken, missing ones stay until they lapse, and each gateway announces itself again. Evidence: TestAnnouncementsOfRestoredStore, which without the change counts 3 gateways in place of 4 and gets no second announcement.

--- a/core/bwforward/roster.go
+++ b/core/bwforward/roster.go
@@ -58,6 +58,18 @@
 	}
 }
 
+// Newer returns the announcements that are newer than what is known of their gateways. A
+// store that was restored from a copy has older ones.
+func (rst *GatewayRoster) Newer(anns []Announcement) []Announcement {
+	var newer []Announcement
+	for _, ann := range anns {
+		if known, ok := rst.others[ann.Member]; !ok || ann.Seen > known.Seen {
+			newer = append(newer, ann)
+		}
+	}
+	return newer
+}
+
 // Put adds or replaces an announcement.
 func (rst *GatewayRoster) Put(ann Announcement) {
 	if rst.others == nil {
--- a/io/bwgateway/announcer.go
+++ b/io/bwgateway/announcer.go
@@ -69,6 +69,9 @@
 		case <-stopping:
 			stopping = nil
 		case <-anc.state.announceNow:
+		case <-anc.state.announceAgain:
+			// All gateways announce themselves again.
+			bwretry.Pause(ctx, rand.N(max(time.Duration(anc.state.View().Members), 1)*announceAgainInterval))
 		case <-ctx.Done():
 		}
 		tmr.Stop()
@@ -79,6 +82,10 @@
 // one. The others need this gateway's address and key to share reads with it.
 const announceRetryInterval = 2 * time.Second
 
+// announceAgainInterval is the mean time between two gateways that announce themselves
+// again after the store was restored. It takes half of the store's writes.
+const announceAgainInterval = 5 * time.Millisecond
+
 // announce reports whether the announcement was written.
 func (anc *announcer) announce(ctx context.Context, leaving bool) bool {
 	vw := anc.state.View()
--- a/io/bwgateway/announcer_test.go
+++ b/io/bwgateway/announcer_test.go
@@ -30,7 +30,7 @@
 	const clock = 90 * time.Hour
 	addr := netip.MustParseAddrPort("10.0.0.1:7340")
 	first := []bwforward.Announcement{{Member: "a", Address: addr, Seen: clock}, {Member: "b", Address: addr, Leaving: true, Seen: clock}}
-	if err := st.ApplyAnnouncements(t.Context(), first, clock, true); err != nil {
+	if err := st.ApplyAnnouncements(t.Context(), first, bwgateway.StoreTime{Clock: clock}, true); err != nil {
 		t.Fatal(err)
 	}
 	if ann := <-written; ann.Seen < clock || ann.Seen > clock+10*time.Second {
@@ -44,13 +44,13 @@
 		t.Error("the announcement of a stopping gateway lacks Leaving")
 	}
 	later := []bwforward.Announcement{{Member: "c", Address: addr, Seen: clock}}
-	if err := st.ApplyAnnouncements(t.Context(), later, clock+time.Second, false); err != nil {
+	if err := st.ApplyAnnouncements(t.Context(), later, bwgateway.StoreTime{Clock: clock + time.Second}, false); err != nil {
 		t.Fatal(err)
 	}
 	if got := st.View().Members; got != 4 {
 		t.Errorf("%d gateways after another announcement, want 4", got)
 	}
-	if err := st.ApplyAnnouncements(t.Context(), nil, clock+time.Hour, false); err != nil {
+	if err := st.ApplyAnnouncements(t.Context(), nil, bwgateway.StoreTime{Clock: clock + time.Hour}, false); err != nil {
 		t.Fatal(err)
 	}
 	if got := st.View().Members; got != 1 {
@@ -77,7 +77,7 @@
 		if restarted {
 			anns = append(anns, bwforward.Announcement{Member: "a", Seen: time.Hour, Key: first})
 		}
-		if err := st.ApplyAnnouncements(t.Context(), anns, time.Hour, true); err != nil {
+		if err := st.ApplyAnnouncements(t.Context(), anns, bwgateway.StoreTime{Clock: time.Hour}, true); err != nil {
 			t.Fatal(err)
 		}
 		if got := st.View().Members; got != 2 {
--- a/io/bwgateway/follower_test.go
+++ b/io/bwgateway/follower_test.go
@@ -109,7 +109,7 @@
 	}
 	for ix, tfl := range followers {
 		others := append(append([]bwforward.Announcement(nil), anns[:ix]...), anns[ix+1:]...)
-		if err := states[ix].ApplyAnnouncements(t.Context(), others, 0, true); err != nil {
+		if err := states[ix].ApplyAnnouncements(t.Context(), others, bwgateway.StoreTime{}, true); err != nil {
 			t.Fatal(err)
 		}
 		states[ix].Follow(t.Context(), bwgateway.FollowerConfig{
--- a/io/bwgateway/permit_test.go
+++ b/io/bwgateway/permit_test.go
@@ -128,7 +128,7 @@
 func (pp *permitPeer) announce(t *testing.T, anns ...bwforward.Announcement) {
 	t.Helper()
 	established := bwforward.Announcement{Member: "gone", Seen: permitClock - time.Minute}
-	if err := pp.state.ApplyAnnouncements(t.Context(), append(anns, established), permitClock, true); err != nil {
+	if err := pp.state.ApplyAnnouncements(t.Context(), append(anns, established), bwgateway.StoreTime{Clock: permitClock}, true); err != nil {
 		t.Fatal(err)
 	}
 	time.Sleep(500 * time.Millisecond)
--- a/io/bwgateway/process_test.go
+++ b/io/bwgateway/process_test.go
@@ -54,7 +54,7 @@
 		Dialect:  dialect(),
 		Watch: func(ctx context.Context, st *bwgateway.ControlState) {
 			up := eng.upstream()
-			_ = st.ApplyAnnouncements(ctx, others, time.Hour, true)
+			_ = st.ApplyAnnouncements(ctx, others, bwgateway.StoreTime{Clock: time.Hour}, true)
 			_ = st.ApplyChanges(ctx, []bwgateway.UpstreamChange{{ID: up.ID, Upstream: &up}}, 0, true)
 			_ = st.SetTable(ctx, table, 0)
 		},
--- a/io/bwgateway/restored_test.go
+++ b/io/bwgateway/restored_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net/netip"
 	"slices"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 	"time"
 
 	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwgateway"
 )
 
@@ -245,6 +247,56 @@
 	}
 }
 
+// Guards against gateways that are forgotten, or not known any more to be stopping, when
+// the store loses their announcements; against one whose own announcement stays lost; and
+// against parts of prompts in quarantine again that were cleared since the copy.
+func TestAnnouncementsOfRestoredStore(t *testing.T) {
+	quarantine := bwforward.NewQuarantine(nil)
+	prs, _ := newPeers(t, "self", func(bwforward.PeerNote) {})
+	st := bwgateway.NewControlState(bwgateway.ControlStateConfig{
+		Pool: bwforward.NewPool(bwforward.PoolConfig{}), Budgets: bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{}), Quarantine: quarantine, Peers: prs,
+	})
+	st.Start(t.Context())
+	written := make(chan bwforward.Announcement, 4)
+	st.StartAnnouncing(t.Context(), func(_ context.Context, ann bwforward.Announcement) error {
+		written <- ann
+		return nil
+	})
+	const clock = time.Hour
+	addr := netip.MustParseAddrPort("10.0.0.1:7340")
+	apply := func(era uint64, at time.Duration, anns ...bwforward.Announcement) {
+		t.Helper()
+		if err := st.ApplyAnnouncements(t.Context(), anns, bwgateway.StoreTime{Era: era, Clock: at}, true); err != nil {
+			t.Fatal(err)
+		}
+	}
+	announced := func(member bwmodel.MemberID, seen time.Duration, leaving bool, ids ...bwforward.PartID) bwforward.Announcement {
+		ann := bwforward.Announcement{Member: member, Address: addr, Seen: seen, Leaving: leaving}
+		if len(ids) > 0 {
+			ann.Quarantined = []bwforward.AnnouncedParts{{Parts: ids, Until: clock + 10*time.Minute}}
+		}
+		return ann
+	}
+	apply(1, clock, announced("a", clock, false), announced("b", clock, true), announced("started since the copy", clock, false))
+	<-written
+	apply(2, clock+2*time.Second, announced("self", clock-time.Minute, true, "own"), announced("a", clock-time.Minute, false, "cleared"), announced("b", clock-time.Minute, false))
+	if vw := st.View(); vw.Members != 4 || vw.ActivePeers != 2 {
+		t.Errorf("%d gateways and %d active peers after the restore, want 4 and 2", vw.Members, vw.ActivePeers)
+	}
+	if got := quarantine.All(); len(got) != 0 {
+		t.Errorf("%v in quarantine, from announcements before the restore", got)
+	}
+	select {
+	case <-written:
+	case <-time.After(2 * time.Second):
+		t.Error("the gateway did not announce itself again")
+	}
+	apply(2, clock+3*time.Second, announced("a", clock+3*time.Second, false, "new"))
+	if got := quarantine.All(); len(got) != 1 {
+		t.Errorf("%v in quarantine, want the part that was announced after the restore", got)
+	}
+}
+
 // Guards against a fleet in which all gateways read the whole table when the store was
 // restored, or that is not up to date in time, also when the table does not fit in
 // datagrams.
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -21,8 +21,8 @@
 	// membersKnown is closed when the other gateways' announcements are applied
 	// for the first time, stopping when this gateway stops.
 	membersKnown, stopping chan struct{}
-	// announceNow makes the announcer write an announcement at once.
-	announceNow chan struct{}
+	// announceNow makes the announcer write an announcement at once, announceAgain soon.
+	announceNow, announceAgain chan struct{}
 }
 
 // ControlStateConfig configures a ControlState.
@@ -71,10 +71,10 @@
 	// lowerSince, after it was restored; nil if there is none.
 	lowerTable *bwforward.RoutingTable
 	lowerSince time.Time
-	// tableEra and listEra are the store's eras of the routing table and the list of
-	// upstreams.
-	tableEra, listEra uint64
-	dir               *bwforward.UpstreamDirectory
+	// tableEra, listEra and memberEra are the store's eras of the routing table, the
+	// list of upstreams and the announcements.
+	tableEra, listEra, memberEra uint64
+	dir                          *bwforward.UpstreamDirectory
 	// poolRevision is the revision of dir that was passed to the pool.
 	poolRevision    uint64
 	upstreams       []bwforward.Upstream
@@ -108,7 +108,7 @@
 	if cfg.Log == nil {
 		cfg.Log = slog.New(slog.DiscardHandler)
 	}
-	return &ControlState{cfg: cfg, membersKnown: make(chan struct{}), stopping: make(chan struct{}), announceNow: make(chan struct{}, 1), control: bwcontrol.New(bwcontrol.Config[ownedState, View]{
+	return &ControlState{cfg: cfg, membersKnown: make(chan struct{}), stopping: make(chan struct{}), announceNow: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), control: bwcontrol.New(bwcontrol.Config[ownedState, View]{
 		State: &ownedState{dir: bwforward.NewUpstreamDirectory()},
 		View: func(cst *ownedState) *View {
 			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt, startedAt: cst.startedAt, permitHolders: cst.permitHolders, holderAddresses: cst.holderAddresses, settled: cst.sharing > 0}
@@ -242,20 +242,33 @@
 	}
 }
 
+// StoreTime is a time of the store.
+type StoreTime struct {
+	// Era counts the times that the store was restored from an older copy.
+	Era uint64
+	// Clock is the reading of the store's monotonic clock.
+	Clock time.Duration
+}
+
 // ApplyAnnouncements applies announcements of gateways, which may include this
-// one's, and the current reading of the store's monotonic clock. If full is
-// set they are all announcements.
-func (st *ControlState) ApplyAnnouncements(ctx context.Context, anns []bwforward.Announcement, now time.Duration, full bool) error {
+// one's, read at a time of the store. If full is set they are all announcements.
+func (st *ControlState) ApplyAnnouncements(ctx context.Context, anns []bwforward.Announcement, at StoreTime, full bool) error {
 	first := false
 	err := st.control.Do(ctx, func(cst *ownedState) {
+		now := at.Clock
 		first = cst.clockAt.IsZero()
+		isRestored := !first && at.Era != cst.memberEra
+		cst.memberEra = at.Era
 		if first {
 			cst.startedAt = now
 		}
-		cst.setClock(now)
+		cst.setClock(now, isRestored)
+		if isRestored {
+			anns = st.newAnnouncements(cst, anns)
+		}
 		st.adoptQuarantined(anns, now)
 		anns = st.otherAnnouncements(anns, first)
-		if full {
+		if full && !isRestored {
 			cst.roster.Replace(anns)
 		}
 		for _, ann := range anns {
@@ -281,15 +294,29 @@
 	return err
 }
 
+// newAnnouncements returns what a restored store has of the other gateways that is not
+// older than what is known. The store may have lost this gateway's announcement, and
+// those of others, which stay known until they lapse.
+func (st *ControlState) newAnnouncements(cst *ownedState, anns []bwforward.Announcement) []bwforward.Announcement {
+	newer := cst.roster.Newer(st.otherAnnouncements(anns, false))
+	st.cfg.Log.Info("announcements restored", "Era", cst.memberEra, "Entries", len(anns), "New", len(newer))
+	select {
+	case st.announceAgain <- struct{}{}:
+	default:
+	}
+	return newer
+}
+
 // maxReadingAge is the age that a reading of the store's clock may have when it
 // arrives. One that is further behind is of a clock that was set back.
 const maxReadingAge = 5 * time.Second
 
 // setClock takes a reading of the store's monotonic clock. Readings arrive late, some
-// of them through other gateways, so that the one furthest ahead is the best.
-func (cst *ownedState) setClock(reading time.Duration) {
+// of them through other gateways, so that the one furthest ahead is the best, unless
+// the store was restored since.
+func (cst *ownedState) setClock(reading time.Duration, isRestored bool) {
 	current := cst.clock + time.Since(cst.clockAt)
-	if !cst.clockAt.IsZero() && reading < current && current-reading < maxReadingAge {
+	if !isRestored && !cst.clockAt.IsZero() && reading < current && current-reading < maxReadingAge {
 		reading = current
 	}
 	cst.clock, cst.clockAt = reading, time.Now()
