Ask for permits again after a caller has left

What callers would see: the caller of one request leaves while a permit is asked for, and for 2 s the gateway does not ask that holder, so that requests to upstreams with a limit go elsewhere or are refused. Not seen; found by reading. Cause: an answer that does not come was taken for a silent holder, also when the caller's end had ended the wait. Fix: only the time-out counts. Three more things from the same reading: a refusal blocks for 20 ms at least, as the window may have ended by the holder's clock; a rate is bounded, as a note may have any number; a stream that waits asks again after each pause. Evidence: TestCallerThatLeavesSilencesNobody fails without the first change.

--- a/core/bwforward/permit.go
+++ b/core/bwforward/permit.go
@@ -18,6 +18,9 @@
 	// minPermitRate is the lowest rate, in requests a second, at which permits are
 	// granted: without a response nobody learns that a limit has ended.
 	minPermitRate = 0.1
+	// maxPermitRate is above the rate of any upstream. A limit may be any number that is
+	// written on the network.
+	maxPermitRate = 1e6
 	// minPermitWindow is the length of a window in which more than one request is
 	// allowed. It is long against the time for a question, and short against the
 	// four seconds over which the platform counts.
@@ -25,6 +28,10 @@
 	// permitClockSkew is the difference between two gateways' readings of the store's
 	// clock up to which a window is granted.
 	permitClockSkew = minPermitWindow
+	// MinPermitBlock is the shortest time for which a gateway asks for no more permits of
+	// an upstream after a refusal. The window may have ended already by the clock of the
+	// gateway that refuses.
+	MinPermitBlock = 20 * time.Millisecond
 )
 
 // PermitWindow is a time in which an upstream takes a number of requests.
@@ -41,7 +48,7 @@
 // NewPermitWindow returns the window at a time on the store's monotonic clock of an
 // upstream that names a limit, in requests a second.
 func NewPermitWindow(up bwmodel.UpstreamID, limit float64, clock time.Duration) PermitWindow {
-	rate := max(limit*permitShare, minPermitRate)
+	rate := min(max(limit*permitShare, minPermitRate), maxPermitRate)
 	length := max(minPermitWindow, time.Duration(float64(time.Second)/rate))
 	// The windows of different upstreams don't begin together.
 	shift := time.Duration(xxhash.Sum64String(string(up)) % uint64(length))
@@ -116,7 +123,7 @@
 		cnt.granted++
 		return PermitAnswer{Granted: true}
 	}
-	left = max(left, 0)
+	left = max(left, MinPermitBlock)
 	wait := left + time.Duration(float64(cnt.refused)/pwn.rate*float64(time.Second))
 	cnt.refused++
 	return PermitAnswer{Blocked: left, Wait: wait}
--- a/io/bwgateway/admission.go
+++ b/io/bwgateway/admission.go
@@ -26,7 +26,7 @@
 			stm.finishUnserved()
 			return false
 		case dcn.Verdict == bwforward.Start && !stm.takePermit(dcn.Node):
-			apl.Work = stm.work()
+			apl.Work.SkipLimited = stm.work().SkipLimited
 			continue
 		case dcn.Verdict == bwforward.Start:
 			if waited {
@@ -42,6 +42,8 @@
 			stm.gw.cfg.Log.Info("stream waits", admissionAttrs(stm, apl, dcn)...)
 		}
 		bwretry.Pause(stm.ctx, engineWaitInterval)
+		// Another window may have begun.
+		stm.refusedPermits, apl.Work.SkipLimited = 0, false
 	}
 }
 
--- a/io/bwgateway/permit.go
+++ b/io/bwgateway/permit.go
@@ -112,10 +112,14 @@
 	if until, ok := pms.silent.Load(holder); ok && time.Now().Before(until.(time.Time)) {
 		return Permit{PermitAnswer: missed, Holder: holder, Outcome: PermitSilent}
 	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	askCtx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
 	req := PermitRequest{ID: rand.Uint64(), Upstream: up, Limit: limit, Clock: clock}
-	ans, answered := pms.cfg.Ask(ctx, vw.holderAddresses[holder], req)
+	ans, answered := pms.cfg.Ask(askCtx, vw.holderAddresses[holder], req)
+	if !answered && ctx.Err() != nil {
+		// The caller has left, which says nothing of the holder.
+		return Permit{Holder: holder, Outcome: PermitUnanswered}
+	}
 	if !answered {
 		pms.silent.Store(holder, time.Now().Add(silentTime))
 		return Permit{PermitAnswer: missed, Holder: holder, Outcome: PermitUnanswered}
@@ -132,7 +136,8 @@
 
 // refusedFor returns a refusal for a time.
 func refusedFor(left time.Duration) bwforward.PermitAnswer {
-	return bwforward.PermitAnswer{Blocked: max(left, 0), Wait: max(left, 0)}
+	left = max(left, bwforward.MinPermitBlock)
+	return bwforward.PermitAnswer{Blocked: left, Wait: left}
 }
 
 // Grant answers another gateway's request for a permit. A limit that this gateway
--- a/io/bwgateway/permit_test.go
+++ b/io/bwgateway/permit_test.go
@@ -165,3 +165,32 @@
 		t.Errorf("%d of %d requests for permits waited", slow, asked)
 	}
 }
+
+// Guards against a gateway that is not asked any more since a caller left while it was
+// asked.
+func TestCallerThatLeavesSilencesNobody(t *testing.T) {
+	aa, ab := newPermitPeer(t, "a"), newPermitPeer(t, "b")
+	aa.announce(t, aa.self, ab.self)
+	var asked atomic.Int64
+	permits := bwgateway.NewPermits(bwgateway.PermitsConfig{
+		Member: "a", Pool: bwforward.NewPool(bwforward.PoolConfig{}), View: aa.state.View, Metrics: bwgateway.NewMetrics(),
+		Ask: func(ctx context.Context, _ netip.AddrPort, _ bwgateway.PermitRequest) (bwforward.PermitAnswer, bool) {
+			asked.Add(1)
+			<-ctx.Done()
+			return bwforward.PermitAnswer{}, false
+		},
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	leave()
+	for ix := range 50 {
+		// Of some upstreams this gateway holds the window itself.
+		permits.Take(ctx, bwmodel.UpstreamID(strconv.Itoa(ix)), 1)
+	}
+	before := asked.Load()
+	for ix := range 50 {
+		permits.Take(t.Context(), bwmodel.UpstreamID(strconv.Itoa(ix)), 1)
+	}
+	if asked.Load() == before {
+		t.Error("the other gateway is not asked after callers have left")
+	}
+}
