--- /dev/null
+++ b/io/bwgateway/members.go
@@ -0,0 +1,151 @@
+package bwgateway
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
+)
+
+// StoreTime is a time of the store.
+type StoreTime struct {
+	// Era counts the times that the store was restored from an older copy.
+	Era uint64
+	// Clock is the reading of the store's monotonic clock.
+	Clock time.Duration
+}
+
+// ApplyAnnouncements applies announcements of gateways, which may include this
+// one's, read at a time of the store. If full is set they are all announcements.
+func (st *ControlState) ApplyAnnouncements(ctx context.Context, anns []bwforward.Announcement, at StoreTime, full bool) error {
+	first := false
+	err := st.control.Do(ctx, func(cst *ownedState) {
+		now := at.Clock
+		first = cst.clockAt.IsZero()
+		isRestored := !first && at.Era != cst.memberEra
+		cst.memberEra = at.Era
+		if first {
+			cst.startedAt = now
+		}
+		cst.setClock(now, isRestored)
+		if isRestored {
+			anns = st.newAnnouncements(cst, anns)
+		}
+		st.adoptQuarantined(anns, now)
+		anns = st.otherAnnouncements(anns, first)
+		if full && !isRestored {
+			cst.roster.Replace(anns)
+		}
+		for _, ann := range anns {
+			cst.roster.Put(ann)
+		}
+		if st.cfg.Peers != nil {
+			st.cfg.Peers.SetPeers(cst.roster.Others(now))
+		}
+		cst.activePeers = cst.roster.ActivePeers(now)
+		st.setPermitHolders(cst, now)
+		count := cst.roster.Count(now)
+		if count == cst.members {
+			return
+		}
+		cst.members = count
+		st.cfg.Log.Info("number of gateways changed", "Members", count)
+		st.shareBudgets(cst)
+	})
+	// Do has published the view by now, which the announcer reads.
+	if err == nil && first {
+		close(st.membersKnown)
+	}
+	return err
+}
+
+// newAnnouncements returns what a restored store has of the other gateways that is not
+// older than what is known. The store may have lost this gateway's announcement, and
+// those of others, which stay known until they lapse.
+func (st *ControlState) newAnnouncements(cst *ownedState, anns []bwforward.Announcement) []bwforward.Announcement {
+	newer := cst.roster.Newer(st.otherAnnouncements(anns, false))
+	st.cfg.Log.Info("announcements restored", "Era", cst.memberEra, "Entries", len(anns), "New", len(newer))
+	select {
+	case st.announceAgain <- struct{}{}:
+	default:
+	}
+	return newer
+}
+
+// maxReadingAge is the age that a reading of the store's clock may have when it
+// arrives. One that is further behind is of a clock that was set back.
+const maxReadingAge = 5 * time.Second
+
+// setClock takes a reading of the store's monotonic clock. Readings arrive late, some
+// of them through other gateways, so that the one furthest ahead is the best, unless
+// the store was restored since.
+func (cst *ownedState) setClock(reading time.Duration, isRestored bool) {
+	current := cst.clock + time.Since(cst.clockAt)
+	if !isRestored && !cst.clockAt.IsZero() && reading < current && current-reading < maxReadingAge {
+		reading = current
+	}
+	cst.clock, cst.clockAt = reading, time.Now()
+}
+
+// setPermitHolders sets the gateways that grant permits.
+func (st *ControlState) setPermitHolders(cst *ownedState, now time.Duration) {
+	if st.cfg.Peers == nil {
+		return
+	}
+	holders := cst.roster.PermitHolders(bwforward.Announcement{Member: st.cfg.Peers.Member(), Started: cst.startedAt}, now)
+	cst.permitHolders = make([]bwmodel.MemberID, 0, len(holders))
+	cst.holderAddresses = make(map[bwmodel.MemberID]netip.AddrPort, len(holders))
+	for _, ann := range holders {
+		cst.permitHolders = append(cst.permitHolders, ann.Member)
+		cst.holderAddresses[ann.Member] = ann.Address
+	}
+}
+
+// adoptQuarantined puts the announced parts of prompts into quarantine. Those of
+// this gateway are from before a restart.
+func (st *ControlState) adoptQuarantined(anns []bwforward.Announcement, now time.Duration) {
+	if st.cfg.Quarantine == nil {
+		return
+	}
+	for _, ann := range anns {
+		isOwn := st.cfg.Peers != nil && ann.Member == st.cfg.Peers.Member()
+		for _, qp := range ann.Quarantined {
+			if _, ok := st.cfg.Quarantine.Adopt(qp.Parts, st.cfg.Now().Add(qp.Until-now), isOwn); ok {
+				st.cfg.Log.Info("parts of prompts in quarantine", "Parts", qp.Parts, "Left", qp.Until-now, "Source", ann.Member)
+			}
+		}
+	}
+}
+
+// AnnounceQuarantine makes the announcer announce the parts that this gateway has in
+// quarantine.
+func (st *ControlState) AnnounceQuarantine() {
+	select {
+	case st.announceNow <- struct{}{}:
+	default:
+	}
+}
+
+// AnnounceLeaving makes the announcer announce that this gateway stops. It
+// must be called once only.
+func (st *ControlState) AnnounceLeaving() { close(st.stopping) }
+
+// otherAnnouncements returns the announcements without this gateway's own. On
+// the first call it restores the signing key from the own announcement, which
+// was written before a restart and which the other gateways already have.
+func (st *ControlState) otherAnnouncements(anns []bwforward.Announcement, first bool) []bwforward.Announcement {
+	if st.cfg.Peers == nil {
+		return anns
+	}
+	var others []bwforward.Announcement
+	for _, ann := range anns {
+		if ann.Member != st.cfg.Peers.Member() {
+			others = append(others, ann)
+		} else if first {
+			st.cfg.Peers.RestoreKey(ann.Key)
+		}
+	}
+	return others
+}
