--- a/core/bwforward/permit.go
+++ b/core/bwforward/permit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"strconv"
 	"sync"
 	"time"
 
@@ -73,15 +72,22 @@
 func (pwn PermitWindow) Holder(members []bwmodel.MemberID) bwmodel.MemberID {
 	var holder bwmodel.MemberID
 	var highest uint64
-	prefix := string(pwn.Upstream) + "/" + strconv.FormatInt(int64(pwn.Start/time.Millisecond), 10) + "/"
+	window := xxhash.Sum64String(string(pwn.Upstream)) ^ mix(uint64(pwn.Start))
 	for _, mbr := range members {
-		if sum := xxhash.Sum64String(prefix + string(mbr)); holder == "" || sum > highest {
+		if sum := mix(window ^ xxhash.Sum64String(string(mbr))); holder == "" || sum > highest {
 			holder, highest = mbr, sum
 		}
 	}
 	return holder
 }
 
+// mix spreads a change of any bit over all bits. It is the last step of SplitMix64.
+func mix(val uint64) uint64 {
+	val = (val ^ val>>30) * 0xbf58476d1ce4e5b9
+	val = (val ^ val>>27) * 0x94d049bb133111eb
+	return val ^ val>>31
+}
+
 // PermitAnswer is the answer to a request for a permit. Its field names are part of
 // the datagram encoding.
 type PermitAnswer struct {
--- a/core/bwforward/permit_test.go
+++ b/core/bwforward/permit_test.go
@@ -285,3 +285,23 @@
 		t.Error("the limit has not ended")
 	}
 }
+
+// Guards against gateways that hold most windows, or none.
+func TestWindowsAreDealtEvenly(t *testing.T) {
+	const gateways, windows = 100, 20_000
+	var members []bwmodel.MemberID
+	for ix := range gateways {
+		members = append(members, bwmodel.MemberID(fmt.Sprintf("front-%d", ix)))
+	}
+	held := make(map[bwmodel.MemberID]int)
+	for ix := range windows {
+		up := bwmodel.UpstreamID(fmt.Sprintf("i-%d", ix%7))
+		held[bwforward.NewPermitWindow(up, 10, time.Hour+time.Duration(ix)*500*time.Millisecond).Holder(members)]++
+	}
+	const fair = windows / gateways
+	for _, mbr := range members {
+		if held[mbr] < fair/2 || held[mbr] > 2*fair {
+			t.Errorf("%s holds %d windows, a fair share is %d", mbr, held[mbr], fair)
+		}
+	}
+}
