Start with no manifest older than what other gateways use

What callers could see: a gateway that starts after the store was restored, and before the operator has written again, takes the manifest of the copy, with routes and keys that were removed since. Cause: a gateway that starts has nothing to compare with. Fix: announcements, which are written again after a restore, say which manifest their gateway uses. An older first one is not used until a later one comes, or for ten seconds. Evidence: TestStartWithTableOfCopy fails if announced versions are ignored.

--- a/core/bwforward/roster.go
+++ b/core/bwforward/roster.go
@@ -29,6 +29,9 @@
 	Seen time.Duration
 	// Started is the start of the gateway on the same clock.
 	Started time.Duration
+	// Era is the store's era in which it was written, TableVersion the version of the
+	// routing table that the gateway used then; 0 means none.
+	Era, TableVersion uint64
 	// Quarantined has the parts of prompts that the gateway has put into quarantine.
 	Quarantined []AnnouncedParts
 }
--- a/io/bwgateway/announcer.go
+++ b/io/bwgateway/announcer.go
@@ -90,7 +90,10 @@
 func (anc *announcer) announce(ctx context.Context, leaving bool) bool {
 	vw := anc.state.View()
 	clock := vw.storeClock()
-	ann := bwforward.Announcement{Leaving: leaving, Seen: clock, Started: vw.startedAt}
+	ann := bwforward.Announcement{Leaving: leaving, Seen: clock, Started: vw.startedAt, Era: vw.memberEra}
+	if vw.Table != nil {
+		ann.TableVersion = vw.Table.Version()
+	}
 	if qrt := anc.state.cfg.Quarantine; qrt != nil {
 		for _, qp := range qrt.Own() {
 			ann.Quarantined = append(ann.Quarantined, bwforward.AnnouncedParts{Parts: qp.Parts, Until: clock + qp.Until.Sub(anc.state.cfg.Now())})
--- a/io/bwgateway/members.go
+++ b/io/bwgateway/members.go
@@ -35,6 +35,7 @@
 		}
 		st.adoptQuarantined(anns, now)
 		anns = st.otherAnnouncements(anns, first)
+		st.observeTables(cst, anns, isRestored)
 		if full && !isRestored {
 			cst.roster.Replace(anns)
 		}
@@ -61,6 +62,20 @@
 	return err
 }
 
+// observeTables records the latest routing table that another gateway has announced in
+// the store's current era.
+func (st *ControlState) observeTables(cst *ownedState, anns []bwforward.Announcement, isRestored bool) {
+	if isRestored {
+		cst.announcedTable = 0
+	}
+	for _, ann := range anns {
+		if ann.Era == cst.memberEra {
+			cst.announcedTable = max(cst.announcedTable, ann.TableVersion)
+		}
+	}
+	st.checkFirstTable(cst)
+}
+
 // newAnnouncements returns what a restored store has of the other gateways that is not
 // older than what is known. The store may have lost this gateway's announcement, and
 // those of others, which stay known until they lapse.
--- a/io/bwgateway/restored_test.go
+++ b/io/bwgateway/restored_test.go
@@ -332,3 +332,71 @@
 		}
 	}
 }
+
+// Guards against a gateway that starts with a routing table from a copy of the store,
+// with routes and keys that were removed since: the announcements are read before the
+// table, and after it; and against one that never starts.
+func TestStartWithTableOfCopy(t *testing.T) {
+	const clock = time.Hour
+	addr := netip.MustParseAddrPort("10.0.0.1:7340")
+	tests := []struct {
+		name      string
+		announced bwforward.Announcement
+		want      uint64
+	}{
+		{"another gateway uses a later one", bwforward.Announcement{Era: 2, TableVersion: 13}, 0},
+		{"announced before the restore", bwforward.Announcement{Era: 1, TableVersion: 13}, 6},
+		{"another gateway uses the same", bwforward.Announcement{Era: 2, TableVersion: 6}, 6},
+		{"another gateway has none", bwforward.Announcement{Era: 2}, 6},
+	}
+	for _, tst := range tests {
+		for _, tableFirst := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, table first %v", tst.name, tableFirst), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					ctx, cancel := context.WithCancel(t.Context())
+					st := bwgateway.NewControlState(bwgateway.ControlStateConfig{Pool: bwforward.NewPool(bwforward.PoolConfig{}), Budgets: bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{})})
+					st.Start(ctx)
+					setTable := func(version uint64) {
+						if err := st.SetTable(ctx, bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: version}), 2); err != nil {
+							t.Fatal(err)
+						}
+					}
+					if tableFirst {
+						setTable(6)
+					}
+					ann := tst.announced
+					ann.Member, ann.Address, ann.Seen = "a", addr, clock
+					announce := func() {
+						if err := st.ApplyAnnouncements(ctx, []bwforward.Announcement{ann}, bwgateway.StoreTime{Era: 2, Clock: clock}, true); err != nil {
+							t.Fatal(err)
+						}
+					}
+					announce()
+					setTable(6)
+					if got := version(st); got != tst.want {
+						t.Errorf("version %d is in use, want %d", got, tst.want)
+					}
+					time.Sleep(11 * time.Second)
+					announce()
+					if got := version(st); got != 6 {
+						t.Errorf("version %d is in use ten seconds later, want 6", got)
+					}
+					setTable(13)
+					if got := version(st); got != 13 {
+						t.Errorf("version %d is in use, want 13, which the operator has written", got)
+					}
+					cancel()
+					synctest.Wait()
+				})
+			})
+		}
+	}
+}
+
+// version returns the version of the routing table, or 0.
+func version(st *bwgateway.ControlState) uint64 {
+	if tbl := st.Table(); tbl != nil {
+		return tbl.Version()
+	}
+	return 0
+}
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -54,6 +54,8 @@
 	clockAt time.Time
 	// startedAt is the reading of that clock when this gateway started.
 	startedAt time.Duration
+	// memberEra is the store's era of the announcements.
+	memberEra uint64
 	// permitHolders are the gateways that grant permits, and holderAddresses the
 	// addresses of those that are not this one. settled is set once they are known.
 	permitHolders   []bwmodel.MemberID
@@ -71,6 +73,10 @@
 	// lowerSince, after it was restored; nil if there is none.
 	lowerTable *bwforward.RoutingTable
 	lowerSince time.Time
+	// firstTableAt is when the first table was read. announcedTable is the highest
+	// version that another gateway has announced in the store's current era.
+	firstTableAt   time.Time
+	announcedTable uint64
 	// tableEra, listEra and memberEra are the store's eras of the routing table, the
 	// list of upstreams and the announcements.
 	tableEra, listEra, memberEra uint64
@@ -111,7 +117,7 @@
 	return &ControlState{cfg: cfg, membersKnown: make(chan struct{}), stopping: make(chan struct{}), announceNow: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), control: bwcontrol.New(bwcontrol.Config[ownedState, View]{
 		State: &ownedState{dir: bwforward.NewUpstreamDirectory()},
 		View: func(cst *ownedState) *View {
-			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt, startedAt: cst.startedAt, permitHolders: cst.permitHolders, holderAddresses: cst.holderAddresses, settled: cst.sharing > 0}
+			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt, startedAt: cst.startedAt, memberEra: cst.memberEra, permitHolders: cst.permitHolders, holderAddresses: cst.holderAddresses, settled: cst.sharing > 0}
 		},
 	})}
 }
@@ -138,6 +144,8 @@
 		isRestored := cst.table != nil && era != cst.tableEra
 		cst.tableEra = era
 		switch {
+		case cst.table == nil && tbl.Version() < cst.announcedTable:
+			st.holdTable(cst, tbl)
 		case cst.table == nil || tbl.Version() > cst.table.Version() || isRestored && tbl.Version() == cst.table.Version() && !tbl.Equal(cst.table):
 			st.replaceTable(cst, tbl)
 		case tbl.Version() == cst.table.Version():
@@ -159,7 +167,41 @@
 // written again.
 const lowerTableDelay = 10 * time.Second
 
+// startTime is the time after the first routing table in which the announcements of other
+// gateways show whether it is outdated.
+const startTime = 3 * time.Second
+
+// checkFirstTable withdraws the first routing table after the start if another gateway
+// has used a later one: the store was restored, and the operator has not written again
+// what it has lost. It may have routes and keys that were removed.
+func (st *ControlState) checkFirstTable(cst *ownedState) {
+	isFirst := cst.table != nil && st.cfg.Now().Sub(cst.firstTableAt) < startTime
+	if isFirst && cst.table.Version() < cst.announcedTable {
+		tbl := cst.table
+		cst.table = nil
+		st.holdTable(cst, tbl)
+	}
+}
+
+// holdTable keeps a routing table until lowerTableDelay has passed.
+func (st *ControlState) holdTable(cst *ownedState, tbl *bwforward.RoutingTable) {
+	if cst.lowerTable == nil {
+		cst.lowerSince = st.cfg.Now()
+	}
+	cst.noteFirstTable(cst.lowerSince)
+	cst.lowerTable = tbl
+	st.cfg.Log.Warn("routing table is older than another gateway's", "Older", tbl.Version(), "Announced", cst.announcedTable, "Era", cst.tableEra)
+}
+
+// noteFirstTable records when the store's first routing table was read.
+func (cst *ownedState) noteFirstTable(now time.Time) {
+	if cst.firstTableAt.IsZero() {
+		cst.firstTableAt = now
+	}
+}
+
 func (st *ControlState) replaceTable(cst *ownedState, tbl *bwforward.RoutingTable) {
+	cst.noteFirstTable(st.cfg.Now())
 	cst.table, cst.lowerTable = tbl, nil
 	st.cfg.Log.Info("routing table replaced", "StateVersion", tbl.Version(), "Routes", tbl.Routes(), "Era", cst.tableEra)
 }
