Bound the time that refused callers are told

What callers would see: at a limit of 0.1 requests a second and 50 callers a second, one is told to come back after ten minutes, and does not come when the limit ends in ten seconds. Cause: the time counts all who were refused before in the window. Fix: it is 30 s at most. Evidence: TestPermitLedger fails without the bound.

--- a/core/bwforward/permit.go
+++ b/core/bwforward/permit.go
@@ -31,6 +31,9 @@
 	// an upstream after a refusal. The window may have ended already by the clock of the
 	// gateway that refuses.
 	MinPermitBlock = 20 * time.Millisecond
+	// maxPermitWait bounds the time that a refused caller is told: limits end, and those
+	// that were refused before don't all come back.
+	maxPermitWait = 30 * time.Second
 )
 
 // PermitWindow is a time in which an upstream takes a number of requests.
@@ -130,9 +133,9 @@
 		return PermitAnswer{Granted: true}
 	}
 	left = max(left, MinPermitBlock)
-	wait := left + time.Duration(float64(cnt.refused)/pwn.rate*float64(time.Second))
+	ahead := time.Duration(float64(cnt.refused) / pwn.rate * float64(time.Second))
 	cnt.refused++
-	return PermitAnswer{Blocked: left, Wait: wait}
+	return PermitAnswer{Blocked: left, Wait: min(left+ahead, maxPermitWait)}
 }
 
 // count returns the count of a window, and drops those of past windows when it adds
--- a/core/bwforward/permit_test.go
+++ b/core/bwforward/permit_test.go
@@ -173,6 +173,12 @@
 	if first.Blocked <= 0 || first.Wait < first.Blocked || second.Wait <= first.Wait {
 		t.Errorf("refused with %+v and then %+v, want growing times", first, second)
 	}
+	for range 10_000 {
+		pld.Take(pwn, clock)
+	}
+	if last := pld.Take(pwn, clock); last.Wait > time.Minute {
+		t.Errorf("the last of 10,000 callers is told to come back after %v", last.Wait)
+	}
 	for _, other := range []time.Duration{clock - time.Minute, clock + time.Minute} {
 		if pld.Take(bwforward.NewPermitWindow("up", 10, other), clock).Granted {
 			t.Errorf("a permit was granted at %v for a window at %v", clock, other)
