--- a/io/bwgateway/restored_test.go
+++ b/io/bwgateway/restored_test.go
@@ -81,6 +81,13 @@
 	change(rtb)
 }
 
+// callCount returns the number of reads since it was reset.
+func (rtb *restorableTable) callCount() int {
+	rtb.mu.Lock()
+	defer rtb.mu.Unlock()
+	return rtb.calls
+}
+
 func (rtb *restorableTable) put(value string) {
 	rtb.version++
 	rtb.value, rtb.changedAt = value, rtb.version
@@ -158,7 +165,8 @@
 				rfl := newRestoredFollower(rtb)
 				rfl.fol.Start(ctx)
 				time.Sleep(3 * time.Second)
-				copied := rtb.version
+				copied := uint64(0)
+				rtb.set(func(rtb *restorableTable) { copied = rtb.version })
 				for range 4 {
 					rtb.set(func(rtb *restorableTable) { rtb.put("lost") })
 					time.Sleep(1500 * time.Millisecond)
@@ -177,8 +185,8 @@
 					rtb.calls = 0
 				})
 				time.Sleep(5500 * time.Millisecond)
-				if got := rfl.current(); got != "next" || rtb.calls > 6 {
-					t.Errorf("the follower has %q after %d calls, want next after 6 at most", got, rtb.calls)
+				if got := rfl.current(); got != "next" || rtb.callCount() > 6 {
+					t.Errorf("the follower has %q after %d calls, want next after 6 at most", got, rtb.callCount())
 				}
 				rfl.mu.Lock()
 				if !slices.ContainsFunc(rfl.updates, func(upd bwgateway.TableUpdate) bool { return upd.Whole && upd.Era == 2 }) {
@@ -237,7 +245,7 @@
 					t.Errorf("the update was applied: %v, want %v", told, tst.wantTold)
 				}
 				time.Sleep(600 * time.Millisecond)
-				if read := rtb.calls > 0; read != tst.wantRead {
+				if read := rtb.callCount() > 0; read != tst.wantRead {
 					t.Errorf("the table was read: %v, want %v", read, tst.wantRead)
 				}
 				cancel()
