--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -5,4 +5,4 @@
 [ -x target/bilberrywick-gateway ] && [ -x target/review-standin ] || { echo "build the gateway, and run review/build.sh"; exit 2; }
 trouble=true
 [ "${TROUBLE:-1}" = 0 ] && trouble=false
-exec target/review-standin -case holders -trouble=$trouble -record review/2/record.txt
+exec target/review-standin -case successor -trouble=$trouble -record review/2/record.txt
--- a/review/standin/gateway.go
+++ b/review/standin/gateway.go
@@ -44,7 +44,7 @@
 	}
 	settings, err := json.MarshalIndent(map[string]any{
 		"Member": name, "Zone": zone, "Region": "addis", "Callers": addrs[0], "Status": addrs[1], "Peers": addrs[2], "Store": scr.sto.address(),
-		"GraceTime": "8s", "LeaveTime": "2000ms", "ChangeTime": "2000ms", "RetryShare": 0.8, "RetrySlack": 150, "RetryWindow": "10s", "MemoryLimit": 284,
+		"GraceTime": "8s", "LeaveTime": "2000ms", "ChangeTime": "2000ms", "RetryShare": 0.8, "RetrySlack": 150, "RetryWindow": "10s", "MemoryLimit": scr.memoryMb,
 	}, "", "  ")
 	if err != nil {
 		return nil, err
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -24,10 +24,12 @@
 
 // script is one run of a case.
 type script struct {
-	rec      *recorder
-	sto      *store
-	dir      string
-	trouble  bool
+	rec     *recorder
+	sto     *store
+	dir     string
+	trouble bool
+	// memoryMb is the memory limit of the gateways' machines.
+	memoryMb int
 	gateways []*gatewayProcess
 	client   *http.Client
 }
@@ -62,7 +64,7 @@
 	if !keep {
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
-	scr := &script{rec: rec, dir: dir, trouble: *trouble, client: newClient()}
+	scr := &script{rec: rec, dir: dir, trouble: *trouble, memoryMb: 284, client: newClient()}
 	if scr.sto, err = newStore(rec); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
