--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -43,6 +43,8 @@
 	// last failure, both as returned by nanos. consecutiveFailures counts the
 	// failures since the last response.
 	suspendedUntil, lastFailure, consecutiveFailures atomic.Int64
+	// unverified counts the unverified responses since the last response.
+	unverified atomic.Int64
 	// doublings is how often firstSuspension is doubled for the next suspension.
 	doublings           atomic.Int64
 	lastReport          atomic.Pointer[loadReport]
@@ -152,9 +154,19 @@
 	}
 }
 
+// maxUnverified is the number of unverified responses in a row up to which an upstream
+// does not count as failing. It is alive, and at a few spoiled responses in a hundred the
+// other upstreams would have to take all of its work.
+const maxUnverified = 1
+
+// RecordUnverified records an unverified response, and reports whether the upstream counts
+// as failing.
+func (nd *Node) RecordUnverified() bool { return nd.unverified.Add(1) > maxUnverified }
+
 // RecordResponse records that the upstream has responded, and ends its suspension.
 func (nd *Node) RecordResponse(now time.Time) {
 	nd.lastResponse.Store(nanos(now))
+	nd.unverified.Store(0)
 	nd.consecutiveFailures.Store(0)
 	nd.suspendedUntil.Store(0)
 }
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -204,33 +204,63 @@
 }
 
 // processHeader evaluates the header of a response to a request sent at sentAt. It
-// returns ErrMismatchedResponse if the response belongs to another request.
-func (cl *call) processHeader(nd *bwforward.Node, rsp *http.Response, sentAt time.Time) (ResponseInfo, error) {
+// returns nil if the rest is the upstream's response to the request, errNotRun if the
+// request did not run, and ErrUnverifiedResponse if nothing in the response can be used.
+func (cl *call) processHeader(nd *bwforward.Node, rsp *http.Response, sentAt time.Time) error {
 	info := cl.gw.cfg.Dialect.ParseResponse(rsp)
-	if info.Load != nil {
-		nd.ObserveLoad(*info.Load, cl.gw.cfg.Now())
+	kind, err := info.Classify(cl.info.RequestID, nd.ID)
+	switch kind {
+	case bwforward.UpstreamResponse:
+		cl.observeResponse(nd, info, sentAt)
+		return nil
+	case bwforward.UpstreamRefusal:
+		cl.recordNotRun(nd)
+		cl.observeResponse(nd, info, sentAt)
+		return errNotRun
+	case bwforward.OtherUpstreamRefusal:
+		cl.recordNotRun(nd)
+		nd.MarkReplaced(cl.gw.cfg.Now())
+		cl.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.ReplacedNote, Upstream: nd.ID})
+		cl.gw.searchSuccessor(nd)
+		return errNotRun
+	default:
+		cl.excludeUnverified(nd, err)
+		return fmt.Errorf("%w: %w", ErrUnverifiedResponse, err)
 	}
-	if info.RequestID != "" && info.RequestID != cl.info.RequestID {
-		return info, ErrMismatchedResponse
+}
+
+// errNotRun means that an upstream refused the request without running it.
+var errNotRun = errors.New("upstream refused the request without running it")
+
+func (cl *call) recordNotRun(nd *bwforward.Node) {
+	cl.possibleRuns--
+	cl.exclude = append(cl.exclude, nd.ID)
+}
+
+// excludeUnverified excludes an upstream with an unverified response from further attempts.
+func (cl *call) excludeUnverified(nd *bwforward.Node, cause error) {
+	cl.gw.cfg.Metrics.countUnverified(cause)
+	if nd.RecordUnverified() {
+		cl.excludeFailed(nd)
+		return
 	}
-	if info.NotRun || info.OtherUpstream {
-		cl.possibleRuns--
-		cl.exclude = append(cl.exclude, nd.ID)
-		if info.OtherUpstream {
-			nd.MarkReplaced(cl.gw.cfg.Now())
-			cl.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.ReplacedNote, Upstream: nd.ID})
-			cl.gw.searchSuccessor(nd)
-		}
+	cl.exclude = append(cl.exclude, nd.ID)
+}
+
+// observeResponse records what a verified response says of its upstream.
+func (cl *call) observeResponse(nd *bwforward.Node, info ResponseInfo, sentAt time.Time) {
+	if info.Load != nil {
+		nd.ObserveLoad(*info.Load, cl.gw.cfg.Now())
 	}
-	if !info.OtherUpstream {
+	// A refusal without a limit does not end one.
+	if info.Limit != nil || info.Signed {
 		cl.observeLimit(nd, info.Limit, sentAt)
-		cl.observeLeaving(nd, info.Leaving)
-		if info.RetryAfter > 0 {
-			cl.gw.cfg.Log.Info("upstream wants no requests", "Upstream", nd.ID, "Request", cl.info.RequestID, "For", info.RetryAfter)
-			nd.RecordBackOff(info.RetryAfter, cl.gw.cfg.Now())
-		}
 	}
-	return info, nil
+	cl.observeLeaving(nd, info.Leaving)
+	if info.RetryAfter > 0 {
+		cl.gw.cfg.Log.Info("upstream wants no requests", "Upstream", nd.ID, "Request", cl.info.RequestID, "For", info.RetryAfter)
+		nd.RecordBackOff(info.RetryAfter, cl.gw.cfg.Now())
+	}
 }
 
 // observeLimit records the limit that a response names, logs its changes and tells the
--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -22,8 +22,9 @@
 	// ErrIncompleteResponse means that the upstream may have run the request, but
 	// did not return a complete and successful response.
 	ErrIncompleteResponse = errors.New("no usable response from upstream")
-	// ErrMismatchedResponse means that the response belongs to another request.
-	ErrMismatchedResponse = errors.New("response belongs to another request")
+	// ErrUnverifiedResponse means that nothing shows that the response is the
+	// upstream's to the request, which may have run.
+	ErrUnverifiedResponse = errors.New("response is not known to be the upstream's")
 )
 
 const (
--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -70,12 +70,7 @@
 // ResponseInfo holds what the status and headers of an upstream's response
 // specify.
 type ResponseInfo struct {
-	// RequestID is the request that the response belongs to; empty if not specified.
-	RequestID string
-	// NotRun means that the upstream did not run the request and never will.
-	NotRun bool
-	// OtherUpstream means that the address now belongs to another upstream.
-	OtherUpstream bool
+	bwforward.ResponseClaims
 	// Load is the load that the upstream reports; nil if it reports none.
 	Load *bwforward.Load
 	// Leaving means that the upstream takes no new work until it ends.
--- a/io/bwgateway/endless_test.go
+++ b/io/bwgateway/endless_test.go
@@ -21,14 +21,14 @@
 	{"one header line", "HTTP/1.1 200 OK\r\nLong: ", "xxxxxxxxxxxxxxxx"},
 	{"header lines", "HTTP/1.1 200 OK\r\n", "Line: xxxxxxxxxxxxxxxx\r\n"},
 	{"informational responses", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
-	{"body without a length", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\n\r\n", "xxxxxxxxxxxxxxxx"},
-	{"chunks", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\nxxxxxxxxxxxxxxxx\r\n"},
-	{"chunk size", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
-	{"chunk extension", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nTransfer-Encoding: chunked\r\n\r\n10;", "extension=xxxxxx"},
-	{"trailers", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Line: xxxxxxxxxxxxxxxx\r\n"},
-	{"failure", "HTTP/1.1 500 Internal Server Error\r\nTest-Request: r1\r\n\r\n", "xxxxxxxxxxxxxxxx"},
-	{"comments", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\n\r\n", ": comment\n"},
-	{"repeated events", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\n\r\nid: 1\ndata: piece 1\n\n", "id: 1\ndata: piece 1\n\n"},
+	{"body without a length", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nSignature: s1\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+	{"chunks", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nSignature: s1\r\nTransfer-Encoding: chunked\r\n\r\n", "10\r\nxxxxxxxxxxxxxxxx\r\n"},
+	{"chunk size", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nSignature: s1\r\nTransfer-Encoding: chunked\r\n\r\n", "0000000000000000"},
+	{"chunk extension", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nSignature: s1\r\nTransfer-Encoding: chunked\r\n\r\n10;", "extension=xxxxxx"},
+	{"trailers", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nSignature: s1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "Line: xxxxxxxxxxxxxxxx\r\n"},
+	{"failure", "HTTP/1.1 500 Internal Server Error\r\nTest-Request: r1\r\nSignature: s1\r\n\r\n", "xxxxxxxxxxxxxxxx"},
+	{"comments", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nSignature: s1\r\n\r\n", ": comment\n"},
+	{"repeated events", "HTTP/1.1 200 OK\r\nTest-Request: r1\r\nSignature: s1\r\n\r\nid: 1\ndata: piece 1\n\n", "id: 1\ndata: piece 1\n\n"},
 }
 
 func respondStreamOrWhole(att *attempt) {
--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -24,8 +24,9 @@
 // Headers of the test dialect.
 const (
 	requestHeader    = "Test-Request"
+	signatureHeader  = "Signature"
 	notRunHeader     = "Test-Not-Run"
-	otherHeader      = "Test-Other"
+	responderHeader  = "Test-Responder"
 	timeoutHeader    = "Test-Left"
 	copyTargetHeader = "Test-Copy-To"
 	copyHeader       = "Test-Copy"
@@ -34,6 +35,7 @@
 	partsHeader      = "Test-Parts"
 	limitHeader      = "Test-Limit"
 	leavingHeader    = "Test-Leaving"
+	loadHeader       = "Test-Load"
 )
 
 func dialect() bwgateway.Dialect {
@@ -61,10 +63,18 @@
 		},
 		ParseResponse: func(rsp *http.Response) bwgateway.ResponseInfo {
 			info := bwgateway.ResponseInfo{
-				RequestID:     rsp.Header.Get(requestHeader),
-				NotRun:        rsp.Header.Get(notRunHeader) != "",
-				OtherUpstream: rsp.Header.Get(otherHeader) != "",
-				Leaving:       rsp.Header.Get(leavingHeader) != "",
+				ResponseClaims: bwforward.ResponseClaims{
+					RequestID:   rsp.Header.Get(requestHeader),
+					Responder:   bwmodel.UpstreamID(rsp.Header.Get(responderHeader)),
+					Signed:      rsp.Header.Get(signatureHeader) != "",
+					Failed:      rsp.StatusCode >= http.StatusBadRequest,
+					NotRun:      rsp.Header.Get(notRunHeader) != "",
+					Misdirected: rsp.StatusCode == http.StatusMisdirectedRequest,
+				},
+				Leaving: rsp.Header.Get(leavingHeader) != "",
+			}
+			if running, err := strconv.Atoi(rsp.Header.Get(loadHeader)); err == nil {
+				info.Load = &bwforward.Load{Running: running}
 			}
 			if secs, err := strconv.ParseFloat(rsp.Header.Get(retryHeader), 64); err == nil {
 				info.RetryAfter = time.Duration(secs * float64(time.Second))
@@ -195,8 +205,9 @@
 
 func (att *attempt) send(text string) { _, _ = io.WriteString(att.conn, text) }
 
+// sendHeader sends the header of a response that names the request and is signed.
 func (att *attempt) sendHeader(status string, headers ...string) {
-	att.send("HTTP/1.1 " + status + "\r\n" + requestHeader + ": " + att.req.Header.Get(requestHeader) + "\r\n")
+	att.send("HTTP/1.1 " + status + "\r\n" + requestHeader + ": " + att.req.Header.Get(requestHeader) + "\r\n" + signatureHeader + ": s1\r\n")
 	for _, hdr := range headers {
 		att.send(hdr + "\r\n")
 	}
--- a/io/bwgateway/metrics.go
+++ b/io/bwgateway/metrics.go
@@ -30,6 +30,11 @@
 	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_extra_requests_total{kind=%q,cause=%q}", kind, cause)).Inc()
 }
 
+// countUnverified counts a response that is not known to be its upstream's.
+func (mx *Metrics) countUnverified(cause error) {
+	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_unverified_responses_total{reason=%q}", cause.Error())).Inc()
+}
+
 // observeRequest records a finished request; the status is 0 if none was sent.
 func (mx *Metrics) observeRequest(kind string, status int, took time.Duration) {
 	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_requests_total{kind=%q,status=%q}", kind, strconv.Itoa(status))).Inc()
--- a/io/bwgateway/notes_test.go
+++ b/io/bwgateway/notes_test.go
@@ -12,7 +12,7 @@
 // was lost, and against one whose gateways each find out for themselves that an
 // upstream is dead, has lost a stream or is another one.
 func TestNotesAboutUpstreams(t *testing.T) {
-	misdirected := func(att *attempt) { att.respond("421 Misdirected Request", "", otherHeader+": 1") }
+	misdirected := func(att *attempt) { att.respond("421 Misdirected Request", "", responderHeader+": e9") }
 	tests := []struct {
 		name  string
 		path  string
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -77,9 +77,6 @@
 	}
 }
 
-// errNotRun means that an upstream refused the request without running it.
-var errNotRun = errors.New("upstream refused the request without running it")
-
 // attemptPlain sends the request to one upstream and returns the complete
 // response.
 func (cl *call) attemptPlain(nd *bwforward.Node) (*response, error) {
@@ -101,14 +98,9 @@
 		cl.excludeFailed(nd)
 		return nil, err
 	}
-	info, err := cl.processHeader(nd, exc.rsp, started)
-	if err != nil {
-		cl.excludeFailed(nd)
+	if err := cl.processHeader(nd, exc.rsp, started); err != nil {
 		return nil, err
 	}
-	if info.NotRun || info.OtherUpstream {
-		return nil, errNotRun
-	}
 	body, err := cl.readResponseBody(nd, exc)
 	if errors.Is(err, errBodiesInHand) {
 		cl.exclude = append(cl.exclude, nd.ID)
--- a/io/bwgateway/plain_test.go
+++ b/io/bwgateway/plain_test.go
@@ -12,7 +12,7 @@
 	"bilberrywick/io/bwgateway"
 )
 
-func respondOK(att *attempt) { att.respond("200 OK", "whole", "Signature: s1") }
+func respondOK(att *attempt) { att.respond("200 OK", "whole") }
 
 // Guards against retrying a request that may have run, against not retrying
 // one although that is allowed, and against reporting a request as not run
@@ -60,7 +60,7 @@
 			att.crash()
 		}, true, 502, false},
 		{"action: without a length, complete", func(att *attempt) {
-			att.sendHeader("200 OK", "Signature: s1")
+			att.sendHeader("200 OK")
 			att.send("whole")
 		}, true, 200, false},
 		{"lookup: silent", func(att *attempt) { <-att.closed }, false, 200, true},
@@ -77,8 +77,8 @@
 			if rsp.status != tt.status || rsp.err != nil {
 				t.Errorf("status %d and error %v, want %d", rsp.status, rsp.err, tt.status)
 			}
-			if rsp.status == http.StatusOK && (rsp.body != "whole" || rsp.header.Get("Signature") != "s1") {
-				t.Errorf("body %q and signature %q", rsp.body, rsp.header.Get("Signature"))
+			if rsp.status == http.StatusOK && (rsp.body != "whole" || rsp.header.Get(signatureHeader) != "s1") {
+				t.Errorf("body %q and signature %q", rsp.body, rsp.header.Get(signatureHeader))
 			}
 			if got := second.count() == 1; got != tt.wantSecond || first.count() != 1 {
 				t.Errorf("second engine received the request: %v, want %v", got, tt.wantSecond)
@@ -88,18 +88,18 @@
 }
 
 func respondMismatched(att *attempt) {
-	att.send("HTTP/1.1 200 OK\r\n" + requestHeader + ": r0\r\nContent-Length: 5\r\n\r\nother")
+	att.send("HTTP/1.1 200 OK\r\n" + requestHeader + ": r0\r\n" + signatureHeader + ": s1\r\nContent-Length: 5\r\n\r\nother")
 }
 
 // Guards against an action that no engine accepted and whose refusal lacks a
 // retry time or has an engine's headers.
 func TestUnexecutedActionIsRefused(t *testing.T) {
-	refuse := func(att *attempt) { att.respond("503 Service Unavailable", "", notRunHeader+": 1", "Signature: s1") }
+	refuse := func(att *attempt) { att.respond("503 Service Unavailable", "", notRunHeader+": 1") }
 	stopped := newFakeEngine(t, "e2", respondOK)
 	_ = stopped.lis.Close()
 	tg := newGateway(t, []*fakeEngine{newFakeEngine(t, "e1", refuse), stopped})
 	rsp := tg.do(http.MethodPost, "/action/x", "pay")
-	if rsp.status != http.StatusServiceUnavailable || rsp.header.Get(retryHeader) == "" || rsp.header.Get("Signature") != "" {
+	if rsp.status != http.StatusServiceUnavailable || rsp.header.Get(retryHeader) == "" || rsp.header.Get(signatureHeader) != "" {
 		t.Errorf("status %d, headers %v", rsp.status, rsp.header)
 	}
 }
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -290,12 +290,8 @@
 	if err := sat.exc.readHeader(sat.deadline, sat.out.method); err != nil {
 		return sat.recordLoss(err)
 	}
-	info, err := sat.processHeader(sat.node, sat.exc.rsp, sat.sentAt)
-	if err != nil {
-		return sat.recordLoss(err)
-	}
-	if info.NotRun || info.OtherUpstream {
-		return errNotRun
+	if err := sat.processHeader(sat.node, sat.exc.rsp, sat.sentAt); err != nil {
+		return err
 	}
 	if sat.exc.rsp.StatusCode != http.StatusOK {
 		return sat.readFailure()
--- a/io/bwgateway/stream_test.go
+++ b/io/bwgateway/stream_test.go
@@ -69,7 +69,7 @@
 		{"silent", sendUpTo(3, unresponsive)},
 		{"failed", func(att *attempt) { att.respond("500 Internal Server Error", "oops") }},
 		{"not run", func(att *attempt) { att.respond("503 Service Unavailable", "", notRunHeader+": 1") }},
-		{"other upstream", func(att *attempt) { att.respond("421 Misdirected Request", "", otherHeader+": 1") }},
+		{"other upstream", func(att *attempt) { att.respond("421 Misdirected Request", "", responderHeader+": e9") }},
 		{"last event without the end of the stream", sendUpTo(lastEventID, func(*attempt) {})},
 	}
 	for _, tt := range tests {
@@ -309,7 +309,7 @@
 // list of upstreams is unavailable.
 func TestSuccessorIsIdentified(t *testing.T) {
 	found := make(chan bwgateway.Identity, 1)
-	first := newFakeEngine(t, "e1", func(att *attempt) { att.respond("421 Misdirected Request", "", otherHeader+": 1") })
+	first := newFakeEngine(t, "e1", func(att *attempt) { att.respond("421 Misdirected Request", "", responderHeader+": e9") })
 	tg := newGateway(t, []*fakeEngine{first, newFakeEngine(t, "e2", sendRemaining)}, func(cfg *bwgateway.Config, _ *bwforward.RoutingTableConfig) {
 		cfg.ListUnavailable = func() bool { return true }
 		cfg.Identify = func(_ context.Context, addr netip.AddrPort, _ string) (bwgateway.Identity, error) {
