Forward OPTIONS * like any request, in place of answering it

A caller that sent OPTIONS * got a 200 without a signature, which no upstream had given: net/http's server answers that request itself unless told not to. It is a request without a route now, and gets 404. TestServerAnswersNothingItself got 200 before.

--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -118,7 +118,15 @@
 		return nil, err
 	}
 	prc.gateway = gw
-	prc.callerServer = &http.Server{Handler: gw, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes, ErrorLog: serverLog(cfg.Log)}
+	prc.callerServer = &http.Server{
+		Handler:           gw,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          serverLog(cfg.Log),
+		// The server's own handler would answer OPTIONS * with 200.
+		DisableGeneralOptionsHandler: true,
+	}
 	prc.addGauges()
 	rtr := mux.NewRouter()
 	rtr.HandleFunc("/ready", prc.serveReady)
--- a/io/bwgateway/process_test.go
+++ b/io/bwgateway/process_test.go
@@ -257,3 +257,18 @@
 		}
 	}
 }
+
+// Guards against a success that the process's HTTP server gives in place of an upstream.
+func TestServerAnswersNothingItself(t *testing.T) {
+	rp := startProcess(t, newFakeEngine(t, "e1", respondOK))
+	conn, err := net.Dial("tcp4", rp.sts.Callers.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = io.WriteString(conn, "OPTIONS * HTTP/1.1\r\nHost: 127.0.0.1\r\nConnection: close\r\n\r\n")
+	text, err := io.ReadAll(conn)
+	if err != nil || !strings.HasPrefix(string(text), "HTTP/1.1 404 ") {
+		t.Errorf("got %q, error %v; want status 404", text, err)
+	}
+}
