Take no upstream for a service's by its address and slots (ROUTE)

Cause: an upstream that responds at a known address was taken for the old one's service if its number of slots fitted. Neither says anything about the service; only the list does. The way through another gateway's note had the same fault.

While the list can't be read, an upstream is used only if it reports, between two identifications with the same ID, what only model engines report, and if the manifest and the list leave one service with model engines. The receiver of a note checks that too.

TestDirectoryAddSuccessor asserted the guess by slots; its twelve cases are stricter, eleven of them are rejections.

--- a/cmd/bilberrywick-gateway/main.go
+++ b/cmd/bilberrywick-gateway/main.go
@@ -85,6 +85,7 @@
 		CopyKVCache:          eng.CopyKVCache,
 		DropCopy:             eng.DropCopy,
 		Identify:             eng.Identify,
+		IdentifyModelEngine:  eng.IdentifyModelEngine,
 		Watch:                src.Watch,
 		ReloadSettings:       func() (*bwgateway.Settings, error) { return bwgateway.LoadSettings(path) },
 		OnStoreAddressChange: str.SetAddress,
--- a/core/bwforward/directory.go
+++ b/core/bwforward/directory.go
@@ -180,30 +180,6 @@
 	return count
 }
 
-// AddSuccessor adds an upstream that responds at the address of a listed one
-// while the list can't be read, and returns the outcome for the log. An address
-// may be reassigned to another service, so the upstream must have a number of
-// slots that only upstreams of the old one's service have.
-func (dir *UpstreamDirectory) AddSuccessor(old Upstream, id bwmodel.UpstreamID, slots int, now time.Time) string {
-	switch {
-	case !dir.listUnavailable:
-		return "the list will have it"
-	case id == "" || slots != old.Slots:
-		return "other slots"
-	case dir.entries[id] != nil:
-		return "known"
-	}
-	for _, ent := range dir.entries {
-		if ent.up.Slots == old.Slots && ent.up.Service != old.Service {
-			return "service is unclear"
-		}
-	}
-	old.ID, old.StartTime, old.Report = id, now, 0
-	dir.entries[id] = &directoryEntry{up: old, unlisted: true}
-	dir.revision++
-	return "taken in"
-}
-
 // Upstreams returns the upstreams in the order of their IDs. Of several with one
 // address it returns only the last started: the entry of a crashed upstream
 // stays on the list for seconds after its address is assigned to another one.
--- a/core/bwforward/directory_test.go
+++ b/core/bwforward/directory_test.go
@@ -1,6 +1,7 @@
 package bwforward_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -111,49 +112,86 @@
 	}
 }
 
-// Guards against an upstream that is added as the successor of the one listed at
-// its address although it may belong to another service.
+// Guards against an upstream that is added as the successor of the one listed at its
+// address although it may belong to another service: a plain one, whose number of slots
+// says nothing, or one of several services that may have model engines.
 func TestDirectoryAddSuccessor(t *testing.T) {
+	model := bwforward.Service{Name: "model", Model: &bwforward.Model{}}
+	second := bwforward.Service{Name: "second", Model: &bwforward.Model{}}
+	plain := bwforward.Service{Name: "second"}
+	streams := func(to bwmodel.ServiceID) []bwforward.Route {
+		return []bwforward.Route{{Host: "h", Prefix: "/", Kind: bwforward.EventStream, Targets: []bwforward.Target{{Service: to, Weight: 1}}}}
+	}
+	engine := bwforward.Successor{ID: "e9", Slots: 64, IsModelEngine: true}
 	tests := []struct {
-		name            string
-		listUnavailable bool
-		slots           int
-		otherService    bool
-		want            bool
+		name          string
+		listAvailable bool
+		successor     bwforward.Successor
+		services      []bwforward.Service
+		routes        []bwforward.Route
+		// listed is the service of another listed upstream; empty means that there is none.
+		listed bwmodel.ServiceID
+		want   bool
 	}{
-		{"list unavailable, same slots", true, 64, false, true},
-		{"list available", false, 64, false, false},
-		{"other slots", true, 6, false, false},
-		{"another service has the same slots", true, 64, true, false},
+		{name: "model engine of the only model service", successor: engine, services: []bwforward.Service{model, plain}, routes: streams("model"), listed: "second", want: true},
+		{name: "list available", listAvailable: true, successor: engine, services: []bwforward.Service{model}},
+		{name: "not known to be a model engine", successor: bwforward.Successor{ID: "e9", Slots: 64}, services: []bwforward.Service{model}},
+		{name: "other slots", successor: bwforward.Successor{ID: "e9", Slots: 6, IsModelEngine: true}, services: []bwforward.Service{model}},
+		{name: "without an ID", successor: bwforward.Successor{Slots: 64, IsModelEngine: true}, services: []bwforward.Service{model}},
+		{name: "listed ID", successor: bwforward.Successor{ID: "e2", Slots: 64, IsModelEngine: true}, services: []bwforward.Service{model, plain}, listed: "second"},
+		{name: "another model service without upstreams", successor: engine, services: []bwforward.Service{model, second}},
+		{name: "plain service", successor: engine, services: []bwforward.Service{{Name: "model"}}},
+		{name: "no services", successor: engine},
+		{name: "upstream of a service that is not described", successor: engine, services: []bwforward.Service{model}, listed: "third"},
+		{name: "route to a service that is not described", successor: engine, services: []bwforward.Service{model}, routes: streams("third")},
+		{name: "streams to another service", successor: engine, services: []bwforward.Service{model, plain}, routes: streams("second")},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			clk := newClock()
 			dir := bwforward.NewUpstreamDirectory()
-			old := upstream("e1", "z1", 64)
-			dir.Put(old, clk.now)
-			if tt.otherService {
-				other := upstream("e2", "z1", 64)
-				other.Service = "second"
-				dir.Put(other, clk.now)
+			listed := []bwforward.Upstream{upstream("e1", "z1", 64)}
+			if tt.listed != "" {
+				other := upstream("e2", "z1", 6)
+				other.Service, other.Address = tt.listed, netip.MustParseAddrPort("10.0.0.9:80")
+				listed = append(listed, other)
 			}
-			if tt.listUnavailable {
+			dir.Replace(listed, clk.now)
+			if !tt.listAvailable {
 				dir.MarkListUnavailable()
 			}
-			dir.AddSuccessor(old, "e9", tt.slots, clk.now)
+			tbl := bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: 1, Services: tt.services, Routes: tt.routes})
+			old := listed[0]
+			outcome := dir.AddSuccessor(old, tt.successor, tbl, clk.now)
 			found := false
 			for _, up := range dir.Upstreams() {
 				found = found || up.ID == "e9" && up.Service == old.Service && up.Address == old.Address
 			}
 			if found != tt.want {
-				t.Errorf("successor added: %v, want %v", found, tt.want)
+				t.Errorf("successor added: %v (%s), want %v", found, outcome, tt.want)
 			}
 			dir.MarkListAvailable(clk.now)
-			dir.Replace([]bwforward.Upstream{old}, clk.now)
+			dir.Replace(listed, clk.now)
 			dir.Expire(clk.now.Add(bwforward.OutageGracePeriod))
-			if got := dir.Upstreams(); len(got) != 1 || got[0].ID != bwmodel.UpstreamID("e1") {
-				t.Errorf("upstreams %v after the list came back without the successor, want e1", got)
+			if got := dir.Upstreams(); len(got) != len(listed) || got[0].ID != "e1" {
+				t.Errorf("upstreams %v after the list came back without the successor, want %v", got, listed)
 			}
 		})
 	}
 }
+
+// Guards against an upstream that was removed from the list and is used again since it
+// responds at the address of another one.
+func TestRemovedUpstreamIsNoSuccessor(t *testing.T) {
+	clk := newClock()
+	dir := bwforward.NewUpstreamDirectory()
+	old, left := upstream("e1", "z1", 64), upstream("e2", "z1", 64)
+	left.Address = netip.MustParseAddrPort("10.0.0.9:80")
+	dir.Replace([]bwforward.Upstream{old, left}, clk.now)
+	dir.Remove("e2", clk.now)
+	dir.MarkListUnavailable()
+	tbl := bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: 1, Services: []bwforward.Service{{Name: "model", Model: &bwforward.Model{}}}})
+	if outcome := dir.AddSuccessor(old, bwforward.Successor{ID: "e2", Slots: 64, IsModelEngine: true}, tbl, clk.now); upstreamIDs(dir) != "e1 " {
+		t.Errorf("upstreams %q (%s), want e1", upstreamIDs(dir), outcome)
+	}
+}
--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -23,8 +23,10 @@
 	// CopyTarget is the upstream that receives a copy of the work's KV cache, or empty.
 	CopyTarget bwmodel.UpstreamID `cbor:",omitempty"`
 	// Successor is the upstream of a SuccessorNote, and Slots the number of its slots.
-	Successor bwmodel.UpstreamID `cbor:",omitempty"`
-	Slots     int                `cbor:",omitempty"`
+	// IsModelEngine is that of Successor.
+	Successor     bwmodel.UpstreamID `cbor:",omitempty"`
+	Slots         int                `cbor:",omitempty"`
+	IsModelEngine bool               `cbor:",omitempty"`
 	// Slowdown is the factor of a SlowNote.
 	Slowdown float64 `cbor:",omitempty"`
 	// Parts are the parts of prompts of a CrashNote, ServedNote or QuarantineNote.
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -42,13 +42,14 @@
 	// DropCopy frees an unused copy; nil means that copies only expire.
 	DropCopy func(ctx context.Context, name string) error
 	// Identify requests the identity of the upstream at an address, on its service's
-	// health path.
-	Identify func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
+	// health path. IdentifyModelEngine does the same for a model engine, and returns
+	// ErrNoModelEngine if the upstream is none.
+	Identify, IdentifyModelEngine func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
 	// ListUnavailable reports whether the list of upstreams can't be read.
 	ListUnavailable func() bool
 	// OnSuccessor is called with an upstream that responds at the address of another
-	// one. Identify, ListUnavailable and OnSuccessor may be nil.
-	OnSuccessor func(ctx context.Context, old bwforward.Upstream, now Identity)
+	// one. Identify, IdentifyModelEngine, ListUnavailable and OnSuccessor may be nil.
+	OnSuccessor func(ctx context.Context, old bwforward.Upstream, now bwforward.Successor)
 	// SendNote sends a note to the other gateways; nil means that there are no
 	// others.
 	SendNote func(bwforward.PeerNote)
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -34,10 +34,10 @@
 type ProcessConfig struct {
 	Settings *Settings
 	Dialect  Dialect
-	// DropCopy, CopyKVCache and Identify are passed to Config.
-	DropCopy    func(ctx context.Context, name string) error
-	CopyKVCache func(ctx context.Context, source, target netip.AddrPort, request string) (string, error)
-	Identify    func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
+	// DropCopy, CopyKVCache, Identify and IdentifyModelEngine are passed to Config.
+	DropCopy                      func(ctx context.Context, name string) error
+	CopyKVCache                   func(ctx context.Context, source, target netip.AddrPort, request string) (string, error)
+	Identify, IdentifyModelEngine func(ctx context.Context, addr netip.AddrPort, path string) (Identity, error)
 	// Watch keeps the state up to date until the context ends.
 	Watch func(context.Context, *ControlState)
 	// ReloadSettings returns the current settings; nil means that they never change.
@@ -96,23 +96,24 @@
 	prc.peers = prs
 	prc.state.cfg.Peers = prs
 	gw, err := New(Config{
-		Dialect:         cfg.Dialect,
-		Table:           prc.state.Table,
-		Pool:            pool,
-		Budgets:         budgets,
-		Quarantine:      quarantine,
-		OnQuarantine:    prc.state.AnnounceQuarantine,
-		SendNote:        prs.SendNote,
-		Borrow:          prs.Borrow,
-		TakePermit:      permits.Take,
-		CopyKVCache:     cfg.CopyKVCache,
-		DropCopy:        cfg.DropCopy,
-		Identify:        cfg.Identify,
-		OnSuccessor:     prc.state.AddSuccessor,
-		ListUnavailable: func() bool { return prc.state.View().ListUnavailable },
-		BodyMemoryBytes: bodyMemoryBytes(sts.MemoryLimit),
-		Metrics:         prc.metrics,
-		Log:             cfg.Log,
+		Dialect:             cfg.Dialect,
+		Table:               prc.state.Table,
+		Pool:                pool,
+		Budgets:             budgets,
+		Quarantine:          quarantine,
+		OnQuarantine:        prc.state.AnnounceQuarantine,
+		SendNote:            prs.SendNote,
+		Borrow:              prs.Borrow,
+		TakePermit:          permits.Take,
+		CopyKVCache:         cfg.CopyKVCache,
+		DropCopy:            cfg.DropCopy,
+		Identify:            cfg.Identify,
+		IdentifyModelEngine: cfg.IdentifyModelEngine,
+		OnSuccessor:         prc.state.AddSuccessor,
+		ListUnavailable:     func() bool { return prc.state.View().ListUnavailable },
+		BodyMemoryBytes:     bodyMemoryBytes(sts.MemoryLimit),
+		Metrics:             prc.metrics,
+		Log:                 cfg.Log,
 	})
 	if err != nil {
 		return nil, err
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -270,17 +270,18 @@
 	}
 }
 
-// AddSuccessor adds an upstream that responds at the address of another one.
-// It is used until the list of upstreams is available again.
-func (st *ControlState) AddSuccessor(ctx context.Context, old bwforward.Upstream, idy Identity) {
+// AddSuccessor adds an upstream that responds at the address of another one, if it is
+// known to be of the same service. It is used until the list of upstreams is available
+// again.
+func (st *ControlState) AddSuccessor(ctx context.Context, old bwforward.Upstream, suc bwforward.Successor) {
 	err := st.control.Do(ctx, func(cst *ownedState) {
-		reason := cst.dir.AddSuccessor(old, idy.ID, idy.Slots, st.cfg.Now())
-		st.cfg.Log.Info("new upstream found at a known address", "Old", old.ID, "New", idy.ID, "Address", old.Address,
-			"Slots", idy.Slots, "Away", cst.listUnavailable, "Outcome", reason)
+		reason := cst.dir.AddSuccessor(old, suc, cst.table, st.cfg.Now())
+		st.cfg.Log.Info("new upstream found at a known address", "Old", old.ID, "New", suc.ID, "Address", old.Address,
+			"Slots", suc.Slots, "ModelEngine", suc.IsModelEngine, "Away", cst.listUnavailable, "Outcome", reason)
 		st.updatePool(cst)
 	})
 	if err != nil {
-		st.cfg.Log.Warn("new upstream not added", "Upstream", idy.ID, "Error", err)
+		st.cfg.Log.Warn("new upstream not added", "Upstream", suc.ID, "Error", err)
 	}
 }
 
