Order announcements by era and time, and write them under a condition (LIMIT)

Each gateway granted the whole limit, as its only holder.

Cause: a gateway wrote its announcement without a condition. The store lost the response to the one that it stops, and did it after that of its restart. Readers took what the table had for the newest, and the gateway whose row was wrong did not look at it for a minute.

A write names the version of the row that it replaces, so that it makes earlier ones void. Readers take only newer announcements, by era and time on the store's clock, also for keys, addresses, parts in quarantine and versions of the manifest. A gateway that reads an older row of its own writes it again: this covers writes of earlier versions of the program, and gateways that start and know only the row.

Evidence: with the old code the lines `no permit` name each of the three gateways as its own holder.

--- a/core/bwforward/budget_test.go
+++ b/core/bwforward/budget_test.go
@@ -118,7 +118,7 @@
 		missed = now - 2*bwforward.AnnounceInterval
 	)
 	var rst bwforward.GatewayRoster
-	rst.Replace([]bwforward.Announcement{{Member: "a", Address: addr, Seen: lapsed}, {Member: "b", Address: addr, Seen: missed}, {Member: "c", Seen: now}})
+	rst.Apply([]bwforward.Announcement{{Member: "a", Address: addr, Seen: lapsed}, {Member: "b", Address: addr, Seen: missed}, {Member: "c", Seen: now}}, now, true)
 	if got := rst.Count(now); got != 3 {
 		t.Errorf("%d gateways, want this one and 2 others", got)
 	}
@@ -140,7 +140,7 @@
 	}{{time.Second, false}, {10 * time.Second, true}, {3 * bwforward.AnnounceInterval, false}}
 	for _, tt := range tests {
 		var rst bwforward.GatewayRoster
-		rst.Put(bwforward.Announcement{Member: "a", Seen: time.Hour - tt.age})
+		rst.Apply([]bwforward.Announcement{{Member: "a", Seen: time.Hour - tt.age}}, time.Hour, false)
 		if got := rst.Established(time.Hour); got != tt.want {
 			t.Errorf("established %v with an announcement %v old", got, tt.age)
 		}
--- a/core/bwforward/permit_test.go
+++ b/core/bwforward/permit_test.go
@@ -209,7 +209,7 @@
 			var rst bwforward.GatewayRoster
 			for _, ann := range tst.others {
 				ann.Address = addr
-				rst.Put(ann)
+				rst.Apply([]bwforward.Announcement{ann}, now, false)
 			}
 			var got []bwmodel.MemberID
 			for _, ann := range rst.PermitHolders(bwforward.Announcement{Member: "self", Started: tst.self}, now) {
--- a/core/bwforward/restored_test.go
+++ b/core/bwforward/restored_test.go
@@ -93,13 +93,3 @@
 		})
 	}
 }
-
-// Guards against announcements of an older copy that replace what is known of a gateway.
-func TestRosterTakesNewerAnnouncements(t *testing.T) {
-	var rst bwforward.GatewayRoster
-	rst.Put(bwforward.Announcement{Member: "a", Seen: time.Hour})
-	restored := []bwforward.Announcement{{Member: "a", Seen: time.Hour - time.Minute}, {Member: "b", Seen: time.Minute}, {Member: "a", Seen: time.Hour + time.Minute}}
-	if got := rst.Newer(restored); len(got) != 2 || got[0].Member != "b" || got[1].Seen != time.Hour+time.Minute {
-		t.Errorf("taken are %+v, want b and the later one of a", got)
-	}
-}
--- a/core/bwforward/roster.go
+++ b/core/bwforward/roster.go
@@ -34,6 +34,31 @@
 	Era, TableVersion uint64
 	// Quarantined has the parts of prompts that the gateway has put into quarantine.
 	Quarantined []AnnouncedParts
+	// RowVersion is the version of the announcement's row in the store; 0 means that it
+	// has none.
+	RowVersion uint64
+}
+
+// IsNewer reports whether an announcement was made after another one of the same gateway.
+// The era comes first, as the clock of a restored store may be set back.
+func (ann Announcement) IsNewer(other Announcement) bool {
+	if ann.Era != other.Era {
+		return ann.Era > other.Era
+	}
+	return ann.Seen > other.Seen
+}
+
+// Supersede returns the announcement with a time and an era that make it newer than a
+// stored one of the same gateway, and the version of the row that it replaces. The time
+// of a stored one that is far ahead is from a clock that was set back since.
+func (ann Announcement) Supersede(stored Announcement) Announcement {
+	ann.RowVersion = stored.RowVersion
+	ann.Era = max(ann.Era, stored.Era)
+	ann.Seen = ann.Seen.Truncate(announcementTick)
+	if ann.Era == stored.Era && ann.Seen <= stored.Seen && stored.Seen-ann.Seen < maxAnnouncementLead {
+		ann.Seen = stored.Seen + announcementTick
+	}
+	return ann
 }
 
 // AnnouncedParts is a group of quarantined parts in an announcement.
@@ -50,37 +75,36 @@
 	AnnounceInterval = time.Minute
 	// maxAnnouncementAge is the age from which an announcement is ignored.
 	maxAnnouncementAge = 2*AnnounceInterval + 5*time.Second
+	// announcementTick is the resolution of the times in announcements.
+	announcementTick = time.Millisecond
+	// maxAnnouncementLead is how far ahead of a gateway's reading of the store's clock an
+	// announcement may be. Readings are late by less than a call takes.
+	maxAnnouncementLead = 5 * time.Second
 )
 
-// Replace replaces all announcements; others must not contain that of this
-// gateway.
-func (rst *GatewayRoster) Replace(others []Announcement) {
-	rst.others = make(map[bwmodel.MemberID]Announcement, len(others))
-	for _, ann := range others {
-		rst.others[ann.Member] = ann
+// Apply applies announcements of other gateways, read at a time on the store's clock, and
+// returns those that are newer than what was known of their gateways. The store may have
+// an older one: it was restored from a copy, or a write whose response was lost was done
+// after a later one. If full is set they are all announcements, and gateways without one
+// are forgotten.
+func (rst *GatewayRoster) Apply(anns []Announcement, now time.Duration, full bool) []Announcement {
+	known := rst.others
+	if known == nil || full {
+		rst.others = make(map[bwmodel.MemberID]Announcement, len(anns))
 	}
-}
-
-// Newer returns the announcements that are newer than what is known of their gateways. A
-// store that was restored from a copy has older ones.
-func (rst *GatewayRoster) Newer(anns []Announcement) []Announcement {
 	var newer []Announcement
 	for _, ann := range anns {
-		if known, ok := rst.others[ann.Member]; !ok || ann.Seen > known.Seen {
-			newer = append(newer, ann)
+		old, ok := known[ann.Member]
+		if ok && !ann.IsNewer(old) && old.Seen-now < maxAnnouncementLead {
+			rst.others[ann.Member] = old
+			continue
 		}
+		rst.others[ann.Member] = ann
+		newer = append(newer, ann)
 	}
 	return newer
 }
 
-// Put adds or replaces an announcement.
-func (rst *GatewayRoster) Put(ann Announcement) {
-	if rst.others == nil {
-		rst.others = make(map[bwmodel.MemberID]Announcement)
-	}
-	rst.others[ann.Member] = ann
-}
-
 // Count returns the number of gateways, including this one.
 func (rst *GatewayRoster) Count(now time.Duration) int {
 	count := 1
--- a/io/bwgateway/announcer.go
+++ b/io/bwgateway/announcer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"time"
@@ -11,9 +12,11 @@
 )
 
 // StartAnnouncing announces this gateway to the others until the context ends.
-// writeRow stores each announcement. The first one waits for the first call of
+// writeRow stores each announcement if its row still has the version RowVersion, and
+// returns it with the new one. Otherwise it returns ErrAnnouncementReplaced with the
+// announcement that the store has. The first one waits for the first call of
 // ApplyAnnouncements, which provides the store's clock.
-func (st *ControlState) StartAnnouncing(ctx context.Context, writeRow func(context.Context, bwforward.Announcement) error) {
+func (st *ControlState) StartAnnouncing(ctx context.Context, writeRow func(context.Context, bwforward.Announcement) (bwforward.Announcement, error)) {
 	anc := &announcer{state: st, writeRow: writeRow, log: st.cfg.Log}
 	go anc.loop(ctx)
 	if st.cfg.Peers != nil && st.cfg.Quarantine != nil {
@@ -47,7 +50,7 @@
 // announcer writes this gateway's announcement periodically.
 type announcer struct {
 	state    *ControlState
-	writeRow func(context.Context, bwforward.Announcement) error
+	writeRow func(context.Context, bwforward.Announcement) (bwforward.Announcement, error)
 	log      *slog.Logger
 }
 
@@ -86,8 +89,29 @@
 // again after the store was restored. It takes half of the store's writes.
 const announceAgainInterval = 5 * time.Millisecond
 
-// announce reports whether the announcement was written.
+// announceAttempts is the number of writes of one announcement whose row has changed. Only
+// a write whose response was lost changes it.
+const announceAttempts = 3
+
+// announce reports whether the announcement was written. It replaces only the row that is
+// known, so that it makes all earlier writes void that the store may still do.
 func (anc *announcer) announce(ctx context.Context, leaving bool) bool {
+	for range announceAttempts {
+		stored, err := anc.writeRow(ctx, anc.next(leaving))
+		if err != nil && !errors.Is(err, ErrAnnouncementReplaced) {
+			anc.log.Warn("announcement failed", "Error", err)
+			return false
+		}
+		if rerr := anc.state.recordOwn(ctx, stored); err == nil || rerr != nil {
+			return rerr == nil
+		}
+		anc.log.Info("announcement is written again", "Error", err, "RowVersion", stored.RowVersion, "Seen", stored.Seen)
+	}
+	return false
+}
+
+// next returns the next announcement.
+func (anc *announcer) next(leaving bool) bwforward.Announcement {
 	vw := anc.state.View()
 	clock := vw.storeClock()
 	ann := bwforward.Announcement{Leaving: leaving, Seen: clock, Started: vw.startedAt, Era: vw.memberEra}
@@ -100,11 +124,7 @@
 		}
 	}
 	if prs := anc.state.cfg.Peers; prs != nil {
-		ann.Zone, ann.Address, ann.Key = prs.cfg.Zone, prs.Address(), prs.Key()
-	}
-	err := anc.writeRow(ctx, ann)
-	if err != nil {
-		anc.log.Warn("announcement failed", "Error", err)
+		ann.Member, ann.Zone, ann.Address, ann.Key = prs.Member(), prs.cfg.Zone, prs.Address(), prs.Key()
 	}
-	return err == nil
+	return ann.Supersede(vw.own)
 }
--- a/io/bwgateway/announcer_test.go
+++ b/io/bwgateway/announcer_test.go
@@ -18,9 +18,9 @@
 	st := bwgateway.NewControlState(bwgateway.ControlStateConfig{Pool: bwforward.NewPool(bwforward.PoolConfig{}), Budgets: budgets})
 	st.Start(t.Context())
 	written := make(chan bwforward.Announcement, 4)
-	st.StartAnnouncing(t.Context(), func(_ context.Context, ann bwforward.Announcement) error {
+	st.StartAnnouncing(t.Context(), func(_ context.Context, ann bwforward.Announcement) (bwforward.Announcement, error) {
 		written <- ann
-		return nil
+		return ann, nil
 	})
 	select {
 	case ann := <-written:
@@ -69,9 +69,9 @@
 		})
 		st.Start(t.Context())
 		written := make(chan bwforward.Announcement, 1)
-		st.StartAnnouncing(t.Context(), func(_ context.Context, ann bwforward.Announcement) error {
+		st.StartAnnouncing(t.Context(), func(_ context.Context, ann bwforward.Announcement) (bwforward.Announcement, error) {
 			written <- ann
-			return nil
+			return ann, nil
 		})
 		anns := []bwforward.Announcement{{Member: "b", Seen: time.Hour}}
 		if restarted {
--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -76,6 +76,8 @@
 	Value []byte
 	// Deleted is set only in changes.
 	Deleted bool
+	// Version is the version of the row; 0 if its reader does not need it.
+	Version uint64 `cbor:",omitempty"`
 }
 
 // ReadResult is the result of a read. Its field names are part of the datagram
--- a/io/bwgateway/members.go
+++ b/io/bwgateway/members.go
@@ -13,6 +13,8 @@
 type StoreTime struct {
 	// Era counts the times that the store was restored from an older copy.
 	Era uint64
+	// Version is the version of the table that was read.
+	Version uint64
 	// Clock is the reading of the store's monotonic clock.
 	Clock time.Duration
 }
@@ -30,18 +32,16 @@
 			cst.startedAt = now
 		}
 		cst.setClock(now, isRestored)
+		others := st.observeOwn(cst, anns, at, first, isRestored)
+		newer := cst.roster.Apply(others, now, full && !isRestored)
 		if isRestored {
-			anns = st.newAnnouncements(cst, anns)
-		}
-		st.adoptQuarantined(anns, now)
-		anns = st.otherAnnouncements(anns, first)
-		st.observeTables(cst, anns, isRestored)
-		if full && !isRestored {
-			cst.roster.Replace(anns)
-		}
-		for _, ann := range anns {
-			cst.roster.Put(ann)
+			st.cfg.Log.Info("announcements restored", "Era", cst.memberEra, "Entries", len(anns), "New", len(newer))
+			// The store may have lost this gateway's announcement. Those of others that it has
+			// lost stay known until they lapse.
+			signal(st.announceAgain)
 		}
+		st.adoptQuarantined(newer, now, false)
+		st.observeTables(cst, newer, isRestored)
 		if st.cfg.Peers != nil {
 			st.cfg.Peers.SetPeers(cst.roster.Others(now))
 		}
@@ -62,6 +62,14 @@
 	return err
 }
 
+// signal sends to a channel unless a signal is pending.
+func signal(chn chan<- struct{}) {
+	select {
+	case chn <- struct{}{}:
+	default:
+	}
+}
+
 // observeTables records the latest routing table that another gateway has announced in
 // the store's current era.
 func (st *ControlState) observeTables(cst *ownedState, anns []bwforward.Announcement, isRestored bool) {
@@ -76,19 +84,6 @@
 	st.checkFirstTable(cst)
 }
 
-// newAnnouncements returns what a restored store has of the other gateways that is not
-// older than what is known. The store may have lost this gateway's announcement, and
-// those of others, which stay known until they lapse.
-func (st *ControlState) newAnnouncements(cst *ownedState, anns []bwforward.Announcement) []bwforward.Announcement {
-	newer := cst.roster.Newer(st.otherAnnouncements(anns, false))
-	st.cfg.Log.Info("announcements restored", "Era", cst.memberEra, "Entries", len(anns), "New", len(newer))
-	select {
-	case st.announceAgain <- struct{}{}:
-	default:
-	}
-	return newer
-}
-
 // maxReadingAge is the age that a reading of the store's clock may have when it
 // arrives. One that is further behind is of a clock that was set back.
 const maxReadingAge = 5 * time.Second
@@ -120,12 +115,11 @@
 
 // adoptQuarantined puts the announced parts of prompts into quarantine. Those of
 // this gateway are from before a restart.
-func (st *ControlState) adoptQuarantined(anns []bwforward.Announcement, now time.Duration) {
+func (st *ControlState) adoptQuarantined(anns []bwforward.Announcement, now time.Duration, isOwn bool) {
 	if st.cfg.Quarantine == nil {
 		return
 	}
 	for _, ann := range anns {
-		isOwn := st.cfg.Peers != nil && ann.Member == st.cfg.Peers.Member()
 		for _, qp := range ann.Quarantined {
 			if _, ok := st.cfg.Quarantine.Adopt(qp.Parts, st.cfg.Now().Add(qp.Until-now), isOwn); ok {
 				st.cfg.Log.Info("parts of prompts in quarantine", "Parts", qp.Parts, "Left", qp.Until-now, "Source", ann.Member)
@@ -133,34 +127,3 @@
 		}
 	}
 }
-
-// AnnounceQuarantine makes the announcer announce the parts that this gateway has in
-// quarantine.
-func (st *ControlState) AnnounceQuarantine() {
-	select {
-	case st.announceNow <- struct{}{}:
-	default:
-	}
-}
-
-// AnnounceLeaving makes the announcer announce that this gateway stops. It
-// must be called once only.
-func (st *ControlState) AnnounceLeaving() { close(st.stopping) }
-
-// otherAnnouncements returns the announcements without this gateway's own. On
-// the first call it restores the signing key from the own announcement, which
-// was written before a restart and which the other gateways already have.
-func (st *ControlState) otherAnnouncements(anns []bwforward.Announcement, first bool) []bwforward.Announcement {
-	if st.cfg.Peers == nil {
-		return anns
-	}
-	var others []bwforward.Announcement
-	for _, ann := range anns {
-		if ann.Member != st.cfg.Peers.Member() {
-			others = append(others, ann)
-		} else if first {
-			st.cfg.Peers.RestoreKey(ann.Key)
-		}
-	}
-	return others
-}
--- a/io/bwgateway/restored_test.go
+++ b/io/bwgateway/restored_test.go
@@ -266,9 +266,9 @@
 	})
 	st.Start(t.Context())
 	written := make(chan bwforward.Announcement, 4)
-	st.StartAnnouncing(t.Context(), func(_ context.Context, ann bwforward.Announcement) error {
+	st.StartAnnouncing(t.Context(), func(_ context.Context, ann bwforward.Announcement) (bwforward.Announcement, error) {
 		written <- ann
-		return nil
+		return ann, nil
 	})
 	const clock = time.Hour
 	addr := netip.MustParseAddrPort("10.0.0.1:7340")
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -56,6 +56,8 @@
 	startedAt time.Duration
 	// memberEra is the store's era of the announcements.
 	memberEra uint64
+	// own is that of ownedState.
+	own bwforward.Announcement
 	// permitHolders are the gateways that grant permits, and holderAddresses the
 	// addresses of those that are not this one. settled is set once they are known.
 	permitHolders   []bwmodel.MemberID
@@ -97,7 +99,10 @@
 	clock       time.Duration
 	clockAt     time.Time
 	// startedAt is the reading of the clock at the first announcements.
-	startedAt       time.Duration
+	startedAt time.Duration
+	// own is the newest announcement of this gateway that the store is known to have had,
+	// with the version of the row that it has now.
+	own             bwforward.Announcement
 	permitHolders   []bwmodel.MemberID
 	holderAddresses map[bwmodel.MemberID]netip.AddrPort
 }
@@ -117,7 +122,7 @@
 	return &ControlState{cfg: cfg, membersKnown: make(chan struct{}), stopping: make(chan struct{}), announceNow: make(chan struct{}, 1), announceAgain: make(chan struct{}, 1), control: bwcontrol.New(bwcontrol.Config[ownedState, View]{
 		State: &ownedState{dir: bwforward.NewUpstreamDirectory()},
 		View: func(cst *ownedState) *View {
-			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt, startedAt: cst.startedAt, memberEra: cst.memberEra, permitHolders: cst.permitHolders, holderAddresses: cst.holderAddresses, settled: cst.sharing > 0}
+			return &View{Table: cst.table, Upstreams: len(cst.upstreams), ListUnavailable: cst.listUnavailable, Members: cst.members, ActivePeers: cst.activePeers, clock: cst.clock, clockAt: cst.clockAt, startedAt: cst.startedAt, memberEra: cst.memberEra, own: cst.own, permitHolders: cst.permitHolders, holderAddresses: cst.holderAddresses, settled: cst.sharing > 0}
 		},
 	})}
 }
