Announce again only when the view has the row's new version

A gateway that read an older row of its own signalled its announcer before the view with the row's version was published, so that now and then the write was refused and repeated.

--- a/io/bwgateway/members.go
+++ b/io/bwgateway/members.go
@@ -20,23 +20,25 @@
 // ApplyAnnouncements applies announcements of gateways, which may include this
 // one's, read at a time of the store. If full is set they are all announcements.
 func (st *ControlState) ApplyAnnouncements(ctx context.Context, anns []bwforward.Announcement, at StoreTime, full bool) error {
-	first := false
+	first, isRestored, isReplaced := false, false, false
 	err := st.control.Do(ctx, func(cst *ownedState) {
 		now := at.Clock
 		first = cst.clockAt.IsZero()
-		isRestored := !first && at.Era != cst.memberEra
+		isRestored = !first && at.Era != cst.memberEra
 		cst.memberEra = at.Era
 		if first {
 			cst.startedAt = now
 		}
 		cst.setClock(now, isRestored)
-		others := st.observeOwn(cst, anns, at, first, isRestored)
+		others, own := st.splitAnnouncements(anns)
+		if own != nil {
+			isReplaced = st.observeOwn(cst, *own, at, first, isRestored)
+		} else if isRestored {
+			cst.own.RowVersion = 0
+		}
 		newer := cst.roster.Apply(others, now, full && !isRestored)
 		if isRestored {
 			st.cfg.Log.Info("announcements restored", "Era", cst.memberEra, "Entries", len(anns), "New", len(newer))
-			// The store may have lost this gateway's announcement. Those of others that it has
-			// lost stay known until they lapse.
-			signal(st.announceAgain)
 		}
 		st.adoptQuarantined(newer, now, false)
 		st.observeTables(cst, newer, isRestored)
@@ -53,11 +55,22 @@
 		st.cfg.Log.Info("number of gateways changed", "Members", count)
 		st.shareBudgets(cst)
 	})
+	if err != nil {
+		return err
+	}
 	// Do has published the view by now, which the announcer reads.
-	if err == nil && first {
+	if first {
 		close(st.membersKnown)
 	}
-	return err
+	if isRestored {
+		// The store may have lost this gateway's announcement. Those of others that it has
+		// lost stay known until they lapse.
+		signal(st.announceAgain)
+	}
+	if isReplaced {
+		signal(st.announceNow)
+	}
+	return nil
 }
 
 // signal sends to a channel unless a signal is pending.
--- a/io/bwgateway/own_announcement.go
+++ b/io/bwgateway/own_announcement.go
@@ -19,36 +19,34 @@
 // must be called once only.
 func (st *ControlState) AnnounceLeaving() { close(st.stopping) }
 
-// observeOwn takes this gateway's own announcement out of those that were read, and
-// returns the others. The first one that is read was written before a restart; it has the
-// signing key that the others know, and the parts that this gateway had in quarantine.
-func (st *ControlState) observeOwn(cst *ownedState, anns []bwforward.Announcement, at StoreTime, first, isRestored bool) []bwforward.Announcement {
+// splitAnnouncements returns the announcements of the other gateways, and this one's own
+// or nil.
+func (st *ControlState) splitAnnouncements(anns []bwforward.Announcement) (others []bwforward.Announcement, own *bwforward.Announcement) {
 	if st.cfg.Peers == nil {
-		return anns
+		return anns, nil
 	}
-	if isRestored {
-		cst.own.RowVersion = 0
-	}
-	others := make([]bwforward.Announcement, 0, len(anns))
-	for _, ann := range anns {
-		if ann.Member != st.cfg.Peers.Member() {
-			others = append(others, ann)
-			continue
-		}
-		if first {
-			st.cfg.Peers.RestoreKey(ann.Key)
-			st.adoptQuarantined([]bwforward.Announcement{ann}, at.Clock, true)
+	for ix := range anns {
+		if anns[ix].Member == st.cfg.Peers.Member() {
+			own = &anns[ix]
+		} else {
+			others = append(others, anns[ix])
 		}
-		st.observeOwnRow(cst, ann, at, isRestored)
 	}
-	return others
+	return others, own
 }
 
-// observeOwnRow compares the row that the store has with what this gateway has announced.
-// A write whose response was lost may be done after later ones. The other gateways, and
-// above all those that start now, must not take it for the current one.
-func (st *ControlState) observeOwnRow(cst *ownedState, row bwforward.Announcement, at StoreTime, isRestored bool) {
-	if row.RowVersion == 0 {
+// observeOwn compares this gateway's row in the store with what it has announced, and
+// reports whether an older announcement has replaced it: a write whose response was lost
+// may be done after later ones. The other gateways, and above all those that start now,
+// must not take it for the current one. The first row that is read was written before a
+// restart; it has the signing key that the others know, and the parts that this gateway
+// had in quarantine.
+func (st *ControlState) observeOwn(cst *ownedState, row bwforward.Announcement, at StoreTime, first, isRestored bool) bool {
+	if first {
+		st.cfg.Peers.RestoreKey(row.Key)
+		st.adoptQuarantined([]bwforward.Announcement{row}, at.Clock, true)
+	}
+	if row.RowVersion == 0 && !isRestored {
 		// Gateways of earlier versions send rows without theirs.
 		row.RowVersion = cst.own.RowVersion
 	}
@@ -60,8 +58,9 @@
 	case at.Version > cst.own.RowVersion:
 		st.cfg.Log.Warn("own announcement was replaced by an older one", "Seen", cst.own.Seen, "Older", row.Seen, "Leaving", row.Leaving, "TableVersion", at.Version, "RowVersion", row.RowVersion)
 		cst.own.RowVersion = row.RowVersion
-		signal(st.announceNow)
+		return true
 	}
+	return false
 }
 
 // recordOwn records an announcement of this gateway that the store has.
