Move the fault proxy and the process of the soak to bench/bwfault

They know nothing of the platform: a proxy that delays, blocks or resets connections, a program that is signalled and started again, and free ports. The tests of the gateway's processes use them as they are. No behaviour changes.

--- a/platform/soak_proxy_test.go
+++ b/bench/bwfault/proxy.go
@@ -1,86 +1,92 @@
-package bwplatform_test
+package bwfault
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/netip"
 	"sync"
-	"testing"
 	"time"
+
+	"bilberrywick/core/bwretry"
 )
 
-// linkState determines how a proxy treats its connections.
-type linkState int
+// LinkState determines how a Proxy treats its connections.
+type LinkState int
 
+// States of a link.
 const (
-	open linkState = iota
-	// delayed forwards each chunk after linkDelay.
-	delayed
-	// blocked forwards nothing and keeps the connections open. requestsBlocked does
-	// so only in the direction to the target, responsesBlocked only in the direction
+	// Open forwards all bytes at once.
+	Open LinkState = iota
+	// Delayed forwards each chunk after linkDelay.
+	Delayed
+	// Blocked forwards nothing and keeps the connections open. RequestsBlocked does
+	// so only in the direction to the target, ResponsesBlocked only in the direction
 	// from it.
-	blocked
-	requestsBlocked
-	responsesBlocked
-	// resetting resets all connections.
-	resetting
+	Blocked
+	RequestsBlocked
+	ResponsesBlocked
+	// Resetting resets all connections.
+	Resetting
 )
 
 const linkDelay = 80 * time.Millisecond
 
-// proxy is a TCP proxy on loopback between a process and the address that it calls.
-type proxy struct {
+// Proxy is a TCP proxy on loopback between a process and the address that it calls. It
+// is safe for concurrent use.
+type Proxy struct {
 	lis    net.Listener
 	target netip.AddrPort
 
 	mu    sync.Mutex
-	state linkState
+	state LinkState
 	conns map[net.Conn]bool
 	// changed is closed when the state changes.
 	changed chan struct{}
 }
 
-func newProxy(t testing.TB, target netip.AddrPort) *proxy {
-	t.Helper()
+// NewProxy starts a proxy to a target. Its error is that of the listener.
+func NewProxy(target netip.AddrPort) (*Proxy, error) {
 	lis, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		t.Fatal(err)
+		return nil, err
 	}
-	pxy := &proxy{lis: lis, target: target, conns: make(map[net.Conn]bool), changed: make(chan struct{})}
-	t.Cleanup(pxy.close)
+	pxy := &Proxy{lis: lis, target: target, conns: make(map[net.Conn]bool), changed: make(chan struct{})}
 	go pxy.run()
-	return pxy
+	return pxy, nil
 }
 
-func (pxy *proxy) address() netip.AddrPort { return pxy.lis.Addr().(*net.TCPAddr).AddrPort() }
+// Address returns the address at which the proxy accepts connections.
+func (pxy *Proxy) Address() netip.AddrPort { return pxy.lis.Addr().(*net.TCPAddr).AddrPort() }
 
-func (pxy *proxy) close() {
+// Close closes the listener and resets all connections.
+func (pxy *Proxy) Close() {
 	_ = pxy.lis.Close()
-	pxy.setState(resetting)
+	pxy.SetState(Resetting)
 }
 
-// setState changes the state; resetting also resets the open connections.
-func (pxy *proxy) setState(state linkState) {
+// SetState changes the state; Resetting also resets the open connections.
+func (pxy *Proxy) SetState(state LinkState) {
 	pxy.mu.Lock()
 	defer pxy.mu.Unlock()
 	pxy.state = state
 	close(pxy.changed)
 	pxy.changed = make(chan struct{})
-	if state == resetting {
+	if state == Resetting {
 		pxy.resetConnsLocked()
 	}
 }
 
-// resetConns resets the open connections; new ones are accepted.
-func (pxy *proxy) resetConns() {
+// ResetConns resets the open connections; new ones are accepted.
+func (pxy *Proxy) ResetConns() {
 	pxy.mu.Lock()
 	defer pxy.mu.Unlock()
 	pxy.resetConnsLocked()
 }
 
 // resetConnsLocked resets the open connections. The caller holds the mutex.
-func (pxy *proxy) resetConnsLocked() {
+func (pxy *Proxy) resetConnsLocked() {
 	for conn := range pxy.conns {
 		_ = conn.(*net.TCPConn).SetLinger(0)
 		_ = conn.Close()
@@ -88,14 +94,14 @@
 	clear(pxy.conns)
 }
 
-func (pxy *proxy) run() {
+func (pxy *Proxy) run() {
 	for {
-		conn, err := accept(pxy.lis)
+		conn, err := Accept(pxy.lis)
 		if err != nil {
 			return
 		}
 		pxy.mu.Lock()
-		reset := pxy.state == resetting
+		reset := pxy.state == Resetting
 		pxy.mu.Unlock()
 		out, err := net.Dial("tcp4", pxy.target.String())
 		if reset || err != nil {
@@ -109,7 +115,7 @@
 		pxy.mu.Lock()
 		pxy.conns[conn], pxy.conns[out] = true, true
 		pxy.mu.Unlock()
-		for _, dir := range []*proxyDirection{{pxy, conn, out, requestsBlocked}, {pxy, out, conn, responsesBlocked}} {
+		for _, dir := range []*proxyDirection{{pxy, conn, out, RequestsBlocked}, {pxy, out, conn, ResponsesBlocked}} {
 			go dir.run()
 		}
 	}
@@ -119,25 +125,25 @@
 // reached its limit of open files.
 const acceptRetryDelay = 5 * time.Millisecond
 
-// accept returns the next connection, or an error when the listener is closed. It
+// Accept returns the next connection, or an error when the listener is closed. It
 // retries after any other error, since a run that briefly has too many
 // connections must not continue without its proxy or engine.
-func accept(lis net.Listener) (net.Conn, error) {
+func Accept(lis net.Listener) (net.Conn, error) {
 	for {
 		conn, err := lis.Accept()
 		if err == nil || errors.Is(err, net.ErrClosed) {
 			return conn, err
 		}
-		time.Sleep(acceptRetryDelay)
+		bwretry.Pause(context.Background(), acceptRetryDelay)
 	}
 }
 
 // proxyDirection forwards one direction of a connection.
 type proxyDirection struct {
-	pxy      *proxy
+	pxy      *Proxy
 	from, to net.Conn
 	// blockedIn is the state that blocks only this direction.
-	blockedIn linkState
+	blockedIn LinkState
 }
 
 func (dir *proxyDirection) run() {
@@ -172,10 +178,10 @@
 		switch {
 		case !alive:
 			return false
-		case state == delayed:
-			time.Sleep(linkDelay)
+		case state == Delayed:
+			bwretry.Pause(context.Background(), linkDelay)
 			return true
-		case state == blocked || state == dir.blockedIn:
+		case state == Blocked || state == dir.blockedIn:
 			<-changed
 		default:
 			return true
@@ -188,7 +194,7 @@
 func (dir *proxyDirection) closeConns() {
 	dir.pxy.mu.Lock()
 	defer dir.pxy.mu.Unlock()
-	if dir.blockedIn == responsesBlocked {
+	if dir.blockedIn == ResponsesBlocked {
 		_ = dir.from.Close()
 		_ = dir.to.Close()
 		delete(dir.pxy.conns, dir.from)
