--- a/core/bwforward/directory_test.go
+++ b/core/bwforward/directory_test.go
@@ -160,8 +160,7 @@
 			if !tt.listAvailable {
 				dir.MarkListUnavailable()
 			}
-			tbl := bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: 1, Services: tt.services, Routes: tt.routes})
-			old := listed[0]
+			old, tbl := listed[0], bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: 1, Services: tt.services, Routes: tt.routes})
 			outcome := dir.AddSuccessor(old, tt.successor, tbl, clk.now)
 			found := false
 			for _, up := range dir.Upstreams() {
