--- a/review/standin-2/restored.go
+++ b/review/standin-2/restored.go
@@ -94,7 +94,7 @@
 	if len(inst.lateRuns("i-1", time.Time{}, first)) == 0 {
 		return fmt.Errorf("engine i-1 had no requests before it left")
 	}
-	// A report that the gateway has not read yet, as in most moments between two reads.
+	// The copy has a report that the gateway has not read.
 	giveUp := time.Now().Add(20 * time.Second)
 	for {
 		read, reported := fwt.last("servers"), leaver.lastReport()
