--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -21,9 +21,9 @@
 var cases = map[string]func(*installation) error{
 	"truncated": playTruncated,
 	"successor": playSuccessor,
-	"slashes":   playSlashes,
 	"parts":     playParts,
 	"restored":  playRestored,
+	"silent":    playSilent,
 }
 
 func main() {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -48,20 +49,29 @@
 	started time.Time
 	// refuses makes calls of the system fail with 503.
 	refuses bool
-	// onFeed is called after a response of rows-feed has been written.
-	onFeed func(table string)
-	srv    *http.Server
-	addr   string
+	// silentBefore makes all channels silent that were opened before it.
+	silentBefore time.Time
+	// onFeed is called after a response of rows-feed has been written. pending counts the
+	// calls of rows-feed that wait, by table.
+	onFeed  func(table string)
+	pending map[string]int
+	srv     *http.Server
+	addr    string
 }
 
+// connOpened is the key of the time at which a request's channel was opened.
+type connOpened struct{}
+
 func newStore() (*store, error) {
-	str := &store{content: content{rows: make(map[rowID]storedRow)}, era: 1, changed: make(chan struct{}), started: time.Now()}
+	str := &store{content: content{rows: make(map[rowID]storedRow)}, era: 1, changed: make(chan struct{}), started: time.Now(), pending: make(map[string]int)}
 	lis, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	str.addr = lis.Addr().String()
-	str.srv = &http.Server{Handler: http.HandlerFunc(str.serve)}
+	str.srv = &http.Server{Handler: http.HandlerFunc(str.serve), ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
+		return context.WithValue(ctx, connOpened{}, time.Now())
+	}}
 	go func() { _ = str.srv.Serve(lis) }()
 	return str, nil
 }
@@ -125,6 +135,27 @@
 	str.refuses = refuses
 }
 
+// silence makes the open channels silent; new ones work.
+func (str *store) silence() {
+	str.mu.Lock()
+	defer str.mu.Unlock()
+	str.silentBefore = time.Now()
+}
+
+func (str *store) isSilent(req *http.Request) bool {
+	opened, _ := req.Context().Value(connOpened{}).(time.Time)
+	str.mu.Lock()
+	defer str.mu.Unlock()
+	return opened.Before(str.silentBefore)
+}
+
+// waiting reports whether a call of rows-feed waits for changes of a table.
+func (str *store) waiting(table string) bool {
+	str.mu.Lock()
+	defer str.mu.Unlock()
+	return str.pending[table] > 0
+}
+
 type storeAnswer struct {
 	status int
 	body   any
@@ -132,7 +163,15 @@
 }
 
 func (str *store) serve(wrt http.ResponseWriter, req *http.Request) {
+	if str.isSilent(req) {
+		<-req.Context().Done()
+		return
+	}
 	ans := str.answer(req)
+	if str.isSilent(req) {
+		<-req.Context().Done()
+		return
+	}
 	data, err := json.Marshal(ans.body)
 	if err != nil {
 		panic(err)
@@ -196,6 +235,8 @@
 	wait, _ := strconv.Atoi(qry.Get("waitMs"))
 	end := time.After(time.Duration(min(wait, 30000)) * time.Millisecond)
 	era := str.era
+	str.pending[qry.Get("table")]++
+	defer func() { str.pending[qry.Get("table")]-- }()
 	for {
 		if str.refuses {
 			return storeAnswer{http.StatusServiceUnavailable, map[string]any{}, str.era}
