bwforward: add a successor only while no other service may have its address

Cause: UpstreamDirectory.AddSuccessor took a model engine for one of the lost engine's service if the manifest had only one service with model engines. The operator may have written another manifest since it was read: in the pause between two reads, while the store takes writes but answers no reads, or while only this gateway is cut off.

Evidence: "new upstream found at a known address" has the outcome "taken in" before the first wrong request, with one gateway, so that no note is involved.

Alive is the time at which a request was sent that the lost engine has answered itself, on a clock that counts suspensions. Other gateways' notes have to say that their sender knows the service; those of earlier versions are dropped. The routing table is no longer used for it.

The test now lets another service have the address after the reuse time, as on the platform, and sends requests before the crash, which show that the engine is alive.

--- a/core/bwforward/directory_test.go
+++ b/core/bwforward/directory_test.go
@@ -113,38 +113,31 @@
 }
 
 // Guards against an upstream that is added as the successor of the one listed at its
-// address although it may belong to another service: a plain one, whose number of slots
-// says nothing, or one of several services that may have model engines.
+// address although it may belong to another service, whatever the table and the list of
+// the last read say.
 func TestDirectoryAddSuccessor(t *testing.T) {
-	model := bwforward.Service{Name: "model", Model: &bwforward.Model{}}
-	second := bwforward.Service{Name: "second", Model: &bwforward.Model{}}
-	plain := bwforward.Service{Name: "second"}
-	streams := func(to bwmodel.ServiceID) []bwforward.Route {
-		return []bwforward.Route{{Host: "h", Prefix: "/", Kind: bwforward.EventStream, Targets: []bwforward.Target{{Service: to, Weight: 1}}}}
+	engine := bwforward.Successor{ID: "e9", Slots: 64, IsModelEngine: true, SameService: true}
+	change := func(apply func(*bwforward.Successor)) bwforward.Successor {
+		suc := engine
+		apply(&suc)
+		return suc
 	}
-	engine := bwforward.Successor{ID: "e9", Slots: 64, IsModelEngine: true}
 	tests := []struct {
 		name          string
 		listAvailable bool
 		successor     bwforward.Successor
-		services      []bwforward.Service
-		routes        []bwforward.Route
 		// listed is the service of another listed upstream; empty means that there is none.
 		listed bwmodel.ServiceID
 		want   bool
 	}{
-		{name: "model engine of the only model service", successor: engine, services: []bwforward.Service{model, plain}, routes: streams("model"), listed: "second", want: true},
-		{name: "list available", listAvailable: true, successor: engine, services: []bwforward.Service{model}},
-		{name: "not known to be a model engine", successor: bwforward.Successor{ID: "e9", Slots: 64}, services: []bwforward.Service{model}},
-		{name: "other slots", successor: bwforward.Successor{ID: "e9", Slots: 6, IsModelEngine: true}, services: []bwforward.Service{model}},
-		{name: "without an ID", successor: bwforward.Successor{Slots: 64, IsModelEngine: true}, services: []bwforward.Service{model}},
-		{name: "listed ID", successor: bwforward.Successor{ID: "e2", Slots: 64, IsModelEngine: true}, services: []bwforward.Service{model, plain}, listed: "second"},
-		{name: "another model service without upstreams", successor: engine, services: []bwforward.Service{model, second}},
-		{name: "plain service", successor: engine, services: []bwforward.Service{{Name: "model"}}},
-		{name: "no services", successor: engine},
-		{name: "upstream of a service that is not described", successor: engine, services: []bwforward.Service{model}, listed: "third"},
-		{name: "route to a service that is not described", successor: engine, services: []bwforward.Service{model}, routes: streams("third")},
-		{name: "streams to another service", successor: engine, services: []bwforward.Service{model, plain}, routes: streams("second")},
+		{name: "model engine of the same service", successor: engine, listed: "second", want: true},
+		{name: "model engine that may be of another service", successor: change(func(suc *bwforward.Successor) { suc.SameService = false })},
+		{name: "the same beside a listed plain service", successor: change(func(suc *bwforward.Successor) { suc.SameService = false }), listed: "second"},
+		{name: "list available", listAvailable: true, successor: engine},
+		{name: "not known to be a model engine", successor: change(func(suc *bwforward.Successor) { suc.IsModelEngine = false })},
+		{name: "other slots", successor: change(func(suc *bwforward.Successor) { suc.Slots = 6 })},
+		{name: "without an ID", successor: change(func(suc *bwforward.Successor) { suc.ID = "" })},
+		{name: "listed ID", successor: change(func(suc *bwforward.Successor) { suc.ID = "e2" }), listed: "second"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -160,8 +153,8 @@
 			if !tt.listAvailable {
 				dir.MarkListUnavailable()
 			}
-			old, tbl := listed[0], bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: 1, Services: tt.services, Routes: tt.routes})
-			outcome := dir.AddSuccessor(old, tt.successor, tbl, clk.now)
+			old := listed[0]
+			outcome := dir.AddSuccessor(old, tt.successor, clk.now)
 			found := false
 			for _, up := range dir.Upstreams() {
 				found = found || up.ID == "e9" && up.Service == old.Service && up.Address == old.Address
@@ -179,6 +172,37 @@
 	}
 }
 
+// Guards against an engine that is taken for one of the earlier engine's service although
+// an engine of another service may have the address by then, and against a sign of life
+// that is moved back by a response which arrives late.
+func TestIsSameService(t *testing.T) {
+	const reuseTime = 2 * time.Second
+	for _, tt := range []struct {
+		name                      string
+		aliveAt, seenAt, reuseFor time.Duration
+		want                      bool
+	}{
+		{"within the time", time.Hour, time.Hour + 1900*time.Millisecond, reuseTime, true},
+		{"when the address may be used again", time.Hour, time.Hour + reuseTime, reuseTime, false},
+		{"within the error of the clocks", time.Hour, time.Hour + reuseTime - time.Millisecond, reuseTime, false},
+		{"after a suspension", time.Hour, time.Hour + time.Minute, reuseTime, false},
+		{"never seen alive", 0, time.Second, reuseTime, false},
+		{"clock that can't be read", time.Hour, 0, reuseTime, false},
+		{"addresses may be used again at once", time.Hour, time.Hour, 0, false},
+	} {
+		if got := bwforward.IsSameService(tt.aliveAt, tt.seenAt, tt.reuseFor); got != tt.want {
+			t.Errorf("%s: %v, want %v", tt.name, got, tt.want)
+		}
+	}
+	pl := bwforward.NewPool(bwforward.PoolConfig{})
+	pl.Update([]bwforward.Upstream{upstream("e1", "z1", 64)})
+	pl.Node("e1").RecordAlive(2 * time.Second)
+	pl.Node("e1").RecordAlive(time.Second)
+	if got := pl.Node("e1").AliveAt(); got != 2*time.Second {
+		t.Errorf("alive at %v, want 2s", got)
+	}
+}
+
 // Guards against an upstream that was removed from the list and is used again since it
 // responds at the address of another one.
 func TestRemovedUpstreamIsNoSuccessor(t *testing.T) {
@@ -189,8 +213,7 @@
 	dir.Replace([]bwforward.Upstream{old, left}, clk.now)
 	dir.Remove("e2", clk.now)
 	dir.MarkListUnavailable()
-	tbl := bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: 1, Services: []bwforward.Service{{Name: "model", Model: &bwforward.Model{}}}})
-	if outcome := dir.AddSuccessor(old, bwforward.Successor{ID: "e2", Slots: 64, IsModelEngine: true}, tbl, clk.now); upstreamIDs(dir) != "e1 " {
+	if outcome := dir.AddSuccessor(old, bwforward.Successor{ID: "e2", Slots: 64, IsModelEngine: true, SameService: true}, clk.now); upstreamIDs(dir) != "e1 " {
 		t.Errorf("upstreams %q (%s), want e1", upstreamIDs(dir), outcome)
 	}
 }
--- a/core/bwforward/node.go
+++ b/core/bwforward/node.go
@@ -58,6 +58,8 @@
 	// lastResponse is the time of the upstream's last response to this process, as
 	// returned by nanos.
 	lastResponse atomic.Int64
+	// aliveAt is that of RecordAlive, in nanoseconds; 0 means none.
+	aliveAt atomic.Int64
 	// peerWork is the work that other gateways have placed at the upstream.
 	peerWork peerWork
 	// speed is nil until it was observed.
@@ -182,6 +184,21 @@
 	nd.suspendedUntil.Store(0)
 }
 
+// RecordAlive records that the upstream was alive at a time on the clock of IsSameService.
+// It is the time at which a request was sent that the upstream has answered: the response
+// may have been on its way for any time, and this process suspended meanwhile.
+func (nd *Node) RecordAlive(sentAt time.Duration) {
+	for {
+		old := nd.aliveAt.Load()
+		if int64(sentAt) <= old || nd.aliveAt.CompareAndSwap(old, int64(sentAt)) {
+			return
+		}
+	}
+}
+
+// AliveAt returns the latest time that RecordAlive has recorded, or 0.
+func (nd *Node) AliveAt() time.Duration { return time.Duration(nd.aliveAt.Load()) }
+
 // FailingSince reports whether the upstream has failed a request after a time
 // and has not responded since that failure.
 func (nd *Node) FailingSince(at time.Time) bool {
--- a/core/bwforward/note.go
+++ b/core/bwforward/note.go
@@ -28,10 +28,12 @@
 	// CopyTarget is the upstream that receives a copy of the work's KV cache, or empty.
 	CopyTarget bwmodel.UpstreamID `cbor:",omitempty"`
 	// Successor is the upstream of a SuccessorNote, and Slots the number of its slots.
-	// IsModelEngine is that of Successor.
+	// IsModelEngine and SameService are those of Successor; gateways of earlier versions
+	// don't send the latter.
 	Successor     bwmodel.UpstreamID `cbor:",omitempty"`
 	Slots         int                `cbor:",omitempty"`
 	IsModelEngine bool               `cbor:",omitempty"`
+	SameService   bool               `cbor:",omitempty"`
 	// Slowdown is the factor of a SlowNote or SpeedNote.
 	Slowdown float64 `cbor:",omitempty"`
 	// Parts are the parts of prompts of a CrashNote, ServedNote or QuarantineNote.
--- a/core/bwforward/response.go
+++ b/core/bwforward/response.go
@@ -23,6 +23,14 @@
 	Misdirected bool
 }
 
+// ShowsAlive reports whether the response to a request shows that an upstream was alive
+// when the request was sent to it. Requests name their upstream, and only an upstream that
+// runs a request signs the response.
+func (rcl ResponseClaims) ShowsAlive(request string, upstream bwmodel.UpstreamID) bool {
+	kind, _ := rcl.Classify(request, upstream)
+	return kind == UpstreamResponse && rcl.Signed && (rcl.Responder == "" || rcl.Responder == upstream)
+}
+
 // ResponseKind is what a response is to a request.
 type ResponseKind int
 
--- a/core/bwforward/successor.go
+++ b/core/bwforward/successor.go
@@ -12,17 +12,33 @@
 	Slots int
 	// IsModelEngine is set if it has said of itself what only model engines say.
 	IsModelEngine bool
+	// SameService is set if it is known to be of the listed upstream's service, as by
+	// IsSameService.
+	SameService bool
+}
+
+// reuseMargin is subtracted from the time after which addresses are used again, since the
+// clocks of VMs run at slightly different rates.
+const reuseMargin = 20 * time.Millisecond
+
+// IsSameService reports whether the upstream that responded at an address at seenAt is of
+// the service of the one that was alive there at aliveAt, which is 0 if that is not known.
+// Both are on one clock that counts the time for which the VM is suspended. Another
+// service's upstream gets the address reuseTime after the end of the earlier one at the
+// soonest.
+func IsSameService(aliveAt, seenAt, reuseTime time.Duration) bool {
+	return aliveAt > 0 && seenAt >= aliveAt && seenAt-aliveAt < reuseTime-reuseMargin
 }
 
 // AddSuccessor adds an upstream that responds at the address of a listed one while the
 // list can't be read, and returns the outcome for the log. Only the list says which
-// service an upstream belongs to, and addresses are used again by other services. The
-// one exception is a model engine while there is just one model service.
-func (dir *UpstreamDirectory) AddSuccessor(old Upstream, suc Successor, tbl *RoutingTable, now time.Time) string {
+// service an upstream belongs to, and services, their upstreams and addresses may all
+// change while it can't be read.
+func (dir *UpstreamDirectory) AddSuccessor(old Upstream, suc Successor, now time.Time) string {
 	switch {
 	case !dir.listUnavailable:
 		return "the list will have it"
-	case !suc.IsModelEngine || tbl == nil:
+	case !suc.IsModelEngine || !suc.SameService:
 		return "its service is not known"
 	case suc.ID == "" || suc.Slots != old.Slots:
 		return "other slots"
@@ -30,8 +46,6 @@
 		return "known"
 	case dir.hasOtherVersion(old):
 		return "its version is not known"
-	case !dir.hasOnlyModelService(old.Service, tbl):
-		return "several services may have model engines"
 	}
 	old.ID, old.StartTime, old.Report = suc.ID, now, 0
 	dir.entries[suc.ID] = &directoryEntry{up: old, unlisted: true}
@@ -44,15 +58,3 @@
 	_, ok := dir.removed[id]
 	return ok
 }
-
-// hasOnlyModelService reports whether a service has all model engines that may exist. A
-// listed service that the table does not describe may have some too.
-func (dir *UpstreamDirectory) hasOnlyModelService(svc bwmodel.ServiceID, tbl *RoutingTable) bool {
-	for _, ent := range dir.entries {
-		if ent.up.Service != svc && tbl.MayHaveModelEngines(ent.up.Service) {
-			return false
-		}
-	}
-	only, ok := tbl.OnlyModelService()
-	return ok && only == svc
-}
--- a/core/bwforward/table.go
+++ b/core/bwforward/table.go
@@ -18,11 +18,8 @@
 	version  uint64
 	hosts    map[string][]Route
 	services map[bwmodel.ServiceID]Service
-	// targets has the services to which routes lead, and whether event streams are among
-	// them.
-	targets map[bwmodel.ServiceID]bool
-	keys    map[string]Team
-	limits  Limits
+	keys     map[string]Team
+	limits   Limits
 }
 
 // RoutingTableConfig configures a RoutingTable.
@@ -142,16 +139,12 @@
 		version:  cfg.Version,
 		hosts:    make(map[string][]Route),
 		services: make(map[bwmodel.ServiceID]Service, len(cfg.Services)),
-		targets:  make(map[bwmodel.ServiceID]bool),
 		keys:     make(map[string]Team),
 		limits:   cfg.Limits,
 	}
 	for _, rt := range cfg.Routes {
 		host := strings.ToLower(rt.Host)
 		tbl.hosts[host] = append(tbl.hosts[host], rt)
-		for _, tgt := range rt.Targets {
-			tbl.targets[tgt.Service] = tbl.targets[tgt.Service] || rt.Kind == EventStream
-		}
 	}
 	for _, rts := range tbl.hosts {
 		slices.SortStableFunc(rts, func(ra, rb Route) int { return cmp.Compare(len(rb.Prefix), len(ra.Prefix)) })
@@ -183,35 +176,6 @@
 	return svc
 }
 
-// MayHaveModelEngines reports whether the upstreams of a service may be model engines:
-// the table says so, sends event streams to the service, or does not describe it.
-func (tbl *RoutingTable) MayHaveModelEngines(name bwmodel.ServiceID) bool {
-	svc, described := tbl.services[name]
-	return !described || svc.Model != nil || tbl.targets[name]
-}
-
-// OnlyModelService returns the service of the table whose upstreams are model engines. It
-// returns false if there is none, or another one whose upstreams may be.
-func (tbl *RoutingTable) OnlyModelService() (bwmodel.ServiceID, bool) {
-	var only bwmodel.ServiceID
-	for name, svc := range tbl.services {
-		if svc.Model != nil {
-			only = name
-		}
-	}
-	for name := range tbl.services {
-		if name != only && tbl.MayHaveModelEngines(name) {
-			return "", false
-		}
-	}
-	for name := range tbl.targets {
-		if name != only && tbl.MayHaveModelEngines(name) {
-			return "", false
-		}
-	}
-	return only, only != ""
-}
-
 // Routes returns the number of routes.
 func (tbl *RoutingTable) Routes() int {
 	count := 0
--- a/core/bwforward/version_test.go
+++ b/core/bwforward/version_test.go
@@ -131,8 +131,7 @@
 			old := versioned("e1", "z1", "v1")
 			dir.Replace(append(tt.others, old), now)
 			dir.MarkListUnavailable()
-			tbl := bwforward.NewRoutingTable(bwforward.RoutingTableConfig{Version: 1, Services: []bwforward.Service{model}})
-			if got := dir.AddSuccessor(old, bwforward.Successor{ID: "e9", Slots: 6, IsModelEngine: true}, tbl, now); got != tt.want {
+			if got := dir.AddSuccessor(old, bwforward.Successor{ID: "e9", Slots: 6, IsModelEngine: true, SameService: true}, now); got != tt.want {
 				t.Errorf("outcome %q, want %q", got, tt.want)
 			}
 		})
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -37,6 +37,8 @@
 	// delivered counts the upstreams that received the request, including those
 	// that refused it.
 	delivered int
+	// sentUptime is the reading of Config.Uptime before the last request was sent.
+	sentUptime time.Duration
 	// refusedPermits counts the permits that were refused in the last choice.
 	refusedPermits int
 	// versions is what the request may use of its service's versions.
@@ -167,6 +169,7 @@
 func (cl *call) sendRequest(ctx context.Context, nd *bwforward.Node, info AttemptInfo) (*exchange, error) {
 	out := cl.out
 	out.header = cl.gw.cfg.Dialect.UpstreamHeaders(cl.callerHeader, info)
+	cl.sentUptime = cl.gw.cfg.Uptime()
 	exc, err := openExchange(ctx, cl.gw.cfg.Dial, nd.Address, &out, &cl.gw.upstreamHeaders)
 	if errors.Is(err, ErrNotSent) {
 		cl.gw.recordFailure(nd, true)
@@ -228,6 +231,7 @@
 		cl.recordNotRun(nd)
 		nd.MarkReplaced(cl.gw.cfg.Now())
 		cl.gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.ReplacedNote, Upstream: nd.ID})
+		cl.gw.logReplaced(nd, info.Responder)
 		cl.gw.searchSuccessor(nd)
 		return errNotRun
 	default:
@@ -259,6 +263,9 @@
 	if info.Load != nil {
 		nd.ObserveLoad(*info.Load, cl.gw.cfg.Now())
 	}
+	if info.ShowsAlive(cl.info.RequestID, nd.ID) {
+		nd.RecordAlive(cl.sentUptime)
+	}
 	// A refusal without a limit does not end one.
 	if info.Limit != nil || info.Signed {
 		cl.observeLimit(nd, info.Limit, sentAt)
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -52,6 +52,12 @@
 	// OnSuccessor is called with an upstream that responds at the address of another
 	// one. Identify, IdentifyModelEngine, ListUnavailable and OnSuccessor may be nil.
 	OnSuccessor func(ctx context.Context, old bwforward.Upstream, now bwforward.Successor)
+	// ReuseTime is the time after the end of an upstream in which no upstream of another
+	// service gets its address; 0 means none.
+	ReuseTime time.Duration
+	// Uptime returns the time since the start of the VM, in which it may have been
+	// suspended, or 0 if that is not known; nil means the system's clock.
+	Uptime func() time.Duration
 	// SendNote sends a note to the other gateways; nil means that there are no
 	// others.
 	SendNote func(bwforward.PeerNote)
@@ -129,6 +135,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.Uptime == nil {
+		cfg.Uptime = uptime
+	}
 	if cfg.Quarantine == nil {
 		cfg.Quarantine = bwforward.NewQuarantine(cfg.Now)
 	}
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -116,6 +116,7 @@
 		Identify:            cfg.Identify,
 		IdentifyModelEngine: cfg.IdentifyModelEngine,
 		OnSuccessor:         prc.state.AddSuccessor,
+		ReuseTime:           sts.ReuseTime,
 		ListUnavailable:     func() bool { return prc.state.View().ListUnavailable },
 		BodyMemoryBytes:     bodyMemoryBytes(sts.MemoryLimit),
 		HeaderMemoryBytes:   upstreamHeaderBytes(sts.MemoryLimit),
--- a/io/bwgateway/settings.go
+++ b/io/bwgateway/settings.go
@@ -30,6 +30,10 @@
 	LeaveTime time.Duration `default:"2s" min:"500ms"`
 	// ChangeTime is the time after which new routes must be in effect.
 	ChangeTime time.Duration `default:"2s" min:"500ms"`
+	// ReuseTime is the time after the end of an upstream in which no upstream of another
+	// service gets its address; without it an upstream that restarts while the list of
+	// upstreams can't be read is not used until it can.
+	ReuseTime time.Duration `default:"0s" min:"0s"`
 	// RetryShare limits retries, as a share of all requests.
 	RetryShare float64 `default:"0.1" min:"0"`
 	// RetrySlack is the number of retries that all gateways together may send beyond
--- a/io/bwgateway/state.go
+++ b/io/bwgateway/state.go
@@ -291,9 +291,9 @@
 // again.
 func (st *ControlState) AddSuccessor(ctx context.Context, old bwforward.Upstream, suc bwforward.Successor) {
 	err := st.control.Do(ctx, func(cst *ownedState) {
-		reason := cst.dir.AddSuccessor(old, suc, cst.table, st.cfg.Now())
+		reason := cst.dir.AddSuccessor(old, suc, st.cfg.Now())
 		st.cfg.Log.Info("new upstream found at a known address", "Old", old.ID, "New", suc.ID, "Address", old.Address,
-			"Slots", suc.Slots, "ModelEngine", suc.IsModelEngine, "Away", cst.listUnavailable, "Outcome", reason)
+			"Slots", suc.Slots, "ModelEngine", suc.IsModelEngine, "SameService", suc.SameService, "Away", cst.listUnavailable, "Outcome", reason)
 		st.updatePool(cst)
 	})
 	if err != nil {
--- a/io/bwgateway/successor.go
+++ b/io/bwgateway/successor.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"bilberrywick/core/bwforward"
+	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwretry"
 )
 
@@ -22,35 +23,48 @@
 	// identifyTimeout bounds the requests of one attempt, whose responses need no slot of
 	// the engine.
 	identifyTimeout = 500 * time.Millisecond
-	// identifyInterval is the pause between attempts and identifyAttempts their
-	// number. A crashed engine restarts within a second or two or not at all.
-	identifyInterval = 700 * time.Millisecond
-	identifyAttempts = 5
+	// identifyInterval is the pause between attempts.
+	identifyInterval = 200 * time.Millisecond
 )
 
 // ErrNoModelEngine means that an upstream is not a model engine.
 var ErrNoModelEngine = errors.New("upstream is not a model engine")
 
 // searchSuccessor starts a search for the successor of a failed model engine if the list
-// can't be read and no search is running. Other upstreams don't say what they are.
+// can't be read and no search is running. Plain upstreams are not searched for, since
+// their health path takes a slot.
 func (gw *Gateway) searchSuccessor(nd *bwforward.Node) {
 	if gw.cfg.ListUnavailable == nil || !gw.cfg.ListUnavailable() || gw.cfg.IdentifyModelEngine == nil || gw.cfg.OnSuccessor == nil {
 		return
 	}
 	tbl := gw.cfg.Table()
-	if tbl == nil || tbl.Service(nd.Service).Model == nil || !nd.BeginSuccessorSearch() {
+	if tbl == nil || tbl.Service(nd.Service).Model == nil || !gw.mayBeSameService(nd) || !nd.BeginSuccessorSearch() {
 		return
 	}
 	ssr := &successorSearch{gw: gw, old: nd, health: tbl.Service(nd.Service).Health}
 	go ssr.run()
 }
 
+// logReplaced logs that another upstream has the address of a listed one. SinceAlive is
+// the time since the listed one was last known to be alive, or 0 if it is not known.
+func (gw *Gateway) logReplaced(nd *bwforward.Node, responder bwmodel.UpstreamID) {
+	since := time.Duration(0)
+	if aliveAt := nd.AliveAt(); aliveAt > 0 {
+		since = gw.cfg.Uptime() - aliveAt
+	}
+	gw.cfg.Log.Info("another upstream has the address of a listed one", "Listed", nd.ID, "Responder", responder, "Address", nd.Address,
+		"SinceAlive", since, "SameService", gw.mayBeSameService(nd), "Away", gw.cfg.ListUnavailable != nil && gw.cfg.ListUnavailable())
+}
+
+// mayBeSameService reports whether an upstream that responds at the address of another one
+// now would be known to be of its service.
+func (gw *Gateway) mayBeSameService(nd *bwforward.Node) bool {
+	return bwforward.IsSameService(nd.AliveAt(), gw.cfg.Uptime(), gw.cfg.ReuseTime)
+}
+
 func (ssr *successorSearch) run() {
 	defer ssr.old.EndSuccessorSearch()
-	for range identifyAttempts {
-		if ssr.identify() || !ssr.gw.cfg.ListUnavailable() {
-			return
-		}
+	for ssr.gw.mayBeSameService(ssr.old) && !ssr.identify() && ssr.gw.cfg.ListUnavailable() {
 		bwretry.Pause(context.Background(), identifyInterval)
 	}
 }
@@ -60,14 +74,20 @@
 	cfg := ssr.gw.cfg
 	ctx, cancel := context.WithTimeout(context.Background(), identifyTimeout)
 	defer cancel()
+	sentAt := cfg.Uptime()
 	idy, err := cfg.IdentifyModelEngine(ctx, ssr.old.Address, ssr.health)
 	if err != nil {
 		cfg.Log.Warn("upstream identification failed", "Old", ssr.old.ID, "Address", ssr.old.Address, "Error", err)
 		return errors.Is(err, ErrNoModelEngine)
 	}
-	if idy.ID != ssr.old.ID {
-		cfg.OnSuccessor(ctx, ssr.old.Upstream, bwforward.Successor{ID: idy.ID, Slots: idy.Slots, IsModelEngine: true})
-		cfg.SendNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: ssr.old.ID, Successor: idy.ID, Slots: idy.Slots, IsModelEngine: true})
+	if idy.ID == ssr.old.ID {
+		ssr.old.RecordAlive(sentAt)
+		return true
+	}
+	suc := bwforward.Successor{ID: idy.ID, Slots: idy.Slots, IsModelEngine: true, SameService: bwforward.IsSameService(ssr.old.AliveAt(), cfg.Uptime(), cfg.ReuseTime)}
+	cfg.OnSuccessor(ctx, ssr.old.Upstream, suc)
+	if suc.SameService {
+		cfg.SendNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: ssr.old.ID, Successor: idy.ID, Slots: idy.Slots, IsModelEngine: true, SameService: true})
 	}
 	return true
 }
@@ -89,7 +109,7 @@
 	if nt.Kind != bwforward.SuccessorNote || old == nil || gw.cfg.OnSuccessor == nil || gw.cfg.ListUnavailable == nil || !gw.cfg.ListUnavailable() {
 		return
 	}
-	nsc := &notedSuccessor{gw: gw, old: old.Upstream, now: bwforward.Successor{ID: nt.Successor, Slots: nt.Slots, IsModelEngine: nt.IsModelEngine}}
+	nsc := &notedSuccessor{gw: gw, old: old.Upstream, now: bwforward.Successor{ID: nt.Successor, Slots: nt.Slots, IsModelEngine: nt.IsModelEngine, SameService: nt.SameService}}
 	go nsc.run()
 }
 
--- a/io/bwgateway/successor_test.go
+++ b/io/bwgateway/successor_test.go
@@ -24,27 +24,52 @@
 
 // Guards against not using a model engine that restarted under another ID while the
 // list of upstreams is unavailable, and against taking an upstream for one that does not
-// say so, or any upstream of a plain service.
+// say so, any upstream of a plain service, or one that responds so long after the earlier
+// one that another service may have its address.
 func TestSuccessorIsIdentified(t *testing.T) {
+	const reuseTime = 2 * time.Second
 	tests := []struct {
 		name     string
 		plain    bool
 		identify error
+		// neverAlive means that the earlier engine has not responded; pause is the time from
+		// its response until the next request.
+		neverAlive bool
+		pause      time.Duration
 		// wantCalls is the number of identifications, want that one is found.
 		wantCalls int64
 		want      bool
 	}{
-		{"model engine", false, nil, 1, true},
-		{"no model engine", false, bwgateway.ErrNoModelEngine, 1, false},
-		{"plain service", true, nil, 0, false},
+		{"model engine", false, nil, false, time.Second, 1, true},
+		{"no model engine", false, bwgateway.ErrNoModelEngine, false, time.Second, 1, false},
+		{"plain service", true, nil, false, time.Second, 0, false},
+		{"the earlier engine was not seen alive", false, nil, true, time.Second, 0, false},
+		{"the address may be used again", false, nil, false, reuseTime, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			found := make(successorLog, 1)
 			notes := make(chan bwforward.PeerNote, 1)
 			var calls atomic.Int64
-			first := newFakeEngine(t, "e1", func(att *attempt) { att.respond("421 Misdirected Request", "", responderHeader+": e9") })
-			tg := newGateway(t, []*fakeEngine{first, newFakeEngine(t, "e2", sendRemaining)}, func(cfg *bwgateway.Config, table *bwforward.RoutingTableConfig) {
+			var uptime atomic.Int64
+			uptime.Store(int64(time.Hour))
+			var isReplaced atomic.Bool
+			isReplaced.Store(tt.neverAlive)
+			first := newFakeEngine(t, "e1", func(att *attempt) {
+				if !isReplaced.Load() {
+					sendRemaining(att)
+					return
+				}
+				att.respond("421 Misdirected Request", "", responderHeader+": e9")
+			})
+			second := newFakeEngine(t, "e2", func(att *attempt) {
+				if !isReplaced.Load() {
+					att.respond("503 Service Unavailable", "", notRunHeader+": 1")
+					return
+				}
+				sendRemaining(att)
+			})
+			tg := newGateway(t, []*fakeEngine{first, second}, func(cfg *bwgateway.Config, table *bwforward.RoutingTableConfig) {
 				if tt.plain {
 					table.Services[0].Model = nil
 				}
@@ -54,6 +79,8 @@
 					}
 				}
 				cfg.ListUnavailable = func() bool { return true }
+				cfg.ReuseTime = reuseTime
+				cfg.Uptime = func() time.Duration { return time.Duration(uptime.Load()) }
 				cfg.IdentifyModelEngine = func(_ context.Context, addr netip.AddrPort, _ string) (bwgateway.Identity, error) {
 					calls.Add(1)
 					if addr != first.upstream().Address {
@@ -63,12 +90,19 @@
 				}
 				cfg.OnSuccessor = found.add
 			})
+			if rsp := tg.do(http.MethodPost, "/stream/x", "prompt"); rsp.status != http.StatusOK {
+				t.Fatalf("status %d before the engine was replaced", rsp.status)
+			}
+			isReplaced.Store(true)
+			uptime.Add(int64(tt.pause))
+			// The suspension of the engine that refused has ended.
+			time.Sleep(300 * time.Millisecond)
 			tg.do(http.MethodPost, "/stream/x", "prompt")
 			// The search goes on after the response.
-			want := bwforward.Successor{ID: "e9", Slots: 8, IsModelEngine: true}
+			want := bwforward.Successor{ID: "e9", Slots: 8, IsModelEngine: true, SameService: true}
 			select {
 			case suc := <-found:
-				if nt := <-notes; !tt.want || suc != want || nt.Successor != want.ID || !nt.IsModelEngine {
+				if nt := <-notes; !tt.want || suc != want || nt.Successor != want.ID || !nt.IsModelEngine || !nt.SameService {
 					t.Errorf("found %+v, note %+v", suc, nt)
 				}
 			case <-time.After(time.Second):
@@ -94,11 +128,11 @@
 			cfg.ListUnavailable = func() bool { return unavailable }
 			cfg.OnSuccessor = found.add
 		})
-		tg.gw.HandleNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: "unknown", Successor: "e8", Slots: 8, IsModelEngine: true})
-		tg.gw.HandleNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: "e1", Successor: "e9", Slots: 8, IsModelEngine: true})
+		tg.gw.HandleNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: "unknown", Successor: "e8", Slots: 8, IsModelEngine: true, SameService: true})
+		tg.gw.HandleNote(bwforward.PeerNote{Kind: bwforward.SuccessorNote, Upstream: "e1", Successor: "e9", Slots: 8, IsModelEngine: true, SameService: true})
 		select {
 		case suc := <-found:
-			if !unavailable || suc != (bwforward.Successor{ID: "e9", Slots: 8, IsModelEngine: true}) {
+			if !unavailable || suc != (bwforward.Successor{ID: "e9", Slots: 8, IsModelEngine: true, SameService: true}) {
 				t.Errorf("list unavailable %v: got %+v", unavailable, suc)
 			}
 		case <-time.After(100 * time.Millisecond):
