bwgateway: copy a KV cache to another zone once an engine there is known

Streams broke off or were late when a zone's engines failed although engines of other zones were free: their copies were in the zone that failed, or they had none.

Cause: the engine for the copy is chosen when the stream begins, and only replaced when it is lost. A stream that begins while the engines of one zone are known, as in an outage of the list, keeps a copy in that zone, and one that begins while no engine has memory never gets a copy.

Change: each second a stream without a copy, or with one in its engine's own zone, looks for an engine of another zone and has its cache copied there.

TestLostCopyIsRecreated has two more cases, which failed before: resumed without a copy, and from the copy in the engine's own zone.

--- a/io/bwgateway/copy.go
+++ b/io/bwgateway/copy.go
@@ -26,6 +26,9 @@
 	copyRenewInterval = 2500 * time.Millisecond
 	// copyRetryInterval is the pause after a failed copy request.
 	copyRetryInterval = 500 * time.Millisecond
+	// copySearchInterval is the pause between two searches for a better engine for the
+	// copy, each of which compares all engines of the service.
+	copySearchInterval = time.Second
 )
 
 func (crq *copyRequest) run(ctx context.Context) {
@@ -39,9 +42,9 @@
 	crq.result <- name
 }
 
-// maintainCopy replaces the copy if its engine has failed or left, and renews a
-// copy that was requested later. The copy that an engine makes from the start of
-// a generation needs no renewal and lasts as long as the engine that holds it.
+// maintainCopy replaces the copy if its engine has failed or left or a better one is
+// known, and renews a copy that was requested later. The copy that an engine makes from
+// the start of a generation needs no renewal and lasts as long as the engine that holds it.
 func (sat *streamAttempt) maintainCopy(now time.Time) {
 	if sat.pendingCopy != nil {
 		select {
@@ -51,31 +54,43 @@
 		}
 		return
 	}
-	if sat.backup == nil || sat.gw.cfg.CopyKVCache == nil {
+	// The call would be one more request to an engine in need.
+	if sat.gw.cfg.CopyKVCache == nil || sat.node.InNeed(now) {
 		return
 	}
-	// The call would be one more request to an engine in need.
-	if sat.node.InNeed(now) {
+	target := sat.nextCopyTarget(now)
+	if target == nil {
 		return
 	}
+	sat.copyRequestedAt = now
+	sat.pendingCopy = &copyRequest{stream: sat.stream, source: sat.node, target: target, result: make(chan string, 1)}
+	go sat.pendingCopy.run(sat.ctx)
+}
+
+// nextCopyTarget returns the engine to which a copy is requested now, or nil. Engines that
+// were not known when the stream began may hold the copy of one that has none, or none in
+// another zone.
+func (sat *streamAttempt) nextCopyTarget(now time.Time) *bwforward.Node {
 	pause := copyRetryInterval
 	if sat.copyName != "" {
 		pause = copyRenewInterval
 	}
-	lost := !sat.gw.cfg.Pool.AcceptsWorkOf(sat.backup, sat.copyWork()) || sat.backup.HadFailureSince(sat.copyValidSince)
-	if !lost && sat.copyName == "" || now.Sub(sat.copyRequestedAt) < pause {
-		return
+	if now.Sub(sat.copyRequestedAt) < pause {
+		return nil
 	}
-	target := sat.backup
-	if lost {
-		target = sat.chooseBackup(sat.node, sat.backup.ID)
+	if sat.backup != nil && (!sat.gw.cfg.Pool.AcceptsWorkOf(sat.backup, sat.copyWork()) || sat.backup.HadFailureSince(sat.copyValidSince)) {
+		return sat.chooseBackup(sat.node, sat.backup.ID)
 	}
-	if target == nil {
-		return
+	if (sat.backup == nil || sat.backup.Zone == sat.node.Zone) && now.Sub(sat.copySearchedAt) >= copySearchInterval {
+		sat.copySearchedAt = now
+		if target := sat.chooseBackup(sat.node); target != nil && (sat.backup == nil || target.Zone != sat.node.Zone) {
+			return target
+		}
 	}
-	sat.copyRequestedAt = now
-	sat.pendingCopy = &copyRequest{stream: sat.stream, source: sat.node, target: target, result: make(chan string, 1)}
-	go sat.pendingCopy.run(sat.ctx)
+	if sat.copyName == "" {
+		return nil
+	}
+	return sat.backup
 }
 
 func (sat *streamAttempt) recordCopy(name string) {
--- a/io/bwgateway/stream_attempt.go
+++ b/io/bwgateway/stream_attempt.go
@@ -24,9 +24,10 @@
 	copyName      string
 	copyPlacement *bwforward.Placement
 	// pendingCopy is the copy request in progress, or nil. copyRequestedAt is the
-	// time of the last request.
-	pendingCopy     *copyRequest
-	copyRequestedAt time.Time
+	// time of the last request, copySearchedAt that of the last search for a better engine
+	// for the copy.
+	pendingCopy                     *copyRequest
+	copyRequestedAt, copySearchedAt time.Time
 	// copyValidSince is when the copy was requested. The copy may be lost if its
 	// engine has failed since.
 	copyValidSince time.Time
--- a/io/bwgateway/stream_test.go
+++ b/io/bwgateway/stream_test.go
@@ -221,16 +221,23 @@
 
 // Guards against a generation that is not copied again after the engine with
 // its copy has left the list, or after another gateway has reported that
-// engine as failed.
+// engine as failed; and against one that stays without a copy, or with one in its own
+// zone, since no other engine was known when it began.
 func TestLostCopyIsRecreated(t *testing.T) {
+	knowAll := func(pool *bwforward.Pool, engines []*fakeEngine, _ *fakeEngine) { removeFromPool(pool, engines, nil) }
 	tests := []struct {
-		name     string
-		loseCopy func(*bwforward.Pool, []*fakeEngine, *fakeEngine)
+		name string
+		// known is the number of engines that are known when the stream begins; two are of
+		// one zone.
+		known    int
+		loseCopy func(pool *bwforward.Pool, engines []*fakeEngine, lost *fakeEngine)
 	}{
-		{"left the list", removeFromPool},
-		{"failed", func(pool *bwforward.Pool, _ []*fakeEngine, lost *fakeEngine) {
+		{"left the list", 3, removeFromPool},
+		{"failed", 3, func(pool *bwforward.Pool, _ []*fakeEngine, lost *fakeEngine) {
 			pool.ApplyNote(bwforward.PeerNote{Kind: bwforward.FailureNote, Upstream: lost.id})
 		}},
+		{"no engine was known", 1, knowAll},
+		{"no engine of another zone was known", 2, knowAll},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -240,18 +247,25 @@
 			first := newFakeEngine(t, "e1", func(att *attempt) {
 				att.beginStream()
 				att.event(1)
+				var lost *fakeEngine
 				for _, eng := range engines {
 					if eng.upstream().Address.String() == att.req.Header.Get(copyTargetHeader) {
-						tt.loseCopy(pool, engines, eng)
+						lost = eng
 					}
 				}
-				att.event(2)
-				<-copyTargets
-				time.Sleep(50 * time.Millisecond)
-				att.event(3)
+				tt.loseCopy(pool, engines, lost)
+				id := 2
+				for ; len(copyTargets) == 0 && id < lastEventID-1; id++ {
+					att.event(id)
+					time.Sleep(300 * time.Millisecond)
+				}
+				att.event(id)
 				att.reset()
 			})
 			engines = []*fakeEngine{first, newFakeEngine(t, "e2", sendRemaining), newFakeEngine(t, "e3", sendRemaining)}
+			if tt.known == 2 {
+				engines[1].zone = first.zone
+			}
 			tg := newGateway(t, engines, func(cfg *bwgateway.Config, _ *bwforward.RoutingTableConfig) {
 				pool = cfg.Pool
 				cfg.CopyKVCache = func(_ context.Context, _, target netip.AddrPort, request string) (string, error) {
@@ -262,6 +276,9 @@
 					return "copy-1", nil
 				}
 			})
+			removeFromPool(pool, engines[:tt.known], nil)
+			// The stream begins at the first engine.
+			pool.ApplyNote(bwforward.PeerNote{Kind: bwforward.PlacementNote, Upstream: "e2", Prompt: 8000})
 			rsp := tg.do(http.MethodPost, "/stream/x", "prompt")
 			if rsp.err != nil || rsp.body != expectedBody(1) {
 				t.Fatalf("error %v, body\n%s", rsp.err, rsp.body)
@@ -269,11 +286,14 @@
 			if used := usedCopy(engines[1:]); used != "copy-1" {
 				t.Errorf("resumed from copy %q, want copy-1", used)
 			}
+			if target := engines[2].upstream().Address; tt.known == 2 && (len(copyTargets) == 0 || <-copyTargets != target) {
+				t.Errorf("no copy at the engine of another zone, %v", target)
+			}
 		})
 	}
 }
 
-// removeFromPool removes an engine from the pool.
+// removeFromPool removes an engine from the pool, which has the others then.
 func removeFromPool(pool *bwforward.Pool, engines []*fakeEngine, lost *fakeEngine) {
 	var remaining []bwforward.Upstream
 	for _, eng := range engines {
