bwforward, platform: quarantine parts of prompts wherever they stand

Cause: parseParts kept the first 16 parts of a prompt and dropped the rest without a trace. Evidence: "stream lost its engine" has the parts of each crashed request, sixteen without the deadly one. The same in other places on the way of a part: a long ID was skipped, a second line of the header not read, a note with many parts was longer than the datagrams that are read, an announcement with many parts longer than its row, and eight prompts with a thousand parts in 5 s made the quarantine forget all records.

Change: all parts count. A request in hand does not hold them, they are parsed when they are needed. Records of served, once and repeatedly crashed parts have limits of their own, and each limit is counted and logged.

--- a/core/bwforward/quarantine.go
+++ b/core/bwforward/quarantine.go
@@ -2,8 +2,11 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 )
 
 // Quarantine finds the parts of prompts that crash engines, so that prompts with
@@ -17,26 +20,40 @@
 // these are found when a prompt without the deadly one is served. It is safe for
 // concurrent use.
 type Quarantine struct {
-	mu    sync.Mutex
-	now   func() time.Time
-	parts map[PartID]*partRecord
+	cfg QuarantineConfig
+
+	mu       sync.Mutex
+	suspects *suspects
+	// served has the times of the last responses to prompts with a part.
+	served *simplelru.LRU[PartID, time.Time]
 	// named has the groups of parts in quarantine; the last one was added last.
 	named []QuarantinedParts
 }
 
-// partRecord is what is known of a part.
-type partRecord struct {
-	// crashes counts the crashes since the last response, those at about the same
-	// time once. lastCrash is the last one, lastServed the last response.
-	crashes               int
-	lastCrash, lastServed time.Time
-	// group has the parts that all prompts had which crashed with this one.
-	group []PartID
-	// isKnown is set when the part has been in quarantine, of which one more crash
-	// makes it a member again.
-	isKnown bool
+// QuarantineConfig configures a Quarantine.
+type QuarantineConfig struct {
+	// Now returns the current time; nil means time.Now.
+	Now func() time.Time
+	// OnDrop is called for each thing that is dropped to bound the memory or the size of
+	// an announcement; it must not block or use the Quarantine. It may be nil.
+	OnDrop func(QuarantineDrop)
 }
 
+// QuarantineDrop is what a Quarantine drops at one of its limits. It is used as a label of
+// metrics and in logs.
+type QuarantineDrop string
+
+// Things that are dropped.
+const (
+	// DroppedSuspect is a part whose prompts have crashed engines: its crashes are no
+	// longer counted.
+	DroppedSuspect QuarantineDrop = "suspect"
+	// DroppedGroup is a group of parts whose quarantine ends early.
+	DroppedGroup QuarantineDrop = "group"
+	// DroppedAnnouncement is a group of parts that is not announced in the store.
+	DroppedAnnouncement QuarantineDrop = "announcement"
+)
+
 // QuarantinedParts is a group of parts: prompts that have all of them crash engines.
 type QuarantinedParts struct {
 	Parts []PartID
@@ -70,51 +87,66 @@
 	// part that many prompts share is served all the time while engines crash for
 	// other reasons.
 	servedTime = 5 * time.Second
-	// maxRecords and maxNamed bound the memory for records and groups. The oldest
-	// group yields.
-	maxRecords = 8192
-	maxNamed   = 64
+	// maxServed bounds the memory for served parts to about 3 MiB. A part that is not
+	// among them is suspected until it is served again.
+	maxServed = 16384
+	// maxNamed and maxNamedBytes bound the memory for groups. The oldest group yields.
+	maxNamed      = 64
+	maxNamedBytes = 1 << 20
+	// partOverhead is the memory of a part in a group beside its ID, in bytes.
+	partOverhead = 16
 )
 
-// NewQuarantine returns an empty Quarantine. A nil now means time.Now.
-func NewQuarantine(now func() time.Time) *Quarantine {
-	if now == nil {
-		now = time.Now
+// NewQuarantine returns an empty Quarantine.
+func NewQuarantine(cfg QuarantineConfig) *Quarantine {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.OnDrop == nil {
+		cfg.OnDrop = func(QuarantineDrop) {}
 	}
-	return &Quarantine{now: now, parts: make(map[PartID]*partRecord)}
+	return &Quarantine{cfg: cfg, suspects: newSuspects(cfg.OnDrop), served: newPartLRU[time.Time](maxServed)}
 }
 
 // RecordCrash records that an engine crashed as it began with a prompt, which
-// another gateway saw unless isOwn is set. It returns the group that this crash
-// put into quarantine, or nil.
-func (qrt *Quarantine) RecordCrash(parts []PartID, isOwn bool) *QuarantinedParts {
+// another gateway saw unless isOwn is set. It returns the parts that it suspects, and the
+// group that this crash put into quarantine or nil.
+func (qrt *Quarantine) RecordCrash(parts []PartID, isOwn bool) (suspected []PartID, named *QuarantinedParts) {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	now := qrt.now()
-	suspects := slices.DeleteFunc(slices.Clone(parts), func(part PartID) bool { return qrt.isServed(part, now) })
-	for _, part := range suspects {
-		qrt.record(part, now).addCrash(suspects, now)
-	}
-	var named *QuarantinedParts
-	for _, part := range suspects {
-		rec := qrt.record(part, now)
-		if rec.crashes < crashesToName && !rec.isKnown || qrt.hasNarrowerSuspect(part, rec) {
+	now := qrt.cfg.Now()
+	suspected = slices.DeleteFunc(slices.Clone(parts), func(part PartID) bool { return qrt.isServed(part, now) })
+	all := qrt.suspects.addCrash(suspected, now)
+	var evidence map[*crashGroup]groupEvidence
+	tried := make(map[*crashGroup]bool)
+	for _, sus := range all {
+		if sus.crashes < crashesToName && !sus.isKnown || tried[sus.group] {
+			continue
+		}
+		if evidence == nil {
+			evidence = qrt.suspects.evidence()
+		}
+		if qrt.hasNarrowerGroup(sus, evidence) {
 			continue
 		}
-		if qp := qrt.name(QuarantinedParts{Parts: rec.group, Until: now.Add(QuarantineTime), isOwn: isOwn}); qp != nil {
+		tried[sus.group] = true
+		group := sus.group.parts()
+		if qp := qrt.name(QuarantinedParts{Parts: group, Until: now.Add(QuarantineTime), isOwn: isOwn}); qp != nil {
 			named = qp
-			qrt.explainCrashes(rec.group)
+			qrt.explainCrashes(group)
 		}
 	}
-	return named
+	return suspected, named
 }
 
-// hasNarrowerSuspect reports whether the crashes of a part are explained as well by
-// another one that fewer prompts have and that is not in quarantine yet. Prompts that wait at an engine crash with it,
-// so that parts which many prompts share are suspected with the deadly one.
-func (qrt *Quarantine) hasNarrowerSuspect(part PartID, rec *partRecord) bool {
-	for _, other := range qrt.parts {
-		if len(other.group) > len(rec.group) && other.crashes >= rec.crashes-1 && slices.Contains(other.group, part) && !qrt.isNamed(other.group) {
+// hasNarrowerGroup reports whether the crashes of a part are explained as well by a group
+// with it that fewer prompts have and that is not in quarantine yet. Prompts that wait at
+// an engine crash with it, so that parts which many prompts share are suspected with the
+// deadly one.
+func (qrt *Quarantine) hasNarrowerGroup(sus *suspect, evidence map[*crashGroup]groupEvidence) bool {
+	size := sus.groupSize()
+	for grp, evd := range evidence {
+		if evd.crashes >= sus.crashes-1 && evd.size > size && grp.has(sus) && !qrt.isNamed(grp) {
 			return true
 		}
 	}
@@ -123,40 +155,26 @@
 
 // isNamed reports whether a group is in quarantine, so that its prompts crash no more
 // engines.
-func (qrt *Quarantine) isNamed(group []PartID) bool {
-	return slices.ContainsFunc(qrt.named, func(qp QuarantinedParts) bool { return slices.Equal(qp.Parts, group) })
+func (qrt *Quarantine) isNamed(grp *crashGroup) bool {
+	parts := grp.parts()
+	set := newPartSet(parts)
+	return slices.ContainsFunc(qrt.named, func(qp QuarantinedParts) bool { return len(qp.Parts) == len(parts) && set.hasAll(qp.Parts) })
 }
 
 // explainCrashes lowers the count of crashes of those parts of a named group that have
 // crashed in other prompts too: the group explains most of them.
 func (qrt *Quarantine) explainCrashes(group []PartID) {
 	for _, part := range group {
-		if rec := qrt.parts[part]; rec != nil && len(rec.group) < len(group) {
-			rec.crashes, rec.isKnown = min(rec.crashes, explainedCrashes), false
+		if sus := qrt.suspects.get(part); sus != nil && sus.groupSize() < len(group) {
+			sus.crashes, sus.isKnown = min(sus.crashes, explainedCrashes), false
 		}
 	}
 }
 
 // isServed reports whether a prompt with the part has had a response lately.
 func (qrt *Quarantine) isServed(part PartID, now time.Time) bool {
-	rec := qrt.parts[part]
-	return rec != nil && !rec.lastServed.IsZero() && now.Sub(rec.lastServed) < servedTime
-}
-
-// addCrash counts a crash with a prompt of which these parts are suspected.
-func (rec *partRecord) addCrash(suspects []PartID, now time.Time) {
-	if now.Sub(rec.lastCrash) > QuarantineTime {
-		rec.crashes, rec.group = 0, nil
-	}
-	if rec.group == nil {
-		rec.group = slices.Clone(suspects)
-	} else {
-		rec.group = slices.DeleteFunc(slices.Clone(rec.group), func(part PartID) bool { return !slices.Contains(suspects, part) })
-	}
-	if rec.crashes == 0 || now.Sub(rec.lastCrash) >= crashSpacing {
-		rec.crashes++
-		rec.lastCrash = now
-	}
+	at, ok := qrt.served.Peek(part)
+	return ok && now.Sub(at) < servedTime
 }
 
 // name adds a group and returns it, or returns nil if it is in quarantine already.
@@ -165,60 +183,92 @@
 	if len(qp.Parts) == 0 {
 		return nil
 	}
+	set := newPartSet(qp.Parts)
 	for _, old := range qrt.named {
-		if containsAll(qp.Parts, old.Parts) {
+		if set.hasAll(old.Parts) {
 			return nil
 		}
 	}
-	qrt.named = slices.DeleteFunc(qrt.named, func(old QuarantinedParts) bool { return containsAll(old.Parts, qp.Parts) })
+	qrt.named = slices.DeleteFunc(qrt.named, func(old QuarantinedParts) bool { return newPartSet(old.Parts).hasAll(qp.Parts) })
 	qp.testPause = firstTestPause
-	qp.testAt = qrt.now().Add(qp.testPause)
-	qrt.named = append(qrt.named[max(len(qrt.named)-maxNamed+1, 0):], qp)
+	qp.testAt = qrt.cfg.Now().Add(qp.testPause)
+	qrt.named = append(qrt.named, qp)
+	qrt.dropOldest()
 	for _, part := range qp.Parts {
-		qrt.record(part, qrt.now()).isKnown = true
+		sus := qrt.suspects.put(part)
+		sus.isKnown = true
+		qrt.suspects.touch(sus)
 	}
 	return &qp
 }
 
-// RecordServed records that a prompt has had a response, and reports whether one of
-// its parts was in quarantine, or would have been with the next crash. The others
-// must be told then.
-func (qrt *Quarantine) RecordServed(parts []PartID) bool {
+// dropOldest drops the oldest groups that exceed the limits, but for the last one.
+func (qrt *Quarantine) dropOldest() {
+	size, first := 0, len(qrt.named)
+	for first > 0 && len(qrt.named)-first < maxNamed {
+		size += partsBytes(qrt.named[first-1].Parts, partOverhead)
+		if size > maxNamedBytes && first < len(qrt.named) {
+			break
+		}
+		first--
+	}
+	for range first {
+		qrt.cfg.OnDrop(DroppedGroup)
+	}
+	qrt.named = slices.Delete(qrt.named, 0, first)
+}
+
+// partsBytes returns the size of IDs with an overhead for each, in bytes.
+func partsBytes(parts []PartID, overhead int) int {
+	size := 0
+	for _, part := range parts {
+		size += len(part) + overhead
+	}
+	return size
+}
+
+// RecordServed records that a prompt has had a response. If one of its parts was in
+// quarantine, or would have been with the next crash, it returns all those that were
+// suspected, which the others must be told then.
+func (qrt *Quarantine) RecordServed(parts []PartID) []PartID {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	now := qrt.now()
+	now := qrt.cfg.Now()
 	wasNear := false
+	var cleared []PartID
 	for _, part := range parts {
-		rec := qrt.record(part, now)
-		isSuspected := rec.crashes > 0 || rec.isKnown
-		wasNear = wasNear || rec.crashes >= crashesToName-1 || rec.isKnown
-		*rec = partRecord{lastServed: now}
-		if isSuspected {
-			qrt.clearServed(part)
+		if sus := qrt.suspects.get(part); sus != nil {
+			wasNear = wasNear || sus.crashes >= crashesToName-1 || sus.isKnown
+			cleared = append(cleared, sus.part)
+			qrt.suspects.clear(sus)
+			part = sus.part
+		} else if !qrt.served.Contains(part) {
+			part = PartID(strings.Clone(string(part)))
 		}
+		qrt.served.Add(part, now)
+	}
+	qrt.clearNamed(cleared)
+	if !wasNear {
+		return nil
 	}
-	return wasNear
+	return cleared
 }
 
-// clearServed removes a served part from all groups.
-func (qrt *Quarantine) clearServed(served PartID) {
-	for _, rec := range qrt.parts {
-		rec.group = without(rec.group, served)
+// clearNamed removes served parts from all groups.
+func (qrt *Quarantine) clearNamed(cleared []PartID) {
+	if len(cleared) == 0 || len(qrt.named) == 0 {
+		return
 	}
+	set := newPartSet(cleared)
 	for ix := range qrt.named {
-		qrt.named[ix].Parts = without(qrt.named[ix].Parts, served)
+		// Groups that were returned share their parts.
+		if parts := qrt.named[ix].Parts; slices.ContainsFunc(parts, set.has) {
+			qrt.named[ix].Parts = slices.DeleteFunc(slices.Clone(parts), set.has)
+		}
 	}
 	qrt.named = slices.DeleteFunc(qrt.named, func(qp QuarantinedParts) bool { return len(qp.Parts) == 0 })
 }
 
-// without returns a group without a part. Groups are shared and not changed in place.
-func without(group []PartID, part PartID) []PartID {
-	if !slices.Contains(group, part) {
-		return group
-	}
-	return slices.DeleteFunc(slices.Clone(group), func(other PartID) bool { return other == part })
-}
-
 // Adopt puts a group into quarantine that was named by another gateway, or by this
 // one before a restart if isOwn is set, until a time. It leaves out the parts that
 // have been served here since or shortly before, and returns them: the others don't
@@ -226,14 +276,14 @@
 func (qrt *Quarantine) Adopt(parts []PartID, until time.Time, isOwn bool) (served []PartID, ok bool) {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	now := qrt.now()
+	now := qrt.cfg.Now()
 	if until = earliest(until, now.Add(QuarantineTime)); !until.After(now) {
 		return nil, false
 	}
 	namedAt := until.Add(-QuarantineTime)
 	var group []PartID
 	for _, part := range parts {
-		if rec := qrt.parts[part]; qrt.isServed(part, now) || rec != nil && rec.lastServed.After(namedAt) {
+		if at, known := qrt.served.Peek(part); known && (now.Sub(at) < servedTime || at.After(namedAt)) {
 			served = append(served, part)
 		} else {
 			group = append(group, part)
@@ -249,18 +299,27 @@
 	return ta
 }
 
+// IsEmpty reports whether no parts are in quarantine, so that prompts need not be
+// compared with them.
+func (qrt *Quarantine) IsEmpty() bool {
+	qrt.mu.Lock()
+	defer qrt.mu.Unlock()
+	qrt.expire(qrt.cfg.Now())
+	return len(qrt.named) == 0
+}
+
 // Find returns the group that a prompt contains, and the time until the end of its
 // quarantine, which is 0 if there is none.
 func (qrt *Quarantine) Find(parts []PartID) ([]PartID, time.Duration) {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	return qrt.find(parts, qrt.now())
+	return qrt.find(newPartSet(parts), qrt.cfg.Now())
 }
 
-func (qrt *Quarantine) find(parts []PartID, now time.Time) ([]PartID, time.Duration) {
+func (qrt *Quarantine) find(prompt *partSet, now time.Time) ([]PartID, time.Duration) {
 	qrt.expire(now)
 	for _, qp := range qrt.named {
-		if containsAll(parts, qp.Parts) {
+		if prompt.hasAll(qp.Parts) {
 			return qp.Parts, qp.Until.Sub(now)
 		}
 	}
@@ -272,14 +331,14 @@
 func (qrt *Quarantine) Admit(parts []PartID) (group []PartID, left time.Duration, isTest bool) {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	now := qrt.now()
-	group, left = qrt.find(parts, now)
+	now, prompt := qrt.cfg.Now(), newPartSet(parts)
+	group, left = qrt.find(prompt, now)
 	if group == nil {
 		return nil, 0, false
 	}
 	for ix := range qrt.named {
 		qp := &qrt.named[ix]
-		if !containsAll(parts, qp.Parts) {
+		if !prompt.hasAll(qp.Parts) {
 			continue
 		}
 		if !qp.isOwn || now.Before(qp.testAt) {
@@ -291,23 +350,45 @@
 	return nil, 0, true
 }
 
-// Own returns the groups that this gateway has named, at most maxAnnounced of them.
+// Own returns the newest groups that this gateway has named which fit into an
+// announcement.
 func (qrt *Quarantine) Own() []QuarantinedParts {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	qrt.expire(qrt.now())
-	own := slices.DeleteFunc(slices.Clone(qrt.named), func(qp QuarantinedParts) bool { return !qp.isOwn })
-	return own[max(len(own)-maxAnnounced, 0):]
+	qrt.expire(qrt.cfg.Now())
+	var own []QuarantinedParts
+	size := 0
+	for _, qp := range slices.Backward(qrt.named) {
+		if !qp.isOwn {
+			continue
+		}
+		need := partsBytes(qp.Parts, announcedOverhead)
+		if len(own) >= maxAnnounced || size+need > maxAnnouncedBytes {
+			qrt.cfg.OnDrop(DroppedAnnouncement)
+			continue
+		}
+		size += need
+		own = append(own, qp)
+	}
+	slices.Reverse(own)
+	return own
 }
 
-// maxAnnounced bounds the length of an announcement.
-const maxAnnounced = 16
+const (
+	// maxAnnounced and maxAnnouncedBytes bound an announcement, whose row may have 64 KiB.
+	// Groups that don't fit reach the others by notes.
+	maxAnnounced      = 16
+	maxAnnouncedBytes = 32 << 10
+	// announcedOverhead is the size of a part in an announcement beside its ID, in bytes:
+	// two quotes and a comma.
+	announcedOverhead = 3
+)
 
 // All returns all groups in quarantine.
 func (qrt *Quarantine) All() []QuarantinedParts {
 	qrt.mu.Lock()
 	defer qrt.mu.Unlock()
-	qrt.expire(qrt.now())
+	qrt.expire(qrt.cfg.Now())
 	return slices.Clone(qrt.named)
 }
 
@@ -315,34 +396,3 @@
 func (qrt *Quarantine) expire(now time.Time) {
 	qrt.named = slices.DeleteFunc(qrt.named, func(qp QuarantinedParts) bool { return !qp.Until.After(now) })
 }
-
-// record returns the record of a part, and makes room for it if it is new.
-func (qrt *Quarantine) record(part PartID, now time.Time) *partRecord {
-	rec := qrt.parts[part]
-	if rec == nil {
-		if len(qrt.parts) >= maxRecords {
-			qrt.makeRoom(now)
-		}
-		rec = new(partRecord)
-		qrt.parts[part] = rec
-	}
-	return rec
-}
-
-// makeRoom forgets the parts that are not suspected and were not served lately, or
-// all if there are none: callers may send any number of parts.
-func (qrt *Quarantine) makeRoom(now time.Time) {
-	for part, rec := range qrt.parts {
-		if rec.crashes == 0 && !rec.isKnown && !qrt.isServed(part, now) {
-			delete(qrt.parts, part)
-		}
-	}
-	if len(qrt.parts) >= maxRecords {
-		clear(qrt.parts)
-	}
-}
-
-// containsAll reports whether a prompt has all parts of a group.
-func containsAll(parts, group []PartID) bool {
-	return !slices.ContainsFunc(group, func(part PartID) bool { return !slices.Contains(parts, part) })
-}
--- a/core/bwforward/quarantine_test.go
+++ b/core/bwforward/quarantine_test.go
@@ -12,12 +12,13 @@
 // quarantineTest is a Quarantine with a clock.
 type quarantineTest struct {
 	*bwforward.Quarantine
-	now time.Time
+	now   time.Time
+	drops map[bwforward.QuarantineDrop]int
 }
 
 func newQuarantineTest() *quarantineTest {
-	qt := &quarantineTest{now: time.Unix(1_000_000, 0)}
-	qt.Quarantine = bwforward.NewQuarantine(func() time.Time { return qt.now })
+	qt := &quarantineTest{now: time.Unix(1_000_000, 0), drops: make(map[bwforward.QuarantineDrop]int)}
+	qt.Quarantine = bwforward.NewQuarantine(bwforward.QuarantineConfig{Now: func() time.Time { return qt.now }, OnDrop: func(drop bwforward.QuarantineDrop) { qt.drops[drop]++ }})
 	return qt
 }
 
@@ -178,6 +179,55 @@
 	}
 }
 
+// longPrompt returns the parts of a prompt that no other one has.
+func longPrompt(number, parts int) prompt {
+	long := make(prompt, parts)
+	for part := range long {
+		long[part] = bwforward.PartID(fmt.Sprint("l", number, "-", part))
+	}
+	return long
+}
+
+// Guards against callers whose prompts with a thousand parts of their own, served or
+// crashed, push out the record of a deadly part before it is named.
+func TestQuarantineSurvivesCrowd(t *testing.T) {
+	qt := newQuarantineTest()
+	qt.crash(prompt{"d"})
+	for ix := range 120 {
+		own := longPrompt(ix, 1000)
+		if ix%6 == 0 {
+			qt.RecordCrash(own, true)
+		}
+		if ix%12 == 0 {
+			qt.RecordServed(own)
+		}
+		if ix == 60 {
+			qt.crash(prompt{"d"})
+		}
+	}
+	for ix := range 200 {
+		qt.RecordCrash(longPrompt(1000+ix, 1000), true)
+	}
+	if qt.crash(prompt{"d"}); !qt.refuses("d") {
+		t.Error("the deadly part is not in quarantine after three crashes")
+	}
+	if len(qt.drops) != 1 || qt.drops[bwforward.DroppedSuspect] == 0 {
+		t.Errorf("dropped %v, want suspects only", qt.drops)
+	}
+	for ix := range 20 {
+		for range 3 {
+			qt.crash(longPrompt(2000+ix, 1000))
+		}
+	}
+	size := 0
+	for _, qp := range qt.Own() {
+		size += len(fmt.Sprintf("%q", qp.Parts))
+	}
+	if size > 33<<10 || size < 16<<10 || qt.drops[bwforward.DroppedAnnouncement] == 0 {
+		t.Errorf("%d bytes are announced, dropped %v", size, qt.drops)
+	}
+}
+
 // Guards against callers that fill a gateway's memory with parts, and against one
 // whose parts push a deadly one out of the quarantine.
 func TestQuarantineIsBounded(t *testing.T) {
@@ -189,11 +239,7 @@
 		qt.now = qt.now.Add(time.Millisecond)
 	}
 	for ix := range 20_000 {
-		long := make(prompt, 16)
-		for part := range long {
-			long[part] = bwforward.PartID(fmt.Sprint("l", ix%3000, "-", part))
-		}
-		qt.RecordCrash(long, true)
+		qt.RecordCrash(longPrompt(ix%3000, 16), true)
 		qt.now = qt.now.Add(time.Millisecond)
 	}
 	if !qt.refuses("d") {
@@ -229,7 +275,7 @@
 		t.Errorf("%d tests in 400 s, want 2", tests)
 	}
 	qt.now = qt.now.Add(time.Minute)
-	if _, _, isTest := qt.Admit(prompt{"d"}); !isTest || !qt.RecordServed(prompt{"d"}) {
+	if _, _, isTest := qt.Admit(prompt{"d"}); !isTest || len(qt.RecordServed(prompt{"d"})) == 0 {
 		t.Error("no third test, or its response need not be announced")
 	}
 	if group, _, isTest := qt.Admit(prompt{"d"}); group != nil || isTest {
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -137,6 +137,14 @@
 	cl.deadline = cl.arrived.Add(timeout - responseMargin)
 }
 
+// parts returns the parts of the prompt that requests share.
+func (cl *call) parts() []bwforward.PartID {
+	if cl.info.Parts == nil {
+		return nil
+	}
+	return cl.info.Parts()
+}
+
 // remaining returns the time left until the deadline.
 func (cl *call) remaining() time.Duration { return cl.deadline.Sub(cl.gw.cfg.Now()) }
 
--- a/io/bwgateway/datagram.go
+++ b/io/bwgateway/datagram.go
@@ -28,6 +28,7 @@
 	Relay         bool                `cbor:",omitempty"`
 	Note          *bwforward.PeerNote `cbor:",omitempty"`
 	Fragment      *fragment           `cbor:",omitempty"`
+	NoteFragment  *fragment           `cbor:",omitempty"`
 	Probe         *tableProbe         `cbor:",omitempty"`
 	LoanRequest   *loanRequest        `cbor:",omitempty"`
 	Loan          *loan               `cbor:",omitempty"`
--- a/io/bwgateway/dialect.go
+++ b/io/bwgateway/dialect.go
@@ -38,8 +38,10 @@
 	// Session identifies the part of the prompt that is specific to the request or
 	// its session; empty if there is none.
 	Session string
-	// Parts identifies the other parts of the prompt, which requests share.
-	Parts []bwforward.PartID
+	// Parts returns the IDs of the other parts of the prompt, which requests share; nil
+	// means that there are none. A prompt may have thousands, which are parsed when they
+	// are needed instead of being held for the time of the request.
+	Parts func() []bwforward.PartID
 	// LastEventID is the event after which the stream resumes; empty means the
 	// start.
 	LastEventID string
--- a/io/bwgateway/gateway.go
+++ b/io/bwgateway/gateway.go
@@ -139,7 +139,7 @@
 		cfg.Uptime = uptime
 	}
 	if cfg.Quarantine == nil {
-		cfg.Quarantine = bwforward.NewQuarantine(cfg.Now)
+		cfg.Quarantine = bwforward.NewQuarantine(bwforward.QuarantineConfig{Now: cfg.Now})
 	}
 	if cfg.OnQuarantine == nil {
 		cfg.OnQuarantine = func() {}
--- a/io/bwgateway/gateway_test.go
+++ b/io/bwgateway/gateway_test.go
@@ -47,7 +47,7 @@
 				Key:         hdr.Get("Key"),
 				Timeout:     time.Duration(ms) * time.Millisecond,
 				LastEventID: hdr.Get(lastEventHeader),
-				Parts:       parts(hdr.Get(partsHeader)),
+				Parts:       func() []bwforward.PartID { return parts(hdr.Get(partsHeader)) },
 			}
 		},
 		UpstreamHeaders: func(caller http.Header, info bwgateway.AttemptInfo) http.Header {
--- a/io/bwgateway/members.go
+++ b/io/bwgateway/members.go
@@ -139,7 +139,7 @@
 	for _, ann := range anns {
 		for _, qp := range ann.Quarantined {
 			if _, ok := st.cfg.Quarantine.Adopt(qp.Parts, st.cfg.Now().Add(qp.Until-now), isOwn); ok {
-				st.cfg.Log.Info("parts of prompts in quarantine", "Parts", qp.Parts, "Left", qp.Until-now, "Source", ann.Member)
+				st.cfg.Log.Info("parts of prompts in quarantine", "Parts", loggedParts(qp.Parts), "Left", qp.Until-now, "Source", ann.Member)
 			}
 		}
 	}
--- a/io/bwgateway/metrics.go
+++ b/io/bwgateway/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"bilberrywick/core/bwforward"
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwrollout"
 	"bilberrywick/io/bwlisten"
@@ -104,6 +105,11 @@
 	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_rollout_notes_total{event=%q}", event)).Inc()
 }
 
+// countQuarantineDrop counts what the quarantine of prompts has dropped at a limit.
+func (mx *Metrics) countQuarantineDrop(drop bwforward.QuarantineDrop) {
+	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_quarantine_dropped_total{what=%q}", drop)).Inc()
+}
+
 // countQuarantine counts an event of the quarantine of prompts: refused, named or
 // cleared.
 func (mx *Metrics) countQuarantine(event string) {
--- a/io/bwgateway/own_announcement_test.go
+++ b/io/bwgateway/own_announcement_test.go
@@ -135,7 +135,7 @@
 // Guards against a gateway that believes an older announcement of another one, and puts
 // parts of prompts into quarantine again that were cleared since.
 func TestOlderAnnouncementIsNotUsed(t *testing.T) {
-	quarantine := bwforward.NewQuarantine(nil)
+	quarantine := bwforward.NewQuarantine(bwforward.QuarantineConfig{})
 	prs, _ := newPeers(t, "self", func(bwforward.PeerNote) {})
 	st := bwgateway.NewControlState(bwgateway.ControlStateConfig{
 		Pool: bwforward.NewPool(bwforward.PoolConfig{}), Budgets: bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{}), Quarantine: quarantine, Peers: prs,
--- a/io/bwgateway/peers.go
+++ b/io/bwgateway/peers.go
@@ -41,8 +41,9 @@
 	// permits has the requests for permits in progress.
 	permits sync.Map // uint64 to chan bwforward.PermitAnswer
 
-	// fragments is used by loop only.
-	fragments *reassembly
+	// updateFragments and noteFragments are used by loop only.
+	updateFragments *reassembly[TableUpdate]
+	noteFragments   *reassembly[bwforward.PeerNote]
 }
 
 // PeersConfig configures Peers.
@@ -74,7 +75,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen for notes: %w", err)
 	}
-	prs := &Peers{cfg: cfg, conn: conn, subscribers: make(map[string]TableHandler), loans: make(map[uint64]chan<- float64), fragments: newReassembly()}
+	prs := &Peers{cfg: cfg, conn: conn, subscribers: make(map[string]TableHandler), loans: make(map[uint64]chan<- float64)}
+	prs.updateFragments, prs.noteFragments = newReassembly[TableUpdate](maxUpdateFragments), newReassembly[bwforward.PeerNote](maxNoteFragments)
 	key := make([]byte, sha256.Size)
 	// crypto/rand.Read never returns an error.
 	_, _ = crand.Read(key)
@@ -153,7 +155,30 @@
 	if nt.Kind.ReachesAll() {
 		rcp = prs.fleet.Load().All()
 	}
-	prs.sendTo(rcp, packet{Note: &nt})
+	if fitsDatagram(nt.Parts) {
+		prs.sendTo(rcp, packet{Note: &nt})
+		return
+	}
+	frgs := split(nt, maxNoteFragments)
+	if frgs == nil {
+		prs.cfg.Log.Error("note is too long", "Kind", int(nt.Kind), "Parts", len(nt.Parts))
+	}
+	for _, frg := range frgs {
+		prs.sendTo(rcp, packet{NoteFragment: &frg})
+	}
+}
+
+// maxNotePartBytes is the size of the parts of a note up to which it is sent in one
+// datagram, that an Ethernet frame has room for.
+const maxNotePartBytes = 1024
+
+// fitsDatagram reports whether a note with parts is sent in one datagram.
+func fitsDatagram(parts []bwforward.PartID) bool {
+	size := 0
+	for _, part := range parts {
+		size += len(part)
+	}
+	return size <= maxNotePartBytes
 }
 
 // RequestQuarantine asks some other gateways, chosen at random, for the parts of prompts
@@ -169,10 +194,10 @@
 // get only the version and the era, and read it from the store at their own intervals.
 func (prs *Peers) SendUpdate(upd TableUpdate) {
 	rcp := prs.fleet.Load().All()
-	frgs := splitUpdate(upd)
+	frgs := split(upd, maxUpdateFragments)
 	if frgs == nil {
 		upd.After, upd.Rows, upd.Whole = upd.Version, nil, false
-		frgs = splitUpdate(upd)
+		frgs = split(upd, maxUpdateFragments)
 	}
 	for _, frg := range frgs {
 		prs.sendTo(rcp, packet{Fragment: &frg})
@@ -260,13 +285,16 @@
 	if pkt.Fragment != nil {
 		prs.receiveFragment(*pkt.Fragment)
 	}
+	if pkt.NoteFragment != nil {
+		prs.receiveNoteFragment(*pkt.NoteFragment)
+	}
 	if pkt.Probe != nil {
 		prs.handler(pkt.Probe.Table).OnProbe()
 	}
 }
 
 func (prs *Peers) receiveFragment(frg fragment) {
-	upd, ok, err := prs.fragments.add(frg)
+	upd, ok, err := prs.updateFragments.add(frg)
 	if err != nil {
 		prs.cfg.Log.Warn("update can't be decoded", "Error", err)
 	}
@@ -275,6 +303,16 @@
 	}
 }
 
+func (prs *Peers) receiveNoteFragment(frg fragment) {
+	nt, ok, err := prs.noteFragments.add(frg)
+	if err != nil {
+		prs.cfg.Log.Warn("note can't be decoded", "Error", err)
+	}
+	if ok {
+		prs.cfg.OnNote(nt)
+	}
+}
+
 // handler returns the handler of a table, which has all functions set.
 func (prs *Peers) handler(table string) TableHandler {
 	prs.mu.Lock()
--- a/io/bwgateway/peers_test.go
+++ b/io/bwgateway/peers_test.go
@@ -31,8 +31,9 @@
 }
 
 // Guards against notes that are lost or changed on a healthy network, against
-// invalid datagrams that stop the exchange, and against accepting datagrams of
-// senders that are not announced.
+// invalid datagrams that stop the exchange, against accepting datagrams of
+// senders that are not announced, and against a note that no gateway gets since a prompt
+// has more parts than a datagram has room for.
 func TestPeersExchangeNotes(t *testing.T) {
 	received := make(chan bwforward.PeerNote, 4)
 	onNote := func(nt bwforward.PeerNote) { received <- nt }
@@ -54,14 +55,20 @@
 	}
 	sender.SetPeers([]bwforward.Announcement{ann})
 	want := bwforward.PeerNote{Kind: bwforward.PlacementNote, Upstream: "e1", Session: "s1", Prompt: 8000}
-	sender.SendNote(want)
-	select {
-	case got := <-received:
-		if !reflect.DeepEqual(got, want) {
-			t.Errorf("got %+v, want %+v", got, want)
+	long := bwforward.PeerNote{Kind: bwforward.CrashNote}
+	for ix := range 10_000 {
+		long.Parts = append(long.Parts, bwforward.PartID(strconv.Itoa(ix)))
+	}
+	for _, want := range []bwforward.PeerNote{want, long} {
+		sender.SendNote(want)
+		select {
+		case got := <-received:
+			if !reflect.DeepEqual(got, want) {
+				t.Errorf("got %+v, want %+v", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Error("the note was not received")
 		}
-	case <-time.After(5 * time.Second):
-		t.Error("the note was not received")
 	}
 	if got := receiver.RefusedDatagrams(); got != 3 {
 		t.Errorf("%d datagrams were refused, want 3", got)
--- a/io/bwgateway/process.go
+++ b/io/bwgateway/process.go
@@ -88,8 +88,10 @@
 	sts := cfg.Settings
 	pool := bwforward.NewPool(bwforward.PoolConfig{Zone: bwmodel.ZoneID(sts.Zone)})
 	budgets := bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{Share: sts.RetryShare, Slack: sts.RetrySlack, Window: sts.RetryWindow})
-	quarantine := bwforward.NewQuarantine(nil)
-	prc := &Process{cfg: cfg, state: NewControlState(ControlStateConfig{Pool: pool, Budgets: budgets, Quarantine: quarantine, Log: cfg.Log}), metrics: NewMetrics()}
+	metrics := NewMetrics()
+	drops := &quarantineDropLog{metrics: metrics, log: cfg.Log}
+	quarantine := bwforward.NewQuarantine(bwforward.QuarantineConfig{OnDrop: drops.add})
+	prc := &Process{cfg: cfg, state: NewControlState(ControlStateConfig{Pool: pool, Budgets: budgets, Quarantine: quarantine, Log: cfg.Log}), metrics: metrics}
 	permits := NewPermits(PermitsConfig{Member: bwmodel.MemberID(sts.Member), Pool: pool, View: prc.state.View, Ask: func(ctx context.Context, addr netip.AddrPort, req PermitRequest) (bwforward.PermitAnswer, bool) {
 		return prc.peers.AskPermit(ctx, addr, req)
 	}, Metrics: prc.metrics})
--- a/io/bwgateway/quarantine.go
+++ b/io/bwgateway/quarantine.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"log/slog"
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,9 +22,14 @@
 // admitPrompt refuses a new stream whose prompt crashes engines, and reports whether
 // it may go on.
 func (stm *stream) admitPrompt() bool {
-	parts, left, isTest := stm.gw.cfg.Quarantine.Admit(stm.info.Parts)
+	qrt := stm.gw.cfg.Quarantine
+	if qrt.IsEmpty() {
+		return true
+	}
+	prompt := stm.parts()
+	parts, left, isTest := qrt.Admit(prompt)
 	if isTest {
-		stm.gw.cfg.Log.Info("stream tests parts in quarantine", "Request", stm.info.RequestID, "Parts", stm.info.Parts)
+		stm.gw.cfg.Log.Info("stream tests parts in quarantine", "Request", stm.info.RequestID, "Parts", loggedParts(prompt))
 	}
 	stm.testsPrompt = isTest
 	if parts == nil {
@@ -45,15 +53,16 @@
 // quarantined returns the group in quarantine that the prompt contains, if any, and
 // the time until its end. The first attempt of a test is not subject to it.
 func (stm *stream) quarantined() ([]bwforward.PartID, time.Duration) {
-	if len(stm.info.Parts) == 0 || stm.testsPrompt && stm.possibleRuns == 0 {
+	qrt := stm.gw.cfg.Quarantine
+	if stm.testsPrompt && stm.possibleRuns == 0 || qrt.IsEmpty() {
 		return nil, 0
 	}
-	return stm.gw.cfg.Quarantine.Find(stm.info.Parts)
+	return qrt.Find(stm.parts())
 }
 
 // refuseQuarantined responds to a stream whose prompt has a group in quarantine.
 func (stm *stream) refuseQuarantined(parts []bwforward.PartID, left time.Duration) {
-	stm.gw.cfg.Log.Info("stream refused", "Request", stm.info.RequestID, "Parts", parts, "QuarantineLeft", left, "Sent", stm.possibleRuns)
+	stm.gw.cfg.Log.Info("stream refused", "Request", stm.info.RequestID, "Parts", loggedParts(parts), "QuarantineLeft", left, "Sent", stm.possibleRuns)
 	stm.gw.cfg.Metrics.countQuarantine("refused")
 	const reason = "its prompt crashes engines"
 	switch {
@@ -70,13 +79,18 @@
 // recordCrash records that an engine was lost as it began with the prompt, and tells
 // the other gateways.
 func (gw *Gateway) recordCrash(parts []bwforward.PartID) {
-	gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.CrashNote, Parts: parts})
-	named := gw.cfg.Quarantine.RecordCrash(parts, true)
+	suspected, named := gw.cfg.Quarantine.RecordCrash(parts, true)
+	if !fitsDatagram(parts) {
+		parts = suspected
+	}
+	if len(parts) > 0 {
+		gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.CrashNote, Parts: parts})
+	}
 	if named == nil {
 		return
 	}
 	left := named.Until.Sub(gw.cfg.Now())
-	gw.cfg.Log.Warn("parts of prompts in quarantine", "Parts", named.Parts, "Left", left, "Source", "own crash")
+	gw.cfg.Log.Warn("parts of prompts in quarantine", "Parts", loggedParts(named.Parts), "Left", left, "Source", "own crash")
 	gw.cfg.Metrics.countQuarantine("named")
 	gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.QuarantineNote, Parts: named.Parts, Left: left})
 	gw.cfg.OnQuarantine()
@@ -85,12 +99,13 @@
 // recordServed records that an engine has begun with the prompt without a crash, and
 // tells the other gateways if a part was suspected.
 func (gw *Gateway) recordServed(parts []bwforward.PartID) {
-	if len(parts) == 0 || !gw.cfg.Quarantine.RecordServed(parts) {
+	cleared := gw.cfg.Quarantine.RecordServed(parts)
+	if len(cleared) == 0 {
 		return
 	}
-	gw.cfg.Log.Info("parts of prompts cleared", "Parts", parts, "Source", "own response")
+	gw.cfg.Log.Info("parts of prompts cleared", "Parts", loggedParts(cleared), "Source", "own response")
 	gw.cfg.Metrics.countQuarantine("cleared")
-	gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.ServedNote, Parts: parts})
+	gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.ServedNote, Parts: cleared})
 	gw.cfg.OnQuarantine()
 }
 
@@ -99,12 +114,12 @@
 	qrt := gw.cfg.Quarantine
 	switch nt.Kind {
 	case bwforward.CrashNote:
-		if named := qrt.RecordCrash(nt.Parts, false); named != nil {
-			gw.cfg.Log.Info("parts of prompts in quarantine", "Parts", named.Parts, "Left", named.Until.Sub(gw.cfg.Now()), "Source", "note of a crash")
+		if _, named := qrt.RecordCrash(nt.Parts, false); named != nil {
+			gw.cfg.Log.Info("parts of prompts in quarantine", "Parts", loggedParts(named.Parts), "Left", named.Until.Sub(gw.cfg.Now()), "Source", "note of a crash")
 		}
 	case bwforward.ServedNote:
-		if qrt.RecordServed(nt.Parts) {
-			gw.cfg.Log.Info("parts of prompts cleared", "Parts", nt.Parts, "Source", "note")
+		if cleared := qrt.RecordServed(nt.Parts); len(cleared) > 0 {
+			gw.cfg.Log.Info("parts of prompts cleared", "Parts", loggedParts(cleared), "Source", "note")
 			gw.cfg.OnQuarantine()
 		}
 	case bwforward.QuarantineRequest:
@@ -114,7 +129,7 @@
 	case bwforward.QuarantineNote:
 		served, ok := qrt.Adopt(nt.Parts, gw.cfg.Now().Add(nt.Left), false)
 		if ok {
-			gw.cfg.Log.Info("parts of prompts in quarantine", "Parts", nt.Parts, "Left", nt.Left, "Source", "note")
+			gw.cfg.Log.Info("parts of prompts in quarantine", "Parts", loggedParts(nt.Parts), "Left", nt.Left, "Source", "note")
 		}
 		if len(served) > 0 {
 			gw.cfg.SendNote(bwforward.PeerNote{Kind: bwforward.ServedNote, Parts: served})
@@ -127,12 +142,50 @@
 // observeStart records whether the engine of an attempt crashed as it began with the
 // prompt, or has begun.
 func (sat *streamAttempt) observeStart(err error) {
-	switch {
-	case len(sat.info.Parts) == 0 || sat.callerGone():
+	switch parts := sat.parts(); {
+	case len(parts) == 0 || sat.callerGone():
 	case err == nil:
-		sat.gw.recordServed(sat.info.Parts)
+		sat.gw.recordServed(parts)
 	case !sat.resumed && !sat.startSeen && sat.isCrash(err):
-		sat.gw.recordCrash(sat.info.Parts)
+		sat.gw.recordCrash(parts)
+	}
+}
+
+// loggedParts is parts of prompts in a log line, which has the first ones of many.
+type loggedParts []bwforward.PartID
+
+// maxLoggedParts bounds the length of a log line.
+const maxLoggedParts = 8
+
+// LogValue implements slog.LogValuer.
+func (lpt loggedParts) LogValue() slog.Value { return slog.AnyValue(lpt.shortened()) }
+
+// String returns the parts in quotes.
+func (lpt loggedParts) String() string { return fmt.Sprintf("%q", lpt.shortened()) }
+
+func (lpt loggedParts) shortened() []bwforward.PartID {
+	if len(lpt) <= maxLoggedParts {
+		return lpt
+	}
+	more := fmt.Sprintf("and %d more", len(lpt)-maxLoggedParts)
+	return append(slices.Clone(lpt[:maxLoggedParts]), bwforward.PartID(more))
+}
+
+// quarantineDropLog counts and logs what a Quarantine drops at its limits.
+type quarantineDropLog struct {
+	metrics *Metrics
+	log     *slog.Logger
+	count   atomic.Int64
+}
+
+// dropsPerLogLine is the number of drops per log line.
+const dropsPerLogLine = 1000
+
+// add counts one drop.
+func (qdl *quarantineDropLog) add(drop bwforward.QuarantineDrop) {
+	qdl.metrics.countQuarantineDrop(drop)
+	if count := qdl.count.Add(1); count%dropsPerLogLine == 1 {
+		qdl.log.Warn("quarantine of prompts is full", "Dropped", drop, "Drops", count)
 	}
 }
 
--- a/io/bwgateway/restored_test.go
+++ b/io/bwgateway/restored_test.go
@@ -259,7 +259,7 @@
 // the store loses their announcements; against one whose own announcement stays lost; and
 // against parts of prompts in quarantine again that were cleared since the copy.
 func TestAnnouncementsOfRestoredStore(t *testing.T) {
-	quarantine := bwforward.NewQuarantine(nil)
+	quarantine := bwforward.NewQuarantine(bwforward.QuarantineConfig{})
 	prs, _ := newPeers(t, "self", func(bwforward.PeerNote) {})
 	st := bwgateway.NewControlState(bwgateway.ControlStateConfig{
 		Pool: bwforward.NewPool(bwforward.PoolConfig{}), Budgets: bwforward.NewRetryBudgets(bwforward.RetryBudgetsConfig{}), Quarantine: quarantine, Peers: prs,
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -286,7 +286,7 @@
 	}
 	stm.gw.cfg.Log.Warn("stream lost its engine", "Request", stm.info.RequestID, "Upstream", nd.ID, "Address", nd.Address,
 		"Copied", fromCopy, "CopyAt", backupID, "LastEvent", stm.lastEventID, "Error", err, "Sent", stm.possibleRuns, "Left", stm.remaining(),
-		"SinceEvent", elapsedSince(stm.lastEventAt, stm.gw.cfg.Now()), "SinceSent", elapsedSince(stm.sentAt, stm.gw.cfg.Now()), "Parts", stm.info.Parts)
+		"SinceEvent", elapsedSince(stm.lastEventAt, stm.gw.cfg.Now()), "SinceSent", elapsedSince(stm.sentAt, stm.gw.cfg.Now()), "Parts", loggedParts(stm.parts()))
 }
 
 func elapsedSince(at, now time.Time) time.Duration {
--- a/io/bwgateway/stream_attempt.go
+++ b/io/bwgateway/stream_attempt.go
@@ -80,7 +80,7 @@
 	now := sat.gw.cfg.Now()
 	if sat.eventCount == 0 && !sat.resumed && !sat.testsPrompt {
 		if parts, _ := sat.quarantined(); parts != nil {
-			return fmt.Errorf("%w: parts %q", errQuarantined, parts)
+			return fmt.Errorf("%w: parts %v", errQuarantined, loggedParts(parts))
 		}
 	}
 	suspect, giveUp := sat.idleLimits()
@@ -158,7 +158,7 @@
 	}
 	if !sat.startSeen && now.Sub(sat.firstEventAt) >= servedAfter {
 		sat.startSeen = true
-		sat.gw.recordServed(sat.info.Parts)
+		sat.gw.recordServed(sat.parts())
 	}
 	if !sat.lastEventAt.IsZero() {
 		sat.longestGap = max(sat.longestGap, now.Sub(sat.lastEventAt))
