bwgateway: read the list sooner only if a part of a service is lost

Change: a twentieth of a service's upstreams has to be lost, and the shorter pause of shared reads is 0.4 of the usual one.

--- a/core/bwforward/pool.go
+++ b/core/bwforward/pool.go
@@ -126,17 +126,28 @@
 	return count
 }
 
-// restartTime is above the time that engines of the current deployments take to restart,
-// 1 to 5 s.
-const restartTime = 5 * time.Second
+const (
+	// restartTime is above the time that engines of the current deployments take to
+	// restart, 1 to 5 s.
+	restartTime = 5 * time.Second
+	// lostPart is the part of a service's upstreams, as its reciprocal, whose loss is worth
+	// reads of the list: in a large fleet one of them is always lost.
+	lostPart = 20
+)
 
-// HasLostUpstreams reports whether another upstream has the address of a listed one, or a
-// listed one has failed within restartTime and not responded since: the list is about to
-// change.
+// HasLostUpstreams reports whether a service has lost a part of its upstreams, so that the
+// list is about to change: another upstream has the address, or it has failed within
+// restartTime and not responded since.
 func (pl *Pool) HasLostUpstreams() bool {
 	since := pl.cfg.Now().Add(-restartTime)
-	for _, nd := range pl.view.Load().nodes {
-		if nd.replaced.Load() || nd.FailingSince(since) {
+	for _, nodes := range pl.view.Load().services {
+		lost := 0
+		for _, nd := range nodes {
+			if nd.replaced.Load() || nd.FailingSince(since) {
+				lost++
+			}
+		}
+		if lost > 0 && lost*lostPart >= len(nodes) {
 			return true
 		}
 	}
--- a/io/bwgateway/follower.go
+++ b/io/bwgateway/follower.go
@@ -55,7 +55,8 @@
 	IdleInterval time.Duration
 	Wake         <-chan struct{}
 	// ExpectsChanges reports whether the table is about to change, so that the longest
-	// time between a read and the next call is ChangesInterval; nil means never.
+	// time between a read and the next call is ChangesInterval, or a longer one if reads
+	// are shared; nil means never.
 	ExpectsChanges  func() bool
 	ChangesInterval time.Duration
 	// ReadTable returns the whole table.
@@ -154,6 +155,9 @@
 	// maxEraPause is the longest time until a gateway that is told by another one that
 	// the store was restored reads the whole table. It spreads the reads of a fleet.
 	maxEraPause = 500 * time.Millisecond
+	// sharedChangesShare times PollInterval is the shortest interval of shared reads. In a
+	// shorter one several gateways begin to read before they have the first one's update.
+	sharedChangesShare = 0.4
 	// maxEarlyUpdates exceeds the number of updates in the time for which one may be
 	// overtaken.
 	maxEarlyUpdates = 8
@@ -317,13 +321,16 @@
 	if fol.cfg.IsIdle != nil && fol.cfg.IsIdle() {
 		interval = fol.cfg.IdleInterval
 	}
-	if fol.cfg.ExpectsChanges != nil && fol.cfg.ExpectsChanges() {
-		interval = fol.cfg.ChangesInterval
-	}
-	readers := fol.cfg.Readers()
+	readers, expectsChanges := fol.cfg.Readers(), fol.cfg.ExpectsChanges != nil && fol.cfg.ExpectsChanges()
 	if readers <= 1 {
+		if expectsChanges {
+			interval = fol.cfg.ChangesInterval
+		}
 		return interval
 	}
+	if expectsChanges {
+		interval = max(fol.cfg.ChangesInterval, scale(interval, sharedChangesShare))
+	}
 	return bwspread.Timer{Longest: interval}.Next(readers)
 }
 
