bwforward: compare a crash with the counts after the last named group

Naming a group lowers the counts of the parts that it explains; further groups of the same crash were compared with the counts before that, and might have been named one crash later than by the code before.

--- a/core/bwforward/quarantine.go
+++ b/core/bwforward/quarantine.go
@@ -134,6 +134,8 @@
 		if qp := qrt.name(QuarantinedParts{Parts: group, Until: now.Add(QuarantineTime), isOwn: isOwn}); qp != nil {
 			named = qp
 			qrt.explainCrashes(group)
+			// The counts of crashes have changed.
+			evidence = nil
 		}
 	}
 	return suspected, named
