bwtransport: fail responses with a status that no response may have

What callers saw: an engine in trouble answered with status 000. At the gateway its callers got 502 or another upstream's response, as they should. On the product's own path the status became the result of the action: the router panicked when it wrote it, so that the caller's connection was cut, and again at each repetition of the action and each query for its outcome.

Cause: http.Client takes any three characters that are a number as a status. bwengine.ServiceClient passed the status on, bwengine.EngineClient took it for a refusal, after which nothing has run, bwhttp.Client took each status below 400 for a success, platform's Store said that it had not executed the call, and platform's EngineClient concluded from it that an upstream is no model engine.

Evidence, on: TestBrokenResponses of bwfakeapp fails with "invalid WriteHeader code 0" on the own path, and, without it, for each of 000, 099, 600, 999 and +20 at the service's calls and actions, the generation, the load report, the order and the administration; that of platform for the store's rows, changes and writes and the engine's report. TestStoredInvalidStatus and the new case of TestOutcomeAfterFault fail. TestInvalidStatus of bwgateway passes, for lookups, actions and streams, also after an informational response: the test is kept.

Change: io/bwtransport has the check and an http.RoundTripper that applies it; all HTTP clients of the product use it, so that such a response is an error of the connection, after which the request may have run. The gateway's own check, which was sound, now is this one. The router reports the outcome as unknown if a stored result or an agent of an earlier version has such a status. Agents log why an action failed, and the gateways count such responses by reason. A stand-in, bwfakeserver, plays broken responses to any client, and the stand-ins of services and stores can send them in a soak.

Why it works: the check stands between net/http and everything that reads a response, and a response that fails it looks like one that never came, for which each caller already has its rule.

TestUnverifiedResponses and TestUnverifiedResponseToResumedStream use the same checks as the new test now: the same cases, and that each upstream gets one request at most.

Measured: all tests above pass.

--- a/bench/bwsoak/fault.go
+++ b/bench/bwsoak/fault.go
@@ -45,6 +45,7 @@
 	{"EngineSlows", engineScope, pickEngine, slowEngine, resetEngineSpeed},
 	{"AppSlows", appScope, pickApp, setApp(bwfakeapp.Faults{SlowFactor: 60}), setApp(bwfakeapp.Faults{})},
 	{"AppBreaks", appScope, pickApp, setApp(bwfakeapp.Faults{DieBefore: 2, DieAfter: 2, DropAnswer: 1, CutAnswer: 2, FailLookups: 3}), setApp(bwfakeapp.Faults{})},
+	{"AppAnswersWrongly", appScope, pickApp, setApp(bwfakeapp.Faults{BreakAnswer: 8}), setApp(bwfakeapp.Faults{})},
 	{"AppDies", networkScope, pickApp, setMemberCondition(bwfakenet.Cut), setMemberCondition(bwfakenet.Open)},
 	{"AppFreezes", networkScope, pickApp, setMemberCondition(bwfakenet.Held), setMemberCondition(bwfakenet.Open)},
 	{"RouterIsReplaced", processScope, pickRouter, replaceRouter, nil},
@@ -61,6 +62,7 @@
 	{"StoreIsDown", platformScope, pickPlatform, setStore(bwfakestore.Faults{Down: true}), setStore(bwfakestore.Faults{})},
 	{"StoreIsSlow", platformScope, pickPlatform, setStore(bwfakestore.Faults{Latency: 700 * time.Millisecond}), setStore(bwfakestore.Faults{})},
 	{"StoreLosesAnswers", platformScope, pickPlatform, setStore(bwfakestore.Faults{LoseResponses: 20}), setStore(bwfakestore.Faults{})},
+	{"StoreAnswersWrongly", platformScope, pickPlatform, setStore(bwfakestore.Faults{BreakResponses: 20}), setStore(bwfakestore.Faults{})},
 	{"StoreAnswersLate", platformScope, pickPlatform, setStore(bwfakestore.Faults{DelayResponses: 20, DelayTime: 2500 * time.Millisecond}), setStore(bwfakestore.Faults{})},
 	{"StoreWritesLate", platformScope, pickPlatform, setStore(bwfakestore.Faults{DelayWrites: 20, DelayTime: 1500 * time.Millisecond}), setStore(bwfakestore.Faults{})},
 }
--- a/io/bwagent/actions.go
+++ b/io/bwagent/actions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"time"
 
 	"bilberrywick/core/bwaction"
@@ -37,6 +38,8 @@
 	Timeout time.Duration
 	// Slots limits the actions that run concurrently; 0 means no limit.
 	Slots int
+	// Log receives the errors of actions that may have run; nil discards them.
+	Log *slog.Logger
 }
 
 // ActionsView holds the published counts of an Actions.
@@ -60,6 +63,9 @@
 	if cfg.StateNumber == nil {
 		cfg.StateNumber = zeroStateNumber
 	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
 	act := &Actions{cfg: cfg}
 	if cfg.Slots > 0 {
 		act.slots = make(chan struct{}, cfg.Slots)
@@ -186,6 +192,7 @@
 		job.state = bwmodel.SettleSealed
 	default:
 		job.state = bwmodel.SettleBroken
+		job.act.cfg.Log.Warn("action failed and may have run", "Team", job.dis.Key.Team, "Key", job.dis.Key.Name, "Error", job.err)
 	}
 	// The result must be in the ledger before a response is sent, even after a timeout.
 	_ = job.act.control.Do(context.WithoutCancel(ctx), job.recordResult)
--- a/io/bwagent/agent.go
+++ b/io/bwagent/agent.go
@@ -227,6 +227,7 @@
 		Leaving:     agt.Leaving,
 		StateNumber: agt.proc.StateNumber,
 		Slots:       ups.Slots,
+		Log:         agt.proc.Log,
 	})
 	agt.calls = NewCalls(CallsConfig{Call: svc.Call, NotSent: notSent, Leaving: agt.Leaving, StateNumber: agt.proc.StateNumber})
 	agt.actions.Register(agt.proc.Server)
--- a/io/bwengine/engine.go
+++ b/io/bwengine/engine.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwtransport"
 )
 
 // EngineClient is an HTTP client of one model engine with a completions API.
@@ -117,7 +118,7 @@
 		if cfg.Dial != nil {
 			tsp.DialContext = cfg.dial
 		}
-		cfg.Client = &http.Client{Transport: tsp}
+		cfg.Client = &http.Client{Transport: bwtransport.New(bwtransport.Config{Base: tsp})}
 	}
 	if cfg.ReportTimeout == 0 {
 		cfg.ReportTimeout = defaultReportTimeout
--- a/io/bwengine/service.go
+++ b/io/bwengine/service.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/io/bwtransport"
 )
 
 // ServiceClient is an HTTP client of one plain service. It never retries a request.
@@ -87,13 +88,13 @@
 
 func (svc *ServiceClient) newHTTPClient(disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: bwtransport.New(bwtransport.Config{Base: &http.Transport{
 			DialContext:         svc.dial,
 			DisableKeepAlives:   disableKeepAlives,
 			DisableCompression:  true,
 			MaxIdleConnsPerHost: maxIdleServiceConns,
 			IdleConnTimeout:     time.Minute,
-		},
+		}}),
 		// Following a redirect would send an action twice.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -12,6 +12,8 @@
 	"net/netip"
 	"net/url"
 	"time"
+
+	"bilberrywick/io/bwtransport"
 )
 
 // Errors of an exchange with an upstream.
@@ -160,24 +162,18 @@
 			return fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
 		exc.rsp = rsp
-		switch code := rsp.StatusCode; {
-		case code >= minFinalStatus && code <= maxFinalStatus:
-			return nil
-		case code < http.StatusContinue || code > maxFinalStatus:
-			return fmt.Errorf("%w: status %d", ErrIncompleteResponse, code)
-		}
 		// Informational responses (1xx) precede the final one.
-		exc.head.next()
+		if isInformational := rsp.StatusCode >= http.StatusContinue && rsp.StatusCode < http.StatusOK; isInformational {
+			exc.head.next()
+			continue
+		}
+		if err := bwtransport.CheckStatus(rsp.StatusCode); err != nil {
+			return fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
+		}
+		return nil
 	}
 }
 
-// Range of the statuses of final responses; others can't be forwarded to a
-// caller.
-const (
-	minFinalStatus = 200
-	maxFinalStatus = 599
-)
-
 // abort closes the connection, which cancels the request at the upstream.
 func (exc *exchange) abort() { _ = exc.conn.Close() }
 
--- a/io/bwgateway/metrics.go
+++ b/io/bwgateway/metrics.go
@@ -12,6 +12,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwrollout"
 	"bilberrywick/io/bwlisten"
+	"bilberrywick/io/bwtransport"
 )
 
 // Metrics holds the metrics of a Gateway.
@@ -40,6 +41,13 @@
 	mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_unverified_responses_total{reason=%q}", cause.Error())).Inc()
 }
 
+// countInvalid counts a response that failed a check of bwtransport, if err says so.
+func (mx *Metrics) countInvalid(err error) {
+	if reason := bwtransport.Reason(err); reason != "" {
+		mx.set.GetOrCreateCounter(fmt.Sprintf("bilberrywick_gateway_invalid_responses_total{reason=%q}", reason)).Inc()
+	}
+}
+
 // addConnectionsGauge adds the gauge of the open connections of a listener.
 func (mx *Metrics) addConnectionsGauge(listener string, read func() float64) {
 	mx.AddGauge(fmt.Sprintf("bilberrywick_gateway_connections{address=%q}", listener), read)
--- a/io/bwgateway/plain.go
+++ b/io/bwgateway/plain.go
@@ -196,6 +196,7 @@
 }
 
 func (cl *call) logFailedAttempt(nd *bwforward.Node, rsp *response, err error) {
+	cl.gw.cfg.Metrics.countInvalid(err)
 	if cl.callerGone() || err == nil && rsp.status < http.StatusInternalServerError {
 		return
 	}
--- a/io/bwgateway/response_test.go
+++ b/io/bwgateway/response_test.go
@@ -3,7 +3,6 @@
 import (
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -20,20 +19,17 @@
 
 // unverifiedResponses has responses that don't show that they are the upstream's to the
 // request r1.
-var unverifiedResponses = []struct {
-	name string
-	send func(*attempt)
-}{
-	{"no request and no signature", sendLines("200 OK")},
-	{"no signature", sendLines("200 OK", requestHeader+": r1", "Content-Length: 4")},
-	{"created, no signature", sendLines("201 Created", requestHeader+": r1", "Content-Length: 4")},
-	{"no request", sendLines("200 OK", signatureHeader+": s1", "Content-Length: 4")},
-	{"other request", sendLines("200 OK", requestHeader+": r0", signatureHeader+": s1", "Content-Length: 4")},
-	{"success, not run", sendLines("200 OK", requestHeader+": r1", signatureHeader+": s1", notRunHeader+": 1", "Content-Length: 4")},
-	{"failure of no request", sendLines("500 Internal Server Error", "Content-Length: 4")},
-	{"refusal without a promise", sendLines("503 Service Unavailable", "Content-Length: 4")},
-	{"misdirected by nobody", sendLines("421 Misdirected Request", requestHeader+": r1", "Content-Length: 4")},
-	{"events without a signature", func(att *attempt) {
+var unverifiedResponses = []scriptedResponse{
+	{name: "no request and no signature", send: sendLines("200 OK")},
+	{name: "no signature", send: sendLines("200 OK", requestHeader+": r1", "Content-Length: 4")},
+	{name: "created, no signature", send: sendLines("201 Created", requestHeader+": r1", "Content-Length: 4")},
+	{name: "no request", send: sendLines("200 OK", signatureHeader+": s1", "Content-Length: 4")},
+	{name: "other request", send: sendLines("200 OK", requestHeader+": r0", signatureHeader+": s1", "Content-Length: 4")},
+	{name: "success, not run", send: sendLines("200 OK", requestHeader+": r1", signatureHeader+": s1", notRunHeader+": 1", "Content-Length: 4")},
+	{name: "failure of no request", send: sendLines("500 Internal Server Error", "Content-Length: 4")},
+	{name: "refusal without a promise", send: sendLines("503 Service Unavailable", "Content-Length: 4")},
+	{name: "misdirected by nobody", send: sendLines("421 Misdirected Request", requestHeader+": r1", "Content-Length: 4")},
+	{name: "events without a signature", send: func(att *attempt) {
 		att.send("HTTP/1.1 200 OK\r\n" + requestHeader + ": r1\r\nTransfer-Encoding: chunked\r\n\r\n")
 		att.event(1)
 		att.endStream()
@@ -44,59 +40,13 @@
 // again or reported as not run after one, and against lookups and streams that are not
 // sent to another upstream.
 func TestUnverifiedResponses(t *testing.T) {
-	tests := []struct {
-		name, path string
-		resumable  bool
-		status     int
-		// wantSecond means that the second upstream receives the request.
-		wantSecond bool
-	}{
-		{"lookup", "/safe/x", true, 200, true},
-		{"action", "/action/x", true, 502, false},
-		{"stream", "/stream/x", true, 200, true},
-		{"stream that can't be resumed", "/stream/x", false, 502, false},
-	}
-	for _, tt := range tests {
-		for _, spoiled := range unverifiedResponses {
-			t.Run(tt.name+", "+spoiled.name, func(t *testing.T) {
-				first, second := newFakeEngine(t, "e1", spoiled.send), newFakeEngine(t, "e2", respondStreamOrWhole)
-				tg := newGateway(t, []*fakeEngine{first, second}, func(_ *bwgateway.Config, cfg *bwforward.RoutingTableConfig) {
-					cfg.Routes[2].Resumable = tt.resumable
-				})
-				rsp := tg.do(http.MethodPost, tt.path, "body")
-				if rsp.status != tt.status || rsp.err != nil || rsp.status == http.StatusOK && rsp.body != "whole" && rsp.body != expectedBody(1) {
-					t.Errorf("status %d, error %v, body %q; want status %d", rsp.status, rsp.err, rsp.body, tt.status)
-				}
-				if got := second.count() == 1; got != tt.wantSecond || first.count() != 1 {
-					t.Errorf("%d and %d requests reached the upstreams, want 1 and %v", first.count(), second.count(), tt.wantSecond)
-				}
-			})
-		}
-	}
+	checkRejected(t, rejectionCases, unverifiedResponses)
 }
 
 // Guards against an unverified response in the middle of a stream that is joined to the
 // events before it.
 func TestUnverifiedResponseToResumedStream(t *testing.T) {
-	for _, spoiled := range unverifiedResponses {
-		t.Run(spoiled.name, func(t *testing.T) {
-			var resumed atomic.Int64
-			resume := func(att *attempt) {
-				if resumed.Add(1) == 1 {
-					spoiled.send(att)
-					return
-				}
-				sendRemaining(att)
-			}
-			tg := newGateway(t, []*fakeEngine{
-				newFakeEngine(t, "e1", sendUpTo(3, func(*attempt) {})), newFakeEngine(t, "e2", resume), newFakeEngine(t, "e3", resume),
-			})
-			rsp := tg.do(http.MethodPost, "/stream/x", "prompt")
-			if rsp.err != nil || rsp.status != http.StatusOK || rsp.body != expectedBody(1) || rsp.header.Get(signatureHeader) != "s1" || resumed.Load() != 2 {
-				t.Errorf("%d engines resumed it, status %d, error %v, body\n%s", resumed.Load(), rsp.status, rsp.err, rsp.body)
-			}
-		})
-	}
+	checkRejected(t, resumedRejection, unverifiedResponses)
 }
 
 // Guards against what unverified responses say of an upstream: its load, its limit or the
--- a/io/bwgateway/stream.go
+++ b/io/bwgateway/stream.go
@@ -274,6 +274,7 @@
 }
 
 func (stm *stream) logEngineLoss(nd *bwforward.Node, fromCopy bool, err error) {
+	stm.gw.cfg.Metrics.countInvalid(err)
 	// A disconnect of the caller closes the engine's connection too; that is no
 	// failure.
 	if stm.callerGone() {
--- a/io/bwhttp/client.go
+++ b/io/bwhttp/client.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"net/url"
 	"time"
+
+	"bilberrywick/io/bwtransport"
 )
 
 // Client sends typed JSON requests to one server.
@@ -49,7 +51,7 @@
 	setDefault(&cfg.Timeout, 10*time.Second)
 	setDefault(&cfg.MaxBytes, 64<<20)
 	trp := &http.Transport{TLSClientConfig: cfg.TLS, ForceAttemptHTTP2: true}
-	return &Client{cfg: cfg, http: &http.Client{Transport: trp, Timeout: cfg.Timeout}}
+	return &Client{cfg: cfg, http: &http.Client{Transport: bwtransport.New(bwtransport.Config{Base: trp}), Timeout: cfg.Timeout}}
 }
 
 // Close closes the idle connections.
--- a/io/bwrouter/actions_http.go
+++ b/io/bwrouter/actions_http.go
@@ -15,6 +15,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/io/bwhttp"
 	"bilberrywick/io/bwrpc"
+	"bilberrywick/io/bwtransport"
 	"bilberrywick/io/bwwire"
 
 	"github.com/gorilla/mux"
@@ -168,6 +169,12 @@
 // writeResult logs the error, counts the outcome and sends it as the complete response.
 // Errors are only logged, since they contain addresses of the platform.
 func (act *Actions) writeResult(wr http.ResponseWriter, svc bwmodel.ServiceID, key bwaction.Key, res bwaction.Result, err error) {
+	if err == nil {
+		// Agents and stored results of earlier versions may have an invalid status.
+		if cause := bwtransport.CheckStatus(res.Response.Status); cause != nil {
+			err = &bwaction.UnknownOutcomeError{Reason: bwaction.UpstreamFailed, Err: cause}
+		}
+	}
 	if err != nil {
 		act.cfg.Log.Warn("action not completed", "Team", key.Team, "Key", key.Name, "Error", err)
 	}
--- a/io/bwrouter/actions_test.go
+++ b/io/bwrouter/actions_test.go
@@ -66,3 +66,19 @@
 		t.Errorf("got %d %s, want an unknown outcome", rec.Code, got)
 	}
 }
+
+// Guards against a stored result whose status no response may have, which would end the
+// connection of each caller that repeats the action.
+func TestStoredInvalidStatus(t *testing.T) {
+	read := func(_ context.Context, key bwaction.Key) (bwaction.Row, bool, error) {
+		return bwaction.Row{Key: key, State: bwaction.Finished}, true, nil
+	}
+	rt := mux.NewRouter().UseEncodedPath()
+	bwrouter.NewActions(bwrouter.ActionsConfig{Coordinator: bwaction.CoordinatorConfig{Read: read, Now: time.Now}}).Register(rt)
+	hrq := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/v1/actions/k1", nil)
+	rec := httptest.NewRecorder()
+	rt.ServeHTTP(rec, hrq.WithContext(bwhttp.WithTeam(hrq.Context(), bwmodel.Team{Name: "t1"})))
+	if got := rec.Body.String(); rec.Code != http.StatusBadGateway || !strings.Contains(got, `"Outcome":"Unknown"`) {
+		t.Errorf("got %d %s, want an unknown outcome", rec.Code, got)
+	}
+}
--- a/io/bwstore/client.go
+++ b/io/bwstore/client.go
@@ -12,6 +12,8 @@
 	"github.com/aws/aws-sdk-go-v2/credentials"
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
+
+	"bilberrywick/io/bwtransport"
 )
 
 // Client holds the clients of the platform's three services. A client that isn't
@@ -105,7 +107,7 @@
 	if cfg.Dial != nil {
 		transport.DialContext = cfg.dial
 	}
-	cl := &Client{httpClient: &http.Client{Timeout: cfg.Timeout, Transport: transport}}
+	cl := &Client{httpClient: &http.Client{Timeout: cfg.Timeout, Transport: bwtransport.New(bwtransport.Config{Base: transport})}}
 	obs := observer{observe: cfg.Observe}
 	creds := credentials.NewStaticCredentialsProvider(cfg.AccessKey, cfg.SecretKey, "")
 	if cfg.Table.IsValid() {
--- a/standin/bwfakeapp/app.go
+++ b/standin/bwfakeapp/app.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bilberrywick/core/bwcontrol"
+	"bilberrywick/standin/bwfakeserver"
 )
 
 // App is a stand-in for a plain service. On any path outside /standin/, POST
@@ -18,6 +19,7 @@
 type App struct {
 	cfg     Config
 	control *bwcontrol.Owner[state, View]
+	breaker *bwfakeserver.Breaker
 }
 
 // Config configures an App.
@@ -46,6 +48,8 @@
 	DropAnswer int
 	// CutAnswer executes actions and closes the connection in the middle of the response.
 	CutAnswer int
+	// BreakAnswer executes actions and lookups and sends a response with an invalid status.
+	BreakAnswer int
 	// FailLookups closes the connection of lookups.
 	FailLookups int
 }
@@ -92,7 +96,7 @@
 	if cfg.After == nil {
 		cfg.After = time.After
 	}
-	return &App{cfg: cfg, control: bwcontrol.New(bwcontrol.Config[state, View]{
+	return &App{cfg: cfg, breaker: bwfakeserver.NewBreaker(), control: bwcontrol.New(bwcontrol.Config[state, View]{
 		State: &state{faults: cfg.Faults},
 		View:  newView,
 	})}
@@ -172,9 +176,16 @@
 		_, _ = io.WriteString(wr, "{")
 		panic(http.ErrAbortHandler)
 	}
+	if flt.BreakAnswer > 0 {
+		app.breaker.Respond(wr, hrq, brokenBody)
+		return
+	}
 	writeJSON(wr, rsp)
 }
 
+// brokenBody is in no sound response.
+const brokenBody = `{"App":"broken"}`
+
 func (app *App) serveLookup(wr http.ResponseWriter, hrq *http.Request) {
 	var flt Faults
 	rsp := Response{App: app.cfg.Name, Path: hrq.URL.RequestURI()}
@@ -184,12 +195,17 @@
 		rsp.Number = st.view.Lookups
 		flt = st.faults
 		st.faults.FailLookups = max(st.faults.FailLookups-1, 0)
+		st.faults.BreakAnswer = max(st.faults.BreakAnswer-1, 0)
 	})
 	if err != nil || flt.FailLookups > 0 {
 		panic(http.ErrAbortHandler)
 	}
 	select {
 	case <-app.cfg.After(app.latency(flt)):
+		if flt.BreakAnswer > 0 {
+			app.breaker.Respond(wr, hrq, brokenBody)
+			return
+		}
 		writeJSON(wr, rsp)
 	case <-hrq.Context().Done():
 		_ = app.control.Post(context.WithoutCancel(hrq.Context()), func(st *state) { st.view.Canceled++ })
@@ -220,7 +236,7 @@
 // count that is not 0.
 func (st *state) nextFaults() Faults {
 	flt := st.faults
-	for _, count := range []*int{&st.faults.DieBefore, &st.faults.DieAfter, &st.faults.DropAnswer, &st.faults.CutAnswer} {
+	for _, count := range []*int{&st.faults.DieBefore, &st.faults.DieAfter, &st.faults.DropAnswer, &st.faults.CutAnswer, &st.faults.BreakAnswer} {
 		if *count > 0 {
 			*count--
 			break
--- a/standin/bwfakeapp/stack_test.go
+++ b/standin/bwfakeapp/stack_test.go
@@ -91,7 +91,15 @@
 	app.Start(t.Context())
 	web := httptest.NewServer(app.Handler())
 	t.Cleanup(web.Close)
-	svc := bwengine.NewServiceClient(bwengine.ServiceClientConfig{Address: netip.MustParseAddrPort(web.Listener.Addr().String())})
+	stk := startStackAt(t, netip.MustParseAddrPort(web.Listener.Addr().String()))
+	stk.app = app
+	return stk
+}
+
+// startStackAt runs a router and an agent in front of the service at an address.
+func startStackAt(t *testing.T, addr netip.AddrPort) *stack {
+	t.Helper()
+	svc := bwengine.NewServiceClient(bwengine.ServiceClientConfig{Address: addr})
 	t.Cleanup(svc.Close)
 	acts := bwagent.NewActions(bwagent.ActionsConfig{
 		Ledger:    bwaction.LedgerConfig{Incarnation: incarnation, Now: time.Now},
@@ -101,7 +109,7 @@
 	})
 	acts.Start(t.Context())
 	ups := bwmodel.Upstream{Name: "u1", Service: "desk", Agent: serveAgent(t, acts, bwagent.NewCalls(bwagent.CallsConfig{Call: svc.Call}))}
-	stk := &stack{app: app, table: &fakeTable{rows: make(map[bwaction.Key]bwaction.Row)}, budget: bwretry.NewBudget(bwretry.BudgetConfig{})}
+	stk := &stack{table: &fakeTable{rows: make(map[bwaction.Key]bwaction.Row)}, budget: bwretry.NewBudget(bwretry.BudgetConfig{})}
 	stk.url = serveRouter(t, stk, ups, time.Now())
 	return stk
 }
@@ -168,6 +176,8 @@
 		Coordinator: bwaction.CoordinatorConfig{
 			Read: stk.table.read, Insert: bat.Insert, Swap: bat.Swap, Now: time.Now, NewAttempt: newID,
 		},
+		// This is about what a message of bwrpc may hold.
+		MaxBodyBytes: 15 << 20,
 	})
 	hedge := bwretry.NewHedge(bwretry.HedgeConfig{Now: time.Now})
 	cls := bwrouter.NewCalls(bwrouter.CallsConfig{
@@ -264,6 +274,7 @@
 		{"upstream dies before", bwfakeapp.Faults{DieBefore: 1}, false, `"Outcome":"Unknown"`, 0},
 		{"upstream dies after", bwfakeapp.Faults{DieAfter: 1}, false, `"Outcome":"Unknown"`, 1},
 		{"response is truncated", bwfakeapp.Faults{CutAnswer: 1}, false, `"Outcome":"Unknown"`, 1},
+		{"response is invalid", bwfakeapp.Faults{BreakAnswer: 1}, false, `"Outcome":"Unknown"`, 1},
 		{"table is unavailable", bwfakeapp.Faults{}, true, `"RequestOutcome":"NotRun"`, 0},
 	}
 	for _, tt := range tests {
--- /dev/null
+++ b/standin/bwfakeserver/responses.go
@@ -0,0 +1,97 @@
+package bwfakeserver
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Content is what a sound response has, in its own framing.
+type Content struct {
+	// Fields are lines of the head.
+	Fields []string
+	Body   string
+}
+
+// Response is a way to respond to a request.
+type Response struct {
+	Name string
+	// Sound means that the response is valid and complete. InBody means that only the end of
+	// the body shows that it is not.
+	Sound, InBody bool
+	// Upload is the length that the body of a request must have; 0 means that it may have
+	// any.
+	Upload int
+	// Tries is how often the response has to be played to requests with a body, since what
+	// the client sees of it varies; 0 means once to all requests.
+	Tries int
+	// Send sends the response.
+	Send func(*Exchange, Content)
+}
+
+// uploadBytes exceeds what the sockets buffer of an upload that is not read.
+const uploadBytes = 12 << 20
+
+// Responses returns all responses, sound and broken ones.
+func Responses() []Response {
+	return slices.Concat(SoundResponses(), InvalidStatuses())
+}
+
+// SoundResponses returns the ways in which a response may be framed.
+func SoundResponses() []Response {
+	return []Response{
+		{Sound: true, Name: "length", Send: func(exc *Exchange, cnt Content) {
+			exc.ReadBody()
+			exc.sendFramed("200 OK", cnt)
+		}},
+		{Sound: true, Name: "length, informational response first", Send: func(exc *Exchange, cnt Content) {
+			exc.ReadBody()
+			exc.sendHead("103 Early Hints", "Link: x")
+			exc.sendFramed("200 OK", cnt)
+		}},
+		{Sound: true, Name: "length, before the end of the upload", Upload: uploadBytes, Send: func(exc *Exchange, cnt Content) {
+			exc.sendFramed("200 OK", cnt)
+			exc.ReadBody()
+		}},
+		{Sound: true, Name: "chunks with a trailer", Send: func(exc *Exchange, cnt Content) {
+			exc.ReadBody()
+			exc.sendChunked(cnt, "X-Odd: 1")
+		}},
+		{Sound: true, Name: "end of the connection", Upload: uploadBytes, Send: func(exc *Exchange, cnt Content) {
+			exc.ReadBody()
+			exc.sendHead("200 OK", cnt.Fields...)
+			exc.Send(cnt.Body)
+		}},
+	}
+}
+
+// InvalidStatuses returns responses with statuses that no final response may have.
+func InvalidStatuses() []Response {
+	var responses []Response
+	for _, status := range []string{"000", "099", "600", "999", "+20", "-20"} {
+		responses = append(responses, Response{Name: "status " + status, Send: func(exc *Exchange, cnt Content) {
+			exc.ReadBody()
+			exc.sendFramed(status+" Status", cnt)
+		}})
+	}
+	return responses
+}
+
+func (exc *Exchange) sendHead(status string, fields ...string) {
+	exc.Send("HTTP/1.1 " + status + "\r\n" + strings.Join(append(fields, "", ""), "\r\n"))
+}
+
+// sendFramed sends a response with a length.
+func (exc *Exchange) sendFramed(status string, cnt Content) {
+	exc.sendHead(status, append(cnt.Fields, fmt.Sprintf("Content-Length: %d", len(cnt.Body)))...)
+	exc.Send(cnt.Body)
+}
+
+// sendChunked sends a response in chunks, and a line of its trailer.
+func (exc *Exchange) sendChunked(cnt Content, trailer string) {
+	exc.sendHead("200 OK", append(cnt.Fields, "Transfer-Encoding: chunked")...)
+	if cnt.Body != "" {
+		exc.Send(fmt.Sprintf("%x\r\n%s\r\n", len(cnt.Body), cnt.Body))
+	}
+	exc.Send("0\r\n" + trailer + "\r\n\r\n")
+}
--- a/standin/bwfakestore/faults.go
+++ b/standin/bwfakestore/faults.go
@@ -1,16 +1,20 @@
 package bwfakestore
 
 import (
+	"io"
 	"net/http"
 	"sync"
 	"time"
+
+	"bilberrywick/standin/bwfakeserver"
 )
 
 // faultInjector injects the faults of one service and counts its requests.
 type faultInjector struct {
-	mu     sync.Mutex
-	faults Faults
-	counts Counts
+	mu      sync.Mutex
+	faults  Faults
+	counts  Counts
+	breaker *bwfakeserver.Breaker
 }
 
 // writeFault is the fault injected into one write.
@@ -44,7 +48,7 @@
 // beginRequest applies the faults that precede processing and reports whether to
 // process the request. The caller must respond to a throttled request with the
 // service's throttling error.
-func (inj *faultInjector) beginRequest(req *http.Request) (proceed, throttled bool) {
+func (inj *faultInjector) beginRequest(wr http.ResponseWriter, req *http.Request) (proceed, throttled bool) {
 	inj.mu.Lock()
 	faults := inj.faults
 	if !faults.Down && faults.Throttle > 0 {
@@ -62,9 +66,26 @@
 	if inj.currentFaults().Down {
 		abort()
 	}
+	if !throttled && inj.takeBrokenResponse() {
+		_, _ = io.Copy(io.Discard, req.Body)
+		inj.breaker.Respond(wr, req, "{}")
+		return false, false
+	}
 	return !throttled, throttled
 }
 
+// takeBrokenResponse reports whether a request gets a broken response, and decrements
+// the fault's count.
+func (inj *faultInjector) takeBrokenResponse() bool {
+	inj.mu.Lock()
+	defer inj.mu.Unlock()
+	if inj.faults.BreakResponses == 0 {
+		return false
+	}
+	inj.faults.BreakResponses--
+	return true
+}
+
 // nextWriteFault returns the fault of the next write with its delay, and
 // decrements the fault's count.
 func (inj *faultInjector) nextWriteFault() (writeFault, time.Duration) {
--- a/standin/bwfakestore/list.go
+++ b/standin/bwfakestore/list.go
@@ -21,7 +21,7 @@
 
 // ServeHTTP handles one request for the list.
 func (lss *listService) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
-	proceed, throttled := lss.injector.beginRequest(req)
+	proceed, throttled := lss.injector.beginRequest(rsp, req)
 	if throttled {
 		http.Error(rsp, "too many requests", http.StatusTooManyRequests)
 	}
--- a/standin/bwfakestore/object.go
+++ b/standin/bwfakestore/object.go
@@ -23,7 +23,7 @@
 
 // ServeHTTP handles one GET or PUT of an object.
 func (obs *objectService) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
-	proceed, throttled := obs.injector.beginRequest(req)
+	proceed, throttled := obs.injector.beginRequest(rsp, req)
 	if throttled {
 		writeObjectError(rsp, http.StatusServiceUnavailable, "SlowDown")
 	}
--- a/standin/bwfakestore/server.go
+++ b/standin/bwfakestore/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"bilberrywick/core/bwmodel"
+	"bilberrywick/standin/bwfakeserver"
 )
 
 // Server serves the table, the object store and the VM list from memory.
@@ -63,6 +64,9 @@
 	// DelayWrites is the number of writes that get no response and are applied
 	// DelayTime later.
 	DelayWrites int
+	// BreakResponses is the number of requests that get a response with an invalid status without
+	// being processed.
+	BreakResponses int
 	// Throttle is the number of requests that are refused without being processed.
 	Throttle int
 	// StaleList stops updates of the served VM list while it is set.
@@ -83,6 +87,9 @@
 		cfg.PageBytes = defaultPageBytes
 	}
 	srv := &Server{cfg: cfg}
+	for _, svc := range []Service{TableService, ObjectService, ListService} {
+		srv.injector(svc).breaker = bwfakeserver.NewBreaker()
+	}
 	srv.table.rows = make(map[string]map[string]storedRow)
 	srv.table.pageBytes = cfg.PageBytes
 	srv.objects.objects = make(map[string][]byte)
--- a/standin/bwfakestore/table.go
+++ b/standin/bwfakestore/table.go
@@ -72,7 +72,7 @@
 
 // ServeHTTP handles one GetItem, Query or TransactWriteItems request.
 func (ts *tableService) ServeHTTP(rsp http.ResponseWriter, req *http.Request) {
-	proceed, throttled := ts.injector.beginRequest(req)
+	proceed, throttled := ts.injector.beginRequest(rsp, req)
 	if throttled {
 		writeTableError(rsp, "ThrottlingException", "rate of requests exceeded", nil)
 	}
