bwtransport: fail responses with an invalid field name

What callers saw: an engine in trouble sent a response in whose head the name of a field held a blank. Callers got it as the response, with that line passed on or dropped; with "Content-Length : 4" the body held the bytes after the fourth too. Names with a control byte were refused.

Cause: the parser of net/http accepts blanks in names on purpose, and keeps such names as they are. A blank before the colon so hides a field from the program that reads the response and not from others behind it. The heads of informational responses are dropped by the readers, and names in trailers were not looked at.

Change: CheckFieldNames is applied to each head, also informational ones, and to the trailer when a body has been read, by bwtransport and by the gateway. Clients that decode one JSON value read the body to its end, since the trailer comes there: load reports and cache events, copies and reports of engines, and the list of VMs. An order whose response breaks off is reported as failed, and the object store's client reads the response to a write, of which the SDK ignores the end.

Why it works: net/http refuses all other bytes that no name may hold, and tests cover these as well, so that a change there would show. A rejected response counts as one that broke off: an action gets 502 and is not sent again, a lookup gets another try, a stream goes on at another engine.

--- a/io/bwengine/engine.go
+++ b/io/bwengine/engine.go
@@ -188,8 +188,11 @@
 	if err != nil {
 		return err
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(rsp.Body, maxBodyBytes))
-	return rsp.Body.Close()
+	defer func() { _ = rsp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(rsp.Body, maxBodyBytes)); err != nil {
+		return &Error{Kind: Failed, Err: fmt.Errorf("order: %w", err)}
+	}
+	return nil
 }
 
 func (eng *EngineClient) getJSON(ctx context.Context, path string, msg any) error {
@@ -200,7 +203,11 @@
 		return err
 	}
 	defer func() { _ = rsp.Body.Close() }()
-	if err := json.NewDecoder(io.LimitReader(rsp.Body, maxBodyBytes)).Decode(msg); err != nil {
+	body, err := io.ReadAll(io.LimitReader(rsp.Body, maxBodyBytes))
+	if err == nil {
+		err = json.Unmarshal(body, msg)
+	}
+	if err != nil {
 		return &Error{Kind: Failed, Err: fmt.Errorf("%s: %w", path, err)}
 	}
 	return nil
--- a/io/bwgateway/broken_response_test.go
+++ b/io/bwgateway/broken_response_test.go
@@ -1,7 +1,9 @@
 package bwgateway_test
 
 import (
+	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -33,6 +35,8 @@
 		{"resumed stream", "/stream/", true, true, http.StatusOK, 2},
 		{"stream that can't be resumed", "/stream/", false, false, http.StatusBadGateway, 1},
 	}
+	// bodyRejections are for responses that are rejected after events were passed on.
+	bodyRejections   = rejectionCases[:4]
 	resumedRejection = rejectionCases[3:4]
 )
 
@@ -98,3 +102,46 @@
 	}
 	checkRejected(t, rejectionCases, responses)
 }
+
+// Guards against responses that reach a caller although the name of a field is invalid:
+// other programs take such a line for something else, such as the length of the body.
+func TestInvalidFieldName(t *testing.T) {
+	responses := []scriptedResponse{{name: "length", send: func(att *attempt) {
+		att.sendHeader("200 OK", "Content-Length : 4")
+		att.send("evil and more")
+	}}}
+	var trailers []scriptedResponse
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "X\tOdd: 1", "X-Odd\t: 1", "X-\x01Odd: 1", "X-Odd\x00: 1", "X-\x7fOdd: 1", "X-\x80Odd: 1", ": 1", "X(Odd): 1"} {
+		name := fmt.Sprintf("%q", line)
+		responses = append(
+			responses,
+			scriptedResponse{name: name, send: sendBody("", "200 OK", "", line)},
+			scriptedResponse{name: name + " in a failure", send: sendBody("", "404 Not Found", "", line)},
+			scriptedResponse{name: name + " in an informational response", send: sendBody("HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n", "200 OK", "")},
+		)
+		trailers = append(trailers, scriptedResponse{name: name + " in a trailer", send: sendBody("", "200 OK", line+"\r\n")})
+	}
+	checkRejected(t, rejectionCases, responses)
+	checkRejected(t, bodyRejections, trailers)
+}
+
+// Guards against callers of lookups that get a broken response, or none, although a sound
+// upstream stands beside the one that breaks all of its responses.
+func TestLookupsBesideInvalidFieldNames(t *testing.T) {
+	const lookups = 40
+	first, second := newFakeEngine(t, "e1", sendBody("", "200 OK", "", "X Odd: 1")), newFakeEngine(t, "e2", respondOK)
+	mtr := bwgateway.NewMetrics()
+	tg := newGateway(t, []*fakeEngine{first, second}, func(cfg *bwgateway.Config, _ *bwforward.RoutingTableConfig) { cfg.Metrics = mtr })
+	served := 0
+	for range lookups {
+		if rsp := tg.do(http.MethodPost, "/safe/x", ""); rsp.status == http.StatusOK && rsp.body == "whole" {
+			served++
+		}
+	}
+	rec := httptest.NewRecorder()
+	mtr.ServeHTTP(rec, nil)
+	counted := fmt.Sprintf(`invalid_responses_total{reason="invalid field name"} %d`, first.count())
+	if served < lookups || first.count() == 0 || !strings.Contains(rec.Body.String(), counted) {
+		t.Errorf("%d of %d lookups were served, %d came to the broken upstream", served, lookups, first.count())
+	}
+}
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -11,6 +11,7 @@
 	"bilberrywick/core/bwmodel"
 	"bilberrywick/core/bwretry"
 	"bilberrywick/io/bwlisten"
+	"bilberrywick/io/bwtransport"
 )
 
 // call is one caller's request. Only one goroutine changes it.
@@ -337,6 +338,9 @@
 // connection closes, which a crash of the upstream looks like too, so the
 // upstream is probed.
 func (cl *call) checkComplete(nd *bwforward.Node, exc *exchange) error {
+	if err := bwtransport.CheckFieldNames(exc.rsp.Trailer); err != nil {
+		return fmt.Errorf("%w: trailer: %w", errIncomplete, err)
+	}
 	if exc.rsp.ContentLength >= 0 || len(exc.rsp.TransferEncoding) > 0 {
 		return nil
 	}
--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -162,6 +162,9 @@
 			return fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
 		exc.rsp = rsp
+		if err := bwtransport.CheckFieldNames(rsp.Header); err != nil {
+			return fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
+		}
 		// Informational responses (1xx) precede the final one.
 		if isInformational := rsp.StatusCode >= http.StatusContinue && rsp.StatusCode < http.StatusOK; isInformational {
 			exc.head.next()
--- a/io/bwstore/client.go
+++ b/io/bwstore/client.go
@@ -124,7 +124,7 @@
 			BaseEndpoint:               aws.String(baseURL(cfg.Objects, cfg.SecureObjects)),
 			Region:                     cfg.ObjectsRegion,
 			Credentials:                creds,
-			HTTPClient:                 cl.httpClient,
+			HTTPClient:                 putClient{http: cl.httpClient},
 			Retryer:                    aws.NopRetryer{},
 			UsePathStyle:               true,
 			RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
--- a/io/bwstore/vmlist.go
+++ b/io/bwstore/vmlist.go
@@ -64,7 +64,11 @@
 		return nil, fmt.Errorf("list VMs: status %d: %w", rsp.StatusCode, ErrUnavailable)
 	}
 	var doc VMList
-	if err := json.NewDecoder(io.LimitReader(rsp.Body, maxListBytes)).Decode(&doc); err != nil {
+	body, err := io.ReadAll(io.LimitReader(rsp.Body, maxListBytes))
+	if err == nil {
+		err = json.Unmarshal(body, &doc)
+	}
+	if err != nil {
 		return nil, readError("list VMs", err)
 	}
 	members := make([]bwmodel.Member, 0, len(doc.VMs))
--- a/io/bwtransport/check.go
+++ b/io/bwtransport/check.go
@@ -3,15 +3,24 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
+	"strings"
 )
 
-// ErrInvalidStatus means that a response has a status that no final response may have.
-var ErrInvalidStatus = errors.New("invalid status")
+// Errors of responses.
+var (
+	// ErrInvalidStatus means that a response has a status that no final response may have.
+	ErrInvalidStatus = errors.New("invalid status")
+	// ErrInvalidFieldName means that the name of a field holds a byte that no name may hold.
+	ErrInvalidFieldName = errors.New("invalid field name")
+)
 
 // Reason returns the text of the error of this package that err wraps, or an empty string.
 func Reason(err error) string {
-	if errors.Is(err, ErrInvalidStatus) {
-		return ErrInvalidStatus.Error()
+	for _, reason := range []error{ErrInvalidStatus, ErrInvalidFieldName} {
+		if errors.Is(err, reason) {
+			return reason.Error()
+		}
 	}
 	return ""
 }
@@ -29,3 +38,15 @@
 	}
 	return nil
 }
+
+// CheckFieldNames returns ErrInvalidFieldName if a name of a parsed header or trailer holds
+// a blank (RFC 9110, section 5.1). net/http accepts blanks and refuses all other bytes that
+// no name may hold.
+func CheckFieldNames(hdr http.Header) error {
+	for name := range hdr {
+		if strings.Contains(name, " ") {
+			return fmt.Errorf("%w %q", ErrInvalidFieldName, name)
+		}
+	}
+	return nil
+}
--- a/io/bwtransport/transport.go
+++ b/io/bwtransport/transport.go
@@ -1,6 +1,11 @@
 package bwtransport
 
-import "net/http"
+import (
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+)
 
 // Transport is an http.RoundTripper that fails invalid responses.
 type Transport struct{ base *http.Transport }
@@ -15,18 +20,30 @@
 func New(cfg Config) *Transport { return &Transport{base: cfg.Base} }
 
 // RoundTrip sends a request and returns its final response. Its errors are those of
-// http.Transport and ErrInvalidStatus; the server may have executed the request.
+// http.Transport, ErrInvalidStatus and ErrInvalidFieldName; the server may have executed
+// the request. Reading the body returns ErrInvalidFieldName for an invalid trailer.
 func (trp *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	rsp, err := trp.base.RoundTrip(req)
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{Got1xxResponse: checkInformational})
+	rsp, err := trp.base.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
-	if err := CheckStatus(rsp.StatusCode); err != nil {
+	rsp.Request = req
+	if err := errors.Join(CheckStatus(rsp.StatusCode), CheckFieldNames(rsp.Header)); err != nil {
 		_ = rsp.Body.Close()
 		return nil, err
 	}
+	if rsp.Body != http.NoBody {
+		rsp.Body = &body{src: rsp.Body, rsp: rsp}
+	}
 	return rsp, nil
 }
 
+// checkInformational checks the head of an informational response, which http.Transport
+// drops.
+func checkInformational(_ int, hdr textproto.MIMEHeader) error {
+	return CheckFieldNames(http.Header(hdr))
+}
+
 // CloseIdleConnections closes the connections that are not in use.
 func (trp *Transport) CloseIdleConnections() { trp.base.CloseIdleConnections() }
--- a/standin/bwfakeapp/app.go
+++ b/standin/bwfakeapp/app.go
@@ -48,7 +48,8 @@
 	DropAnswer int
 	// CutAnswer executes actions and closes the connection in the middle of the response.
 	CutAnswer int
-	// BreakAnswer executes actions and lookups and sends a response with an invalid status.
+	// BreakAnswer executes actions and lookups and sends a response with an invalid status
+	// or field name, each kind in turn.
 	BreakAnswer int
 	// FailLookups closes the connection of lookups.
 	FailLookups int
--- a/standin/bwfakeapp/clients_test.go
+++ b/standin/bwfakeapp/clients_test.go
@@ -142,7 +142,8 @@
 }
 
 // Guards against responses that are used although they are broken, and against sound ones
-// that are not: a status that no response may have.
+// that are not: a status that no response may have, and an invalid field name, which other
+// programs take for something else.
 func TestBrokenResponses(t *testing.T) {
 	for _, problem := range bwfakeserver.Play(clientOperations(t), bwfakeserver.Responses()) {
 		t.Error(problem)
--- a/standin/bwfakeserver/breaker.go
+++ b/standin/bwfakeserver/breaker.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 )
 
@@ -11,8 +12,11 @@
 	sent      atomic.Int64
 }
 
-// NewBreaker returns a Breaker that sends each of InvalidStatuses in turn.
-func NewBreaker() *Breaker { return &Breaker{responses: InvalidStatuses()} }
+// NewBreaker returns a Breaker that sends each of InvalidStatuses and InvalidFieldNames in
+// turn.
+func NewBreaker() *Breaker {
+	return &Breaker{responses: slices.Concat(InvalidStatuses(), InvalidFieldNames())}
+}
 
 // Respond sends the next broken response with a body and closes the connection. The
 // handler must have read the request, and must not use wrt afterwards. If wrt does not
--- a/standin/bwfakeserver/responses.go
+++ b/standin/bwfakeserver/responses.go
@@ -34,7 +34,7 @@
 
 // Responses returns all responses, sound and broken ones.
 func Responses() []Response {
-	return slices.Concat(SoundResponses(), InvalidStatuses())
+	return slices.Concat(SoundResponses(), InvalidStatuses(), InvalidFieldNames())
 }
 
 // SoundResponses returns the ways in which a response may be framed.
@@ -77,6 +77,36 @@
 	return responses
 }
 
+// InvalidFieldNames returns responses in which the name of a field holds a byte that no
+// name may hold: in the final head, in an informational one, in a trailer, and in place of
+// the field with the body's length.
+func InvalidFieldNames() []Response {
+	responses := []Response{{Name: "length with a blank", Send: func(exc *Exchange, cnt Content) {
+		exc.ReadBody()
+		exc.sendHead("200 OK", append(cnt.Fields, fmt.Sprintf("Content-Length : %d", len(cnt.Body)))...)
+		exc.Send(cnt.Body)
+	}}}
+	for _, line := range []string{"X Odd: 1", "X-Odd : 1", "X-\x01Odd: 1", "X-Odd\t: 1", "X-\x7fOdd: 1"} {
+		responses = append(
+			responses,
+			Response{Name: fmt.Sprintf("field %q", line), Send: func(exc *Exchange, cnt Content) {
+				exc.ReadBody()
+				exc.sendFramed("200 OK", Content{Fields: append(cnt.Fields, line), Body: cnt.Body})
+			}},
+			Response{Name: fmt.Sprintf("field %q in an informational response", line), Send: func(exc *Exchange, cnt Content) {
+				exc.ReadBody()
+				exc.sendHead("103 Early Hints", line)
+				exc.sendFramed("200 OK", cnt)
+			}},
+			Response{Name: fmt.Sprintf("field %q in a trailer", line), InBody: true, Send: func(exc *Exchange, cnt Content) {
+				exc.ReadBody()
+				exc.sendChunked(cnt, line)
+			}},
+		)
+	}
+	return responses
+}
+
 func (exc *Exchange) sendHead(status string, fields ...string) {
 	exc.Send("HTTP/1.1 " + status + "\r\n" + strings.Join(append(fields, "", ""), "\r\n"))
 }
--- a/standin/bwfakestore/server.go
+++ b/standin/bwfakestore/server.go
@@ -64,8 +64,8 @@
 	// DelayWrites is the number of writes that get no response and are applied
 	// DelayTime later.
 	DelayWrites int
-	// BreakResponses is the number of requests that get a response with an invalid status without
-	// being processed.
+	// BreakResponses is the number of requests that get a response with an invalid status or
+	// field name without being processed.
 	BreakResponses int
 	// Throttle is the number of requests that are refused without being processed.
 	Throttle int
