bwtransport: a body without framing is complete only if its request was written

What callers saw: an engine answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still written. Callers got the part as the complete response, also of actions.

Cause: a body without framing ends with its connection. Linux keeps one error for a socket that was reset, and the first call takes it. If that call is the write of the upload, the reader sees an ordinary end. The gateway's sender dropped its error, on the ground that reading would fail too, and net/http does the same for all clients. An engine that closes only its sending side looks like that as well.

Change: when a body without framing ends, the gateway ends a write in progress, waits for the sender, and takes the body for complete only if the request was written to its end without an error. bwtransport does the same for all HTTP clients, with the events of httptrace and connections that record the error of a write. Bodies with a length or chunks are not held up: they prove their end and may come before the upload has ended.

Why it works: the end of the body is judged after the last write has returned, so it does not matter who got the error, or who was scheduled first. A request that an upstream has read in full was accepted by the kernel in full, so that ending the write can't fail it. The class of the fault is a fact that one goroutine learns and another one needs.

--- a/io/bwgateway/broken_response_test.go
+++ b/io/bwgateway/broken_response_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"bilberrywick/core/bwforward"
 	"bilberrywick/io/bwgateway"
@@ -16,8 +18,17 @@
 type scriptedResponse struct {
 	name string
 	send func(*attempt)
+	// duringUpload is set if the request has a body of uploadBytes that is not read. It is
+	// sent uploadTries times: either the writer or the reader gets the error of a reset.
+	duringUpload bool
 }
 
+const (
+	// uploadBytes exceeds what the sockets buffer of an upload that is not read.
+	uploadBytes = 12 << 20
+	uploadTries = 6
+)
+
 // rejectionCase has what happens to a request whose response is rejected: one that may run
 // once is failed and not sent again, others go to another upstream.
 type rejectionCase struct {
@@ -47,34 +58,48 @@
 	for _, tt := range cases {
 		for _, scripted := range responses {
 			t.Run(tt.name+", "+scripted.name, func(t *testing.T) {
-				var requests atomic.Int64
-				script := func(att *attempt) {
-					if requests.Add(1) == 1 {
-						scripted.send(att)
-						return
-					}
-					respondStreamOrWhole(att)
-				}
-				engines := []*fakeEngine{newFakeEngine(t, "e2", script), newFakeEngine(t, "e3", script)}
-				if tt.begun {
-					engines = append(engines, newFakeEngine(t, "e1", sendUpTo(3, func(*attempt) {})))
-				}
-				tg := newGateway(t, engines, func(_ *bwgateway.Config, cfg *bwforward.RoutingTableConfig) {
-					cfg.Routes[2].Resumable = tt.resumable
-				})
-				rsp := tg.do(http.MethodPost, tt.path+"x", "body")
-				isSound := rsp.status != http.StatusOK || rsp.header.Get(signatureHeader) == "s1" && (rsp.body == "whole" || rsp.body == expectedBody(1))
-				if rsp.status != tt.status || rsp.err != nil || !isSound {
-					t.Errorf("status %d, error %v, body %.200q; want status %d", rsp.status, rsp.err, rsp.body, tt.status)
+				path, body, tries := tt.path+"x", "body", 1
+				if scripted.duringUpload {
+					path, body, tries = tt.path+"unread", strings.Repeat("x", uploadBytes), uploadTries
 				}
-				if requests.Load() != int64(tt.requests) || engines[0].count() > 1 || engines[1].count() > 1 {
-					t.Errorf("%d and %d requests reached the upstreams, want %d in all", engines[0].count(), engines[1].count(), tt.requests)
+				for range tries {
+					var requests atomic.Int64
+					script := func(att *attempt) {
+						if requests.Add(1) == 1 {
+							scripted.send(att)
+							return
+						}
+						respondStreamOrWhole(att)
+					}
+					engines := []*fakeEngine{newFakeEngine(t, "e2", script), newFakeEngine(t, "e3", script)}
+					if tt.begun {
+						engines = append(engines, newFakeEngine(t, "e1", sendUpTo(3, func(*attempt) {})))
+					}
+					tg := newGateway(t, engines, withUploads, func(_ *bwgateway.Config, cfg *bwforward.RoutingTableConfig) {
+						cfg.Routes[2].Resumable = tt.resumable
+					})
+					rsp := tg.do(http.MethodPost, path, body, timeoutHeader, "20000")
+					isSound := rsp.status != http.StatusOK || rsp.header.Get(signatureHeader) == "s1" && (rsp.body == "whole" || rsp.body == expectedBody(1))
+					if rsp.status != tt.status || rsp.err != nil || !isSound {
+						t.Errorf("status %d, error %v, body %.200q; want status %d", rsp.status, rsp.err, rsp.body, tt.status)
+					}
+					if requests.Load() != int64(tt.requests) || engines[0].count() > 1 || engines[1].count() > 1 {
+						t.Errorf("%d and %d requests reached the upstreams, want %d in all", engines[0].count(), engines[1].count(), tt.requests)
+					}
 				}
 			})
 		}
 	}
 }
 
+// withUploads allows bodies of uploadBytes.
+func withUploads(_ *bwgateway.Config, cfg *bwforward.RoutingTableConfig) {
+	cfg.Limits.Body = 2 * uploadBytes
+	for ix := range cfg.Routes {
+		cfg.Routes[ix].Timeout = time.Minute
+	}
+}
+
 // sendBody sends a head, further lines within it, and a sound body in chunks: the remaining
 // events, or four bytes. The lines of the trailer follow.
 func sendBody(before, status, trailer string, lines ...string) func(*attempt) {
@@ -145,3 +170,30 @@
 		t.Errorf("%d of %d lookups were served, %d came to the broken upstream", served, lookups, first.count())
 	}
 }
+
+// Guards against a part of a response that reaches the caller as a complete one, since the
+// upstream broke off while the request was still written: the end of the connection then
+// looks like the end of the body.
+func TestUnframedResponseDuringUpload(t *testing.T) {
+	ends := map[string]func(*attempt){
+		"reset":              (*attempt).reset,
+		"closed":             func(att *attempt) { _ = att.conn.Close() },
+		"closed for writing": func(att *attempt) { _ = att.conn.(*net.TCPConn).CloseWrite() },
+	}
+	var responses []scriptedResponse
+	for name, end := range ends {
+		// The pause lets the upload fill the sockets.
+		for _, pause := range []time.Duration{0, 30 * time.Millisecond} {
+			responses = append(responses, scriptedResponse{name: fmt.Sprintf("%s after %v", name, pause), duringUpload: true, send: func(att *attempt) {
+				att.sendHeader("200 OK")
+				for id := 1; id <= 3; id++ {
+					att.send(fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id))
+				}
+				time.Sleep(pause)
+				end(att)
+				time.Sleep(pause)
+			}})
+		}
+	}
+	checkRejected(t, bodyRejections, responses)
+}
--- a/io/bwgateway/call.go
+++ b/io/bwgateway/call.go
@@ -335,15 +335,19 @@
 
 // checkComplete returns an error unless the response that was just read is
 // complete. A response without a length or chunked encoding ends when the
-// connection closes, which a crash of the upstream looks like too, so the
-// upstream is probed.
+// connection closes. So it does if the upstream breaks off while the request is
+// still written, since only the writer may get the error of the reset, or if the
+// upstream crashes, so it is probed.
 func (cl *call) checkComplete(nd *bwforward.Node, exc *exchange) error {
 	if err := bwtransport.CheckFieldNames(exc.rsp.Trailer); err != nil {
 		return fmt.Errorf("%w: trailer: %w", errIncomplete, err)
 	}
-	if exc.rsp.ContentLength >= 0 || len(exc.rsp.TransferEncoding) > 0 {
+	if bwtransport.HasFraming(exc.rsp) {
 		return nil
 	}
+	if err := exc.sender.end(); err != nil {
+		return fmt.Errorf("%w: %w: %w", errIncomplete, bwtransport.ErrIncomplete, err)
+	}
 	if err := cl.probe(nd); err != nil {
 		return fmt.Errorf("%w: %w", errIncomplete, err)
 	}
--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -52,6 +52,7 @@
 	// lastCheck is when onIdle was last called.
 	lastCheck time.Time
 	head      responseHead
+	sender    *sender
 	// unregisterAbort removes the call of abort that runs when the context ends.
 	unregisterAbort func() bool
 }
@@ -89,29 +90,39 @@
 	if len(out.body) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(out.body))
 	}
-	snd := &sender{conn: conn, req: req}
-	go snd.run()
+	exc.sender = &sender{conn: conn, req: req, done: make(chan struct{})}
+	go exc.sender.run()
 	return exc, nil
 }
 
 // sender writes a request while its response is already being read: an upstream
-// may respond before it has read a long body, and then stop reading. The
-// connection carries nothing else, so a failed write also fails the response.
+// may respond before it has read a long body, and then stop reading.
 type sender struct {
 	conn net.Conn
 	req  *http.Request
+	// done is closed when the request has been written or writing it has failed with err.
+	done chan struct{}
+	err  error
 }
 
 // writeBufferSize fits a prompt of the usual size with its header.
 const writeBufferSize = 16 << 10
 
 func (snd *sender) run() {
+	defer close(snd.done)
 	wrt := bufio.NewWriterSize(snd.conn, writeBufferSize)
-	if err := snd.req.Write(wrt); err != nil {
-		// Reading the response fails too and reports the error.
-		return
+	if snd.err = snd.req.Write(wrt); snd.err == nil {
+		snd.err = wrt.Flush()
 	}
-	_ = wrt.Flush()
+}
+
+// end ends a write in progress, and returns nil if the request was written to its end.
+func (snd *sender) end() error {
+	if err := snd.conn.SetWriteDeadline(time.Now()); err != nil {
+		return err
+	}
+	<-snd.done
+	return snd.err
 }
 
 // DialFunc opens a connection to an upstream.
--- a/io/bwgateway/plain_test.go
+++ b/io/bwgateway/plain_test.go
@@ -147,23 +147,39 @@
 	}
 }
 
-// Guards against a response that is delayed because the engine does not read the
-// request's body.
+// Guards against a response with framing that is delayed or taken for a part because the
+// engine does not read the request's body, and against one without framing that is taken
+// for a part although the engine has read it.
 func TestEarlyResponse(t *testing.T) {
 	done := make(chan struct{})
 	defer close(done)
-	eng := newFakeEngine(t, "e1", func(att *attempt) {
-		att.respond("413 Request Entity Too Large", "long")
-		<-done
-	})
-	tg := newGateway(t, []*fakeEngine{eng}, func(_ *bwgateway.Config, cfg *bwforward.RoutingTableConfig) {
-		cfg.Limits.Body = 64 << 20
-		cfg.Routes[1].Timeout = time.Minute
-	})
-	// The body is larger than the buffers of a connection.
-	rsp := tg.do(http.MethodPost, "/action/unread", strings.Repeat("x", 16<<20), timeoutHeader, "20000")
-	if rsp.status != http.StatusRequestEntityTooLarge || rsp.body != "long" {
-		t.Errorf("status %d, body %q, error %v", rsp.status, rsp.body, rsp.err)
+	tests := []struct {
+		name, path string
+		send       func(*attempt)
+	}{
+		{"length", "/action/unread", func(att *attempt) {
+			att.respond("413 Request Entity Too Large", "long")
+			<-done
+		}},
+		{"chunks", "/action/unread", func(att *attempt) {
+			att.sendHeader("413 Request Entity Too Large", "Transfer-Encoding: chunked")
+			att.chunk("long")
+			att.endStream()
+			<-done
+		}},
+		{"end of the connection", "/action/x", func(att *attempt) {
+			att.sendHeader("413 Request Entity Too Large")
+			att.send("long")
+		}},
+	}
+	for _, tt := range tests {
+		tg := newGateway(t, []*fakeEngine{newFakeEngine(t, "e1", tt.send)}, withUploads)
+		for range uploadTries {
+			rsp := tg.do(http.MethodPost, tt.path, strings.Repeat("x", 16<<20), timeoutHeader, "20000")
+			if rsp.status != http.StatusRequestEntityTooLarge || rsp.body != "long" {
+				t.Errorf("%s: status %d, body %q, error %v", tt.name, rsp.status, rsp.body, rsp.err)
+			}
+		}
 	}
 }
 
--- a/io/bwtransport/body.go
+++ b/io/bwtransport/body.go
@@ -8,8 +8,9 @@
 
 // body is the body of a response, whose end it checks.
 type body struct {
-	src io.ReadCloser
-	rsp *http.Response
+	src    io.ReadCloser
+	rsp    *http.Response
+	upload *upload
 }
 
 // Read reads a part of the body. It returns io.EOF only at the end of a complete one.
@@ -29,5 +30,12 @@
 	if err := CheckFieldNames(bdy.rsp.Trailer); err != nil {
 		return err
 	}
+	// HTTP/2 and gzip have framing of their own.
+	if bdy.rsp.ProtoMajor > 1 || bdy.rsp.Uncompressed || HasFraming(bdy.rsp) {
+		return io.EOF
+	}
+	if err := bdy.upload.wait(bdy.rsp.Request.Context()); err != nil {
+		return err
+	}
 	return io.EOF
 }
--- a/io/bwtransport/check.go
+++ b/io/bwtransport/check.go
@@ -13,11 +13,13 @@
 	ErrInvalidStatus = errors.New("invalid status")
 	// ErrInvalidFieldName means that the name of a field holds a byte that no name may hold.
 	ErrInvalidFieldName = errors.New("invalid field name")
+	// ErrIncomplete means that a body without framing ended before the request was written.
+	ErrIncomplete = errors.New("response ended before its request was written")
 )
 
 // Reason returns the text of the error of this package that err wraps, or an empty string.
 func Reason(err error) string {
-	for _, reason := range []error{ErrInvalidStatus, ErrInvalidFieldName} {
+	for _, reason := range []error{ErrInvalidStatus, ErrInvalidFieldName, ErrIncomplete} {
 		if errors.Is(err, reason) {
 			return reason.Error()
 		}
@@ -50,3 +52,9 @@
 	}
 	return nil
 }
+
+// HasFraming reports whether a response has a length or chunks. The body of any other one
+// ends with its connection.
+func HasFraming(rsp *http.Response) bool {
+	return rsp.ContentLength >= 0 || len(rsp.TransferEncoding) > 0 || rsp.Body == http.NoBody
+}
--- a/io/bwtransport/transport.go
+++ b/io/bwtransport/transport.go
@@ -7,24 +7,34 @@
 	"net/textproto"
 )
 
-// Transport is an http.RoundTripper that fails invalid responses.
+// Transport is an http.RoundTripper that fails invalid and incomplete responses.
 type Transport struct{ base *http.Transport }
 
 // Config configures a Transport.
 type Config struct {
-	// Base sends the requests. It must not be used otherwise.
+	// Base sends the requests. New changes its DialContext, and it must not be used
+	// otherwise.
 	Base *http.Transport
 }
 
 // New returns a Transport without open connections.
-func New(cfg Config) *Transport { return &Transport{base: cfg.Base} }
+func New(cfg Config) *Transport {
+	cfg.Base.DialContext = newDial(cfg.Base)
+	return &Transport{base: cfg.Base}
+}
 
 // RoundTrip sends a request and returns its final response. Its errors are those of
 // http.Transport, ErrInvalidStatus and ErrInvalidFieldName; the server may have executed
-// the request. Reading the body returns ErrInvalidFieldName for an invalid trailer.
+// the request. Reading the body returns ErrInvalidFieldName for an invalid trailer, and
+// ErrIncomplete.
 func (trp *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
-	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{Got1xxResponse: checkInformational})
-	rsp, err := trp.base.RoundTrip(req.WithContext(ctx))
+	upl := newUpload()
+	ctx := httptrace.WithClientTrace(req.Context(), &httptrace.ClientTrace{
+		GotConn:        upl.begin,
+		WroteRequest:   upl.end,
+		Got1xxResponse: checkInformational,
+	})
+	rsp, err := trp.base.RoundTrip(withPlainBody(req.WithContext(ctx)))
 	if err != nil {
 		return nil, err
 	}
@@ -34,7 +44,7 @@
 		return nil, err
 	}
 	if rsp.Body != http.NoBody {
-		rsp.Body = &body{src: rsp.Body, rsp: rsp}
+		rsp.Body = &body{src: rsp.Body, rsp: rsp, upload: upl}
 	}
 	return rsp, nil
 }
--- a/standin/bwfakeapp/clients_test.go
+++ b/standin/bwfakeapp/clients_test.go
@@ -54,10 +54,16 @@
 		{Name: "service action", Content: text("whole"), Uploads: true, Failed: hasNoResponse, Send: func(addr netip.AddrPort, payload string) error {
 			return failure(service(addr).RunAction(ctx, "k1", bwmodel.HTTPRequest{Method: http.MethodPost, Path: "/x", Body: []byte(payload)}))
 		}},
-		{Name: "call through router and agent", Content: text("whole"), Failed: isUnknown, Send: func(addr netip.AddrPort, _ string) error {
-			return outcomeError(startStackAt(t, addr).send(t, http.MethodGet, "/v1/services/desk/calls/permits/12", "", ""))
+		{Name: "call through router and agent", Content: text("whole"), Failed: isUnknown, Send: func(addr netip.AddrPort, _ string) (err error) {
+			t.Run("call", func(t *testing.T) {
+				err = outcomeError(startStackAt(t, addr).send(t, http.MethodGet, "/v1/services/desk/calls/permits/12", "", ""))
+			})
+			return err
+		}},
+		{Name: "action through router and agent", Content: text("whole"), Uploads: true, Failed: isUnknown, Send: func(addr netip.AddrPort, payload string) (err error) {
+			t.Run("action", func(t *testing.T) { err = sendThrice(t, startStackAt(t, addr), payload) })
+			return err
 		}},
-		{Name: "action through router and agent", Content: text("whole"), Uploads: true, Failed: isUnknown, Send: func(addr netip.AddrPort, payload string) error { return sendThrice(t, startStackAt(t, addr), payload) }},
 		{Name: "generation", Content: text(lastChunk), Part: firstChunk, Uploads: true, Failed: isEngineFailure, Send: func(addr netip.AddrPort, payload string) error { return generate(ctx, addr, payload) }},
 		{Name: "load report", Content: text("{}"), Failed: isEngineFailure, Send: func(addr netip.AddrPort, _ string) error { return failure(engineClient(addr).ReadLoad(ctx)) }},
 		{Name: "order", Content: text("done"), Uploads: true, Failed: isEngineFailure, Send: func(addr netip.AddrPort, payload string) error {
@@ -142,8 +148,9 @@
 }
 
 // Guards against responses that are used although they are broken, and against sound ones
-// that are not: a status that no response may have, and an invalid field name, which other
-// programs take for something else.
+// that are not: a status that no response may have, an invalid field name, which other
+// programs take for something else, and a part of a response that looks complete since the
+// server broke off while the request was still written.
 func TestBrokenResponses(t *testing.T) {
 	for _, problem := range bwfakeserver.Play(clientOperations(t), bwfakeserver.Responses()) {
 		t.Error(problem)
--- a/standin/bwfakeserver/responses.go
+++ b/standin/bwfakeserver/responses.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"net"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Content is what a sound response has, in its own framing.
@@ -29,12 +31,18 @@
 	Send func(*Exchange, Content)
 }
 
-// uploadBytes exceeds what the sockets buffer of an upload that is not read.
-const uploadBytes = 12 << 20
+const (
+	// uploadBytes exceeds what the sockets buffer of an upload that is not read.
+	uploadBytes = 12 << 20
+	// endPause lets the client fill the sockets before the connection ends.
+	endPause = 20 * time.Millisecond
+	// earlyEndTries is for resets: either the writer or the reader gets the error.
+	earlyEndTries = 5
+)
 
 // Responses returns all responses, sound and broken ones.
 func Responses() []Response {
-	return slices.Concat(SoundResponses(), InvalidStatuses(), InvalidFieldNames())
+	return slices.Concat(SoundResponses(), InvalidStatuses(), InvalidFieldNames(), EarlyEnds())
 }
 
 // SoundResponses returns the ways in which a response may be framed.
@@ -107,6 +115,34 @@
 	return responses
 }
 
+// EarlyEnds returns responses without framing that end while the upload is still written.
+func EarlyEnds() []Response {
+	ends := []struct {
+		name string
+		end  func(*Exchange)
+	}{
+		{"reset", (*Exchange).Reset},
+		{"reset after a pause", func(exc *Exchange) {
+			exc.wait(endPause)
+			exc.Reset()
+		}},
+		{"closed for writing", func(exc *Exchange) {
+			exc.wait(endPause)
+			_ = exc.Conn.(*net.TCPConn).CloseWrite()
+			exc.wait(endPause)
+		}},
+	}
+	var responses []Response
+	for _, end := range ends {
+		responses = append(responses, Response{Name: end.name, InBody: true, Upload: uploadBytes, Tries: earlyEndTries, Send: func(exc *Exchange, cnt Content) {
+			exc.sendHead("200 OK", cnt.Fields...)
+			exc.Send(cnt.Body)
+			end.end(exc)
+		}})
+	}
+	return responses
+}
+
 func (exc *Exchange) sendHead(status string, fields ...string) {
 	exc.Send("HTTP/1.1 " + status + "\r\n" + strings.Join(append(fields, "", ""), "\r\n"))
 }
@@ -125,3 +161,10 @@
 	}
 	exc.Send("0\r\n" + trailer + "\r\n\r\n")
 }
+
+// wait waits for a time.
+func (exc *Exchange) wait(dur time.Duration) {
+	timer := time.NewTimer(dur)
+	defer timer.Stop()
+	<-timer.C
+}
--- a/standin/bwfakeserver/server.go
+++ b/standin/bwfakeserver/server.go
@@ -80,3 +80,9 @@
 
 // Send sends bytes as they are.
 func (exc *Exchange) Send(text string) { _, _ = io.WriteString(exc.Conn, text) }
+
+// Reset ends the connection with a reset. It needs a connection of a Server.
+func (exc *Exchange) Reset() {
+	_ = exc.Conn.(*net.TCPConn).SetLinger(0)
+	_ = exc.Conn.Close()
+}
