bwgateway: check a head's status before the loop goes on to the next one

Reading the diff again: the condition named a variable that it used once, and the way of the final head stood below that of the informational ones. No change of behaviour; TestInvalidStatus, TestPlainOutcomes and TestEndlessBytes pass.

--- a/io/bwgateway/connection.go
+++ b/io/bwgateway/connection.go
@@ -176,15 +176,14 @@
 		if err := bwtransport.CheckFieldNames(rsp.Header); err != nil {
 			return fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
 		}
-		// Informational responses (1xx) precede the final one.
-		if isInformational := rsp.StatusCode >= http.StatusContinue && rsp.StatusCode < http.StatusOK; isInformational {
-			exc.head.next()
-			continue
-		}
-		if err := bwtransport.CheckStatus(rsp.StatusCode); err != nil {
-			return fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
+		if rsp.StatusCode < http.StatusContinue || rsp.StatusCode >= http.StatusOK {
+			if err := bwtransport.CheckStatus(rsp.StatusCode); err != nil {
+				return fmt.Errorf("%w: %w", ErrIncompleteResponse, err)
+			}
+			return nil
 		}
-		return nil
+		// Informational responses (1xx) precede the final one.
+		exc.head.next()
 	}
 }
 
