review: keep the crashes and the late write inside their limits

The engines were down for up to 1.23 s in place of 1.2, and the write was done up to 6 ms after the 6 s.

--- a/review/standin-3/cases.go
+++ b/review/standin-3/cases.go
@@ -58,12 +58,12 @@
 }
 
 // crashCase: the engines of one zone after the other crash while they run streams that end
-// with their channels, and are back after 1.2 s.
+// with their channels, and are back within 1.2 s.
 func crashCase(ins *installation) verdict {
 	const (
 		events, zones, perZone, rounds = 60, 3, 2, 13
 		pause                          = 20 * time.Millisecond
-		downTime, calmTime             = 1200 * time.Millisecond, 4800 * time.Millisecond
+		downTime, calmTime             = 1100 * time.Millisecond, 4900 * time.Millisecond
 	)
 	ins.writeManifest(1, manifestRoute{"draft", "/draft/", "streaming", "model"})
 	args := func(num int) []string {
@@ -234,7 +234,7 @@
 		ins.logf("the store takes a report of %s and loses its answer: %s", id, ins.store.heldWrite().Value)
 	}
 	heldAt := time.Now()
-	time.Sleep(stableTime + 100*time.Millisecond)
+	time.Sleep(stableTime + 50*time.Millisecond)
 	_ = eng.cmd.Process.Signal(syscall.SIGUSR1)
 	if !waitFor(time.Second, func() bool { _, state := ins.store.sequenceOf(id); return state == "draining" }) {
 		return false, fmt.Errorf("%s does not drain", id)
@@ -242,10 +242,8 @@
 	drainedAt := time.Now()
 	ins.logf("the store acknowledges that %s is draining", id)
 	// The gateway reads the list at least each 1.1 s.
-	time.Sleep(time.Until(drainedAt.Add(drainTime + 100*time.Millisecond)))
+	time.Sleep(time.Until(drainedAt.Add(drainTime + 50*time.Millisecond)))
 	if ins.trouble {
-		before, _ := ins.store.sequenceOf(id)
-		waitFor(1300*time.Millisecond, func() bool { now, _ := ins.store.sequenceOf(id); return now > before })
 		rw := ins.store.heldWrite()
 		ins.store.put(rw.Table, rw.Key, rw.Value)
 		ins.logf("the store does the late write of %s, %.1f s after it was sent, %.1f s after the ack of draining: %s", id, time.Since(heldAt).Seconds(), time.Since(drainedAt).Seconds(), rw.Value)
